--- /dev/null
+++ b/internal/rpc/rpc_test.go
@@ -0,0 +1,76 @@
+package rpc
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+	"bergamotdrum.example/bergamotdrum/internal/result"
+)
+
+func startServer(t *testing.T, secret string) (*Server, string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	s := NewServer([]byte(secret))
+	Register(s, "Control.GetJob", func(_ context.Context, req *apiv1.GetJob) (*apiv1.Job, error) {
+		if req.JobId == "" {
+			return nil, result.NotRun(apiv1.ResultCode_RESULT_CODE_JOB_NOT_FOUND, "job id is empty")
+		}
+		return &apiv1.Job{JobId: req.JobId}, nil
+	})
+	go s.Serve(l)
+	t.Cleanup(s.Close)
+	return s, l.Addr().String()
+}
+
+// Guards against answers and typed errors being lost or mixed on the way.
+func TestCallReturnsAnswerOrTypedError(t *testing.T) {
+	g := NewWithT(t)
+	_, addr := startServer(t, "secret")
+	c := NewClient([]byte("secret"))
+	defer c.Close()
+	resp := &apiv1.Job{}
+	g.Expect(c.Call(t.Context(), addr, "Control.GetJob", &apiv1.GetJob{JobId: "a"}, resp)).To(Succeed())
+	g.Expect(resp.JobId).To(Equal("a"))
+	err := c.Call(t.Context(), addr, "Control.GetJob", &apiv1.GetJob{}, resp)
+	g.Expect(result.CodeOf(err)).To(Equal(apiv1.ResultCode_RESULT_CODE_JOB_NOT_FOUND))
+	g.Expect(result.From(err).NotRun).To(BeTrue())
+}
+
+// Guards against a process without the cluster secret joining.
+func TestPeerWithWrongSecretIsRefused(t *testing.T) {
+	g := NewWithT(t)
+	_, addr := startServer(t, "secret")
+	c := NewClient([]byte("other"))
+	defer c.Close()
+	err := c.Call(t.Context(), addr, "Control.GetJob", &apiv1.GetJob{JobId: "a"}, &apiv1.Job{})
+	var te *TransportError
+	g.Expect(errors.As(err, &te)).To(BeTrue())
+	g.Expect(te.Sent).To(BeFalse())
+}
+
+// Guards against a client that stays broken after its server restarted.
+func TestClientReconnects(t *testing.T) {
+	g := NewWithT(t)
+	s, addr := startServer(t, "secret")
+	c := NewClient([]byte("secret"))
+	defer c.Close()
+	call := func() error {
+		return c.Call(t.Context(), addr, "Control.GetJob", &apiv1.GetJob{JobId: "a"}, &apiv1.Job{})
+	}
+	g.Expect(call()).To(Succeed())
+	s.Close()
+	g.Expect(call()).NotTo(Succeed())
+	l, err := net.Listen("tcp", addr)
+	g.Expect(err).NotTo(HaveOccurred())
+	s2 := NewServer([]byte("secret"))
+	Register(s2, "Control.GetJob", func(context.Context, *apiv1.GetJob) (*apiv1.Job, error) { return &apiv1.Job{}, nil })
+	go s2.Serve(l)
+	defer s2.Close()
+	g.Eventually(call).Should(Succeed())
+}
--- /dev/null
+++ b/internal/rpc/server.go
@@ -0,0 +1,208 @@
+package rpc
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"google.golang.org/protobuf/proto"
+
+	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+	"bergamotdrum.example/bergamotdrum/internal/result"
+)
+
+const (
+	keepAliveInterval = time.Second
+	// A peer that acknowledges nothing for this long is given up.
+	writeTimeout = 3 * time.Second
+	// Bounds a call whose client states no timeout.
+	defaultCallTimeout = 30 * time.Second
+)
+
+func yamuxConfig() *yamux.Config {
+	cfg := yamux.DefaultConfig()
+	cfg.EnableKeepAlive = true
+	cfg.KeepAliveInterval = keepAliveInterval
+	cfg.ConnectionWriteTimeout = writeTimeout
+	cfg.StreamOpenTimeout = writeTimeout
+	cfg.LogOutput = io.Discard
+	return cfg
+}
+
+type handler func(ctx context.Context, body []byte) (proto.Message, error)
+
+// Server answers calls on one listener.
+type Server struct {
+	secret   []byte
+	mu       sync.Mutex
+	handlers map[string]handler
+	sessions map[*yamux.Session]struct{}
+	listener net.Listener
+	closed   bool
+	wg       sync.WaitGroup
+	ctx      context.Context
+	cancel   context.CancelFunc
+}
+
+// NewServer returns a server that admits peers holding secret.
+func NewServer(secret []byte) *Server {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Server{
+		secret:   secret,
+		handlers: map[string]handler{},
+		sessions: map[*yamux.Session]struct{}{},
+		ctx:      ctx,
+		cancel:   cancel,
+	}
+}
+
+// Register adds a typed handler for method. It must be called before Serve.
+func Register[Req, Resp any, PReq interface {
+	*Req
+	proto.Message
+}, PResp interface {
+	*Resp
+	proto.Message
+}](s *Server, method string, fn func(context.Context, PReq) (PResp, error)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.handlers[method] = func(ctx context.Context, body []byte) (proto.Message, error) {
+		req := PReq(new(Req))
+		if err := proto.Unmarshal(body, req); err != nil {
+			return nil, result.NotRun(apiv1.ResultCode_RESULT_CODE_INVALID_ARGUMENT, "request of %s does not decode: %v", method, err)
+		}
+		resp, err := fn(ctx, req)
+		if err != nil {
+			return nil, err
+		}
+		return resp, nil
+	}
+}
+
+// Serve accepts peers until Close. It returns nil after Close.
+func (s *Server) Serve(l net.Listener) error {
+	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
+		return l.Close()
+	}
+	s.listener = l
+	s.mu.Unlock()
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			return fmt.Errorf("accept: %w", err)
+		}
+		s.wg.Go(func() { s.servePeer(conn) })
+	}
+}
+
+// Close ends all sessions and waits for running handlers.
+func (s *Server) Close() {
+	s.cancel()
+	s.mu.Lock()
+	s.closed = true
+	if s.listener != nil {
+		s.listener.Close()
+	}
+	for session := range s.sessions {
+		session.Close()
+	}
+	s.mu.Unlock()
+	s.wg.Wait()
+}
+
+func (s *Server) servePeer(conn net.Conn) {
+	if err := handshake(conn, s.secret, false); err != nil {
+		conn.Close()
+		return
+	}
+	session, err := yamux.Server(conn, yamuxConfig())
+	if err != nil {
+		conn.Close()
+		return
+	}
+	if !s.track(session) {
+		session.Close()
+		return
+	}
+	defer s.untrack(session)
+	for {
+		stream, err := session.AcceptStream()
+		if err != nil {
+			return
+		}
+		s.wg.Go(func() { s.serveStream(stream) })
+	}
+}
+
+func (s *Server) track(session *yamux.Session) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	s.sessions[session] = struct{}{}
+	return true
+}
+
+func (s *Server) untrack(session *yamux.Session) {
+	session.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.sessions, session)
+}
+
+func (s *Server) serveStream(stream *yamux.Stream) {
+	defer stream.Close()
+	stream.SetReadDeadline(time.Now().Add(defaultCallTimeout))
+	req := &apiv1.RpcRequest{}
+	if err := readFrame(stream, req); err != nil {
+		return
+	}
+	timeout := defaultCallTimeout
+	if req.TimeoutMs > 0 {
+		timeout = time.Duration(req.TimeoutMs) * time.Millisecond
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, timeout)
+	defer cancel()
+	go cancelWhenClosed(stream, cancel)
+	resp := s.dispatch(ctx, req)
+	stream.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_ = writeFrame(stream, resp) // the client sees a closed stream and reports it
+}
+
+// cancelWhenClosed ends a call whose client has gone away or given up.
+func cancelWhenClosed(stream *yamux.Stream, cancel context.CancelFunc) {
+	stream.SetReadDeadline(time.Time{})
+	var b [1]byte
+	stream.Read(b[:]) // clients send nothing after the request
+	cancel()
+}
+
+func (s *Server) dispatch(ctx context.Context, req *apiv1.RpcRequest) *apiv1.RpcResponse {
+	s.mu.Lock()
+	h, ok := s.handlers[req.Method]
+	s.mu.Unlock()
+	if !ok {
+		err := result.NotRun(apiv1.ResultCode_RESULT_CODE_INVALID_ARGUMENT, "method %q does not exist here", req.Method)
+		return &apiv1.RpcResponse{Status: err.Status()}
+	}
+	m, err := h(ctx, req.Body)
+	if err != nil {
+		return &apiv1.RpcResponse{Status: result.From(err).Status()}
+	}
+	body, err := proto.Marshal(m)
+	if err != nil {
+		return &apiv1.RpcResponse{Status: result.From(err).Status()}
+	}
+	return &apiv1.RpcResponse{Body: body}
+}
