--- /dev/null
+++ b/internal/control/dump.go
@@ -0,0 +1,76 @@
+package control
+
+import (
+	"time"
+
+	"bergamotdrum.example/bergamotdrum/internal/state"
+)
+
+// StateDump summarises the replicated state. Keys and payloads are left out.
+type StateDump struct {
+	AppliedIndex  uint64 `json:"applied_index"`
+	LogTimeMS     int64  `json:"log_time_unix_ms"`
+	ViewVersion   uint64 `json:"view_version"`
+	ConfigVersion uint64 `json:"config_version"`
+	Sessions      any    `json:"sessions"`
+	Shards        any    `json:"shards"`
+	VMs           any    `json:"vms"`
+	Intents       any    `json:"intents"`
+	Jobs          []JobDump
+}
+
+// JobDump is one job without its data.
+type JobDump struct {
+	ID     string `json:"id"`
+	Team   string `json:"team"`
+	State  string `json:"state"`
+	Worker string `json:"worker"`
+	Epoch  uint64 `json:"epoch"`
+	Reason string `json:"reason"`
+}
+
+// DumpState returns the dump of the replicated state of this replica, which
+// may lag behind the leader's.
+func DumpState(m *state.Machine) *StateDump {
+	out := &StateDump{}
+	m.Read(func(st *state.State) {
+		out.AppliedIndex = st.AppliedIndex
+		out.LogTimeMS = st.LogTimeMS
+		out.ViewVersion = st.ViewVersion
+		out.ConfigVersion = st.Publish.Current().Version
+		out.Sessions = st.Membership.Sessions()
+		out.Shards = st.Membership.Shards()
+		out.VMs = st.Fleet.VMs()
+		out.Intents = st.Fleet.Intents()
+		for _, job := range st.Jobs.List() {
+			out.Jobs = append(out.Jobs, JobDump{
+				ID: job.JobId, Team: job.Team, State: job.State.String(),
+				Worker: job.Lease.GetWorkerId(), Epoch: job.Epoch, Reason: job.Reason,
+			})
+		}
+	})
+	return out
+}
+
+// LeadershipDump is the leader's soft state.
+type LeadershipDump struct {
+	Leader   bool                     `json:"leader"`
+	Sessions map[uint64]time.Duration `json:"session_renewed_ns_ago,omitempty"`
+	VMs      map[string]time.Duration `json:"vm_seen_ns_ago,omitempty"`
+	Leases   map[string]time.Duration `json:"lease_renewed_ns_ago,omitempty"`
+}
+
+// DumpLeadership returns the leader's soft state, empty on followers.
+func (s *Server) DumpLeadership() *LeadershipDump {
+	l := s.lead.Load()
+	if l == nil {
+		return &LeadershipDump{}
+	}
+	now := s.o.Clock.Now()
+	return &LeadershipDump{
+		Leader:   true,
+		Sessions: l.sessions.ages(now),
+		VMs:      l.workers.vmAges(now),
+		Leases:   l.workers.leaseAges(now),
+	}
+}
--- /dev/null
+++ b/internal/control/operator.go
@@ -0,0 +1,275 @@
+package control
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+	"bergamotdrum.example/bergamotdrum/internal/objects"
+	"bergamotdrum.example/bergamotdrum/internal/result"
+	"bergamotdrum.example/bergamotdrum/internal/state"
+)
+
+const (
+	maxOperatorBodyBytes = 16 << 20
+	// A publish is answered after this time even when it is not yet in force
+	// everywhere; the answer names the processes still missing.
+	inForceWait = 8 * time.Second
+	// Bounds the job list of one answer.
+	maxListedJobs = 1000
+)
+
+// OperatorKeys checks the credentials of operators.
+type OperatorKeys interface {
+	// Authenticate returns the operator's name.
+	Authenticate(credential string) (string, *result.Error)
+}
+
+// operatorCall is one authenticated call on the leader.
+type operatorCall struct {
+	l        *leadership
+	operator string
+	r        *http.Request
+}
+
+type operatorHandler func(ctx context.Context, c *operatorCall) (proto.Message, error)
+
+// OperatorHandler serves the operators' HTTP API.
+func (s *Server) OperatorHandler() http.Handler {
+	mux := http.NewServeMux()
+	for pattern, h := range map[string]operatorHandler{
+		"POST /v1/config/check":    s.checkConfig,
+		"POST /v1/config/publish":  s.publishConfig,
+		"GET /v1/config":           s.currentConfig,
+		"GET /v1/config/history":   s.configHistory,
+		"GET /v1/config/in-force":  s.configInForce,
+		"GET /v1/status":           s.status,
+		"GET /v1/explain":          s.explain,
+		"GET /v1/jobs":             s.listJobs,
+		"GET /v1/jobs/{id}":        s.showJob,
+		"POST /v1/jobs/cancel":     s.cancelJobs,
+		"POST /v1/control/members": s.replaceReplica,
+		"GET /v1/dump":             s.dump,
+	} {
+		mux.HandleFunc(pattern, s.operatorRoute(h))
+	}
+	return mux
+}
+
+func (s *Server) operatorRoute(h operatorHandler) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		credential := strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
+		operator, authErr := s.o.OperatorKeys.Authenticate(credential)
+		if authErr != nil {
+			writeError(w, authErr)
+			return
+		}
+		l, err := s.leader()
+		if err != nil {
+			writeError(w, s.withOperatorAddress(result.From(err)))
+			return
+		}
+		r.Body = http.MaxBytesReader(w, r.Body, maxOperatorBodyBytes)
+		m, err := h(r.Context(), &operatorCall{l: l, operator: operator, r: r})
+		if err != nil {
+			writeError(w, s.withOperatorAddress(result.From(err)))
+			return
+		}
+		writeMessage(w, http.StatusOK, m)
+	}
+}
+
+// withOperatorAddress replaces the leader's RPC address, which operators cannot
+// use.
+func (s *Server) withOperatorAddress(e *result.Error) *result.Error {
+	if e.Code != apiv1.ResultCode_RESULT_CODE_NOT_LEADER {
+		return e
+	}
+	out := *e
+	out.LeaderAddress = s.o.OperatorAddresses[e.LeaderAddress]
+	return &out
+}
+
+func writeError(w http.ResponseWriter, e *result.Error) {
+	w.Header().Set("Bergamot-Result", strconv.Itoa(int(e.Code)))
+	if e.NotRun {
+		w.Header().Set("Bergamot-Not-Run", "true")
+	}
+	writeMessage(w, result.HTTPStatus(e.Code), e.Status())
+}
+
+func writeMessage(w http.ResponseWriter, status int, m proto.Message) {
+	body, err := protojson.MarshalOptions{UseProtoNames: true}.Marshal(m)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	w.Write(append(body, '\n'))
+}
+
+func (c *operatorCall) decode(m proto.Message) error {
+	body, err := io.ReadAll(c.r.Body)
+	if err != nil {
+		return result.NotRun(apiv1.ResultCode_RESULT_CODE_TOO_LARGE, "the body could not be read: %v", err)
+	}
+	if err := protojson.Unmarshal(body, m); err != nil {
+		return result.NotRun(apiv1.ResultCode_RESULT_CODE_INVALID_ARGUMENT, "the body is not a valid message: %v", err)
+	}
+	return nil
+}
+
+// read runs fn on the state after a quorum has confirmed the leadership.
+func (c *operatorCall) read(ctx context.Context, fn func(*state.State)) error {
+	if err := c.l.s.node.Barrier(ctx); err != nil {
+		return err
+	}
+	c.l.s.o.Machine.Read(fn)
+	return nil
+}
+
+func (s *Server) checkConfig(ctx context.Context, c *operatorCall) (proto.Message, error) {
+	req := &apiv1.CheckConfig{}
+	if err := c.decode(req); err != nil {
+		return nil, err
+	}
+	reply := &apiv1.CheckReply{}
+	for _, p := range objects.Check(req.Objects) {
+		reply.Problems = append(reply.Problems, p.Message())
+	}
+	err := c.read(ctx, func(st *state.State) { reply.ConfigVersion = st.Publish.Current().Version })
+	return reply, err
+}
+
+func (s *Server) publishConfig(ctx context.Context, c *operatorCall) (proto.Message, error) {
+	req := &apiv1.PublishConfig{}
+	if err := c.decode(req); err != nil {
+		return nil, err
+	}
+	if req.RequestId == "" {
+		return nil, result.NotRun(apiv1.ResultCode_RESULT_CODE_INVALID_ARGUMENT, "request_id is empty; set it so that a resend gets the first result")
+	}
+	req.Author = c.operator
+	res, err := c.l.propose(ctx, &apiv1.Command{Body: &apiv1.Command_PublishConfig{PublishConfig: req}})
+	if err != nil {
+		return nil, err
+	}
+	s.m.publishes.Inc()
+	version := res.GetPublish().Version
+	s.o.Log.WithField("version", version).WithField("author", c.operator).Info("configuration published")
+	start := time.Now()
+	reply := c.awaitInForce(ctx, version, inForceWait)
+	if reply.InForce {
+		s.m.inForce.Observe(time.Since(start).Seconds())
+	}
+	return reply, nil
+}
+
+func (c *operatorCall) awaitInForce(ctx context.Context, version uint64, wait time.Duration) *apiv1.PublishReply {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	waiting := c.l.waitInForce(ctx, version)
+	return &apiv1.PublishReply{Version: version, InForce: len(waiting) == 0, WaitingFor: waiting}
+}
+
+func (s *Server) configInForce(ctx context.Context, c *operatorCall) (proto.Message, error) {
+	version, err := strconv.ParseUint(c.r.URL.Query().Get("version"), 10, 64)
+	if err != nil {
+		return nil, result.NotRun(apiv1.ResultCode_RESULT_CODE_INVALID_ARGUMENT, "version must be a number")
+	}
+	var current uint64
+	if err := c.read(ctx, func(st *state.State) { current = st.Publish.Current().Version }); err != nil {
+		return nil, err
+	}
+	if version > current {
+		return nil, result.NotRun(apiv1.ResultCode_RESULT_CODE_NOT_FOUND, "version %d is not published; the newest is %d", version, current)
+	}
+	return c.awaitInForce(ctx, version, time.Second), nil
+}
+
+func (s *Server) currentConfig(ctx context.Context, c *operatorCall) (proto.Message, error) {
+	var config *apiv1.Config
+	err := c.read(ctx, func(st *state.State) { config = st.Publish.Current() })
+	return config, err
+}
+
+func (s *Server) configHistory(ctx context.Context, c *operatorCall) (proto.Message, error) {
+	reply := &apiv1.ConfigHistory{}
+	err := c.read(ctx, func(st *state.State) {
+		for _, config := range append([]*apiv1.Config{st.Publish.Current()}, st.Publish.History()...) {
+			if listed(reply, config.Version) {
+				continue
+			}
+			reply.Versions = append(reply.Versions, &apiv1.ConfigVersion{
+				Version: config.Version, PublishedUnixMs: config.PublishedUnixMs,
+				Author: config.Author, Comment: config.Comment,
+			})
+		}
+	})
+	return reply, err
+}
+
+func listed(h *apiv1.ConfigHistory, version uint64) bool {
+	for _, v := range h.Versions {
+		if v.Version == version {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Server) listJobs(ctx context.Context, c *operatorCall) (proto.Message, error) {
+	reply := &apiv1.JobList{}
+	err := c.read(ctx, func(st *state.State) {
+		for _, job := range st.Jobs.List() {
+			if len(reply.Jobs) == maxListedJobs {
+				reply.Truncated = true
+				return
+			}
+			reply.Jobs = append(reply.Jobs, withoutData(job))
+		}
+	})
+	return reply, err
+}
+
+func (s *Server) showJob(ctx context.Context, c *operatorCall) (proto.Message, error) {
+	id := c.r.PathValue("id")
+	var found *apiv1.Job
+	err := c.read(ctx, func(st *state.State) {
+		if job, ok := st.Jobs.Get(id); ok {
+			found = withoutData(job)
+		}
+	})
+	if err == nil && found == nil {
+		err = result.NotRun(apiv1.ResultCode_RESULT_CODE_JOB_NOT_FOUND, "job %q does not exist", id)
+	}
+	return found, err
+}
+
+// withoutData copies a job without what its owner put in and got out.
+func withoutData(job *apiv1.Job) *apiv1.Job {
+	out := proto.CloneOf(job)
+	out.Payload, out.Checkpoint, out.Result = nil, nil, nil
+	return out
+}
+
+func (s *Server) cancelJobs(ctx context.Context, c *operatorCall) (proto.Message, error) {
+	req := &apiv1.CancelJobs{}
+	if err := c.decode(req); err != nil {
+		return nil, err
+	}
+	req.ClientAccount = "" // operators may cancel every account's jobs
+	res, err := c.l.propose(ctx, &apiv1.Command{Body: &apiv1.Command_CancelJobs{CancelJobs: req}})
+	if err != nil {
+		return nil, err
+	}
+	return res.GetRejections(), nil
+}
--- /dev/null
+++ b/internal/control/status.go
@@ -0,0 +1,192 @@
+package control
+
+import (
+	"context"
+
+	"google.golang.org/protobuf/proto"
+
+	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+	"bergamotdrum.example/bergamotdrum/internal/fleet"
+	"bergamotdrum.example/bergamotdrum/internal/state"
+)
+
+func (s *Server) status(ctx context.Context, c *operatorCall) (proto.Message, error) {
+	report := &apiv1.StatusReport{}
+	err := c.read(ctx, func(st *state.State) {
+		report.ConfigVersion = st.Publish.Current().Version
+		c.l.reportSessions(report, st)
+		reportShards(report, st)
+		reportPools(report, st)
+		reportZones(report, st)
+		reportWaves(report, st)
+		reportTeams(report, st)
+	})
+	if err != nil {
+		return nil, err
+	}
+	waiting, _ := c.l.sessions.waitingFor(report.ConfigVersion)
+	report.InForce = len(waiting) == 0
+	report.ControlReplicas = s.replicaStatus()
+	return report, nil
+}
+
+func (s *Server) replicaStatus() []*apiv1.ControlReplicaStatus {
+	status := s.node.Status()
+	var out []*apiv1.ControlReplicaStatus
+	for _, r := range status.Group.GetReplicas() {
+		out = append(out, &apiv1.ControlReplicaStatus{
+			ReplicaId:       r.Id,
+			RpcAddress:      r.RpcAddress,
+			OperatorAddress: s.o.OperatorAddresses[r.RpcAddress],
+			Leader:          r.Id == status.LeaderID,
+			Learner:         r.Learner,
+		})
+	}
+	return out
+}
+
+func (l *leadership) reportSessions(report *apiv1.StatusReport, st *state.State) {
+	now := l.s.o.Clock.Now()
+	for _, session := range st.Membership.Sessions() {
+		out := &apiv1.SessionStatus{
+			SessionId:        session.Id,
+			ProcessId:        session.ProcessId,
+			AvailabilityZone: session.AvailabilityZone,
+			RpcAddress:       session.RpcAddress,
+			Expired:          session.Expired,
+		}
+		if renewed, version, ok := l.sessions.lookup(session.Id); ok {
+			out.ConfigVersion = version
+			out.RenewedMsAgo = uint32((now - renewed).Milliseconds())
+		}
+		report.Sessions = append(report.Sessions, out)
+	}
+}
+
+func reportShards(report *apiv1.StatusReport, st *state.State) {
+	process := map[uint64]string{}
+	for _, session := range st.Membership.Sessions() {
+		process[session.Id] = session.ProcessId
+	}
+	for _, shard := range st.Membership.Shards() {
+		report.Shards = append(report.Shards, &apiv1.ShardStatus{
+			Service:    shard.Service,
+			Epoch:      shard.Epoch,
+			ProcessId:  process[shard.SessionId],
+			Recovering: shard.Recovering,
+		})
+	}
+}
+
+func reportPools(report *apiv1.StatusReport, st *state.State) {
+	leaving := leavingSet(st)
+	for _, pool := range st.Index.Set.Pool {
+		out := &apiv1.PoolStatus{
+			Pool:    pool.Name,
+			Spare:   pool.Spare,
+			MaxDown: st.Index.Budgets[pool.AvailabilityBudget].GetMaxDown(),
+		}
+		for _, vm := range st.Fleet.InPool(pool.Name) {
+			countVM(out, vm, leaving[vm.Id], fleet.Available(vm, st.Index))
+		}
+		report.Pools = append(report.Pools, out)
+	}
+}
+
+func countVM(out *apiv1.PoolStatus, vm *apiv1.Vm, leaving, available bool) {
+	if available {
+		out.VmsUp++
+	} else {
+		out.VmsDown++
+	}
+	if leaving {
+		out.VmsLeaving++
+	}
+	if vm.Quarantined {
+		out.VmsQuarantined++
+	}
+}
+
+func leavingSet(st *state.State) map[string]bool {
+	leaving := map[string]bool{}
+	for _, vm := range st.Fleet.LeavingVMs() {
+		leaving[vm] = true
+	}
+	return leaving
+}
+
+func reportZones(report *apiv1.StatusReport, st *state.State) {
+	zones := map[string]*apiv1.ZoneStatus{}
+	for _, z := range st.Index.Set.AvailabilityZone {
+		out := &apiv1.ZoneStatus{AvailabilityZone: z.Name, Region: z.Region, State: z.State}
+		zones[z.Name] = out
+		report.Zones = append(report.Zones, out)
+	}
+	for _, vm := range st.Fleet.VMs() {
+		z := zones[vm.AvailabilityZone]
+		if z == nil {
+			continue
+		}
+		if fleet.Available(vm, st.Index) {
+			z.VmsUp++
+		} else {
+			z.VmsDown++
+		}
+	}
+	for _, session := range st.Membership.Sessions() {
+		if z := zones[session.AvailabilityZone]; z != nil && !session.Expired {
+			z.Sessions++
+		}
+	}
+}
+
+func reportWaves(report *apiv1.StatusReport, st *state.State) {
+	for _, m := range st.Index.Set.Maintenance {
+		out := &apiv1.WaveStatus{Maintenance: m.Name, Pool: m.Pool, State: m.State}
+		for _, in := range st.Fleet.Intents() {
+			if in.Maintenance == m.Name {
+				countIntent(out, in.Phase)
+			}
+		}
+		planned := len(m.Vms)
+		if planned == 0 {
+			planned = len(st.Fleet.InPool(m.Pool))
+		}
+		out.Pending = uint32(max(0, planned-int(out.Done+out.Draining+out.Operating)))
+		report.Waves = append(report.Waves, out)
+	}
+}
+
+func countIntent(out *apiv1.WaveStatus, phase apiv1.IntentPhase) {
+	switch phase {
+	case apiv1.IntentPhase_INTENT_PHASE_DRAINING:
+		out.Draining++
+	case apiv1.IntentPhase_INTENT_PHASE_OPERATING:
+		out.Operating++
+	case apiv1.IntentPhase_INTENT_PHASE_DONE:
+		out.Done++
+	case apiv1.IntentPhase_INTENT_PHASE_FAILED:
+		out.Failed++
+	default:
+	}
+}
+
+// reportTeams shows the committed allotments, which bound what runs, and the
+// running jobs; the shards know the exact number of requests.
+func reportTeams(report *apiv1.StatusReport, st *state.State) {
+	weights := uint32(0)
+	for _, t := range st.Index.Set.Team {
+		weights += t.Weight
+	}
+	running, queued := st.Membership.TeamLoad()
+	for _, t := range st.Index.Set.Team {
+		report.Teams = append(report.Teams, &apiv1.TeamStatus{
+			Team:          t.Name,
+			Running:       running[t.Name],
+			Queued:        queued[t.Name],
+			Weight:        t.Weight,
+			SharePermille: t.Weight * 1000 / max(weights, 1),
+			MaxRunning:    st.Index.MaxRunning(t.Name),
+		})
+	}
+}
--- /dev/null
+++ b/internal/daemon/control/daemon.go
@@ -0,0 +1,179 @@
+// Package control wires a control replica from its settings.
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+	"bergamotdrum.example/bergamotdrum/internal/clock"
+	"bergamotdrum.example/bergamotdrum/internal/control"
+	"bergamotdrum.example/bergamotdrum/internal/daemon"
+	"bergamotdrum.example/bergamotdrum/internal/observe"
+	"bergamotdrum.example/bergamotdrum/internal/operator"
+	"bergamotdrum.example/bergamotdrum/internal/platform"
+	"bergamotdrum.example/bergamotdrum/internal/replica"
+	"bergamotdrum.example/bergamotdrum/internal/rpc"
+	"bergamotdrum.example/bergamotdrum/internal/state"
+)
+
+// stopTimeout bounds the operators' calls in flight at a stop.
+const stopTimeout = 10 * time.Second
+
+// Daemon is a running control replica.
+type Daemon struct {
+	Process *observe.Process
+	Node    *replica.Node
+	Control *control.Server
+
+	cancel    context.CancelFunc
+	rpcServer *rpc.Server
+	rpcClient *rpc.Client
+	http      []*http.Server
+}
+
+// Start opens the listeners and the data folder and joins the group.
+func Start(set *apiv1.ControlSettings) (*Daemon, error) {
+	secret, err := daemon.ReadSecret(set.ClusterSecretFile)
+	if err != nil {
+		return nil, err
+	}
+	keys, err := operator.LoadKeys(set.OperatorKeysFile)
+	if err != nil {
+		return nil, err
+	}
+	process, err := observe.NewProcess("control", set.ProcessId, set.LogLevel)
+	if err != nil {
+		return nil, err
+	}
+	addresses, err := operatorAddresses(set)
+	if err != nil {
+		return nil, err
+	}
+	listeners, err := daemon.Listen(set.RpcAddress, set.OperatorAddress, set.AdminAddress)
+	if err != nil {
+		return nil, err
+	}
+	d := &Daemon{Process: process, rpcServer: rpc.NewServer(secret), rpcClient: rpc.NewClient(secret)}
+	if err := d.startReplica(set, keys, addresses); err != nil {
+		for _, l := range listeners {
+			l.Close()
+		}
+		d.rpcClient.Close()
+		return nil, err
+	}
+	d.serve(listeners[0], listeners[1], listeners[2])
+	process.Log.WithField("rpc_address", set.RpcAddress).Info("control replica started")
+	return d, nil
+}
+
+// operatorAddresses maps RPC addresses to operator addresses.
+func operatorAddresses(set *apiv1.ControlSettings) (map[string]string, error) {
+	m := map[string]string{set.RpcAddress: set.OperatorAddress}
+	if len(set.OperatorAddresses) == 0 {
+		return m, nil
+	}
+	if len(set.OperatorAddresses) != len(set.ControlAddresses) {
+		return nil, fmt.Errorf("operator_addresses has %d entries and control_addresses %d; list both in the same order", len(set.OperatorAddresses), len(set.ControlAddresses))
+	}
+	for i, a := range set.ControlAddresses {
+		m[a] = set.OperatorAddresses[i]
+	}
+	return m, nil
+}
+
+func ms(v uint32) time.Duration { return time.Duration(v) * time.Millisecond }
+
+func (d *Daemon) startReplica(set *apiv1.ControlSettings, keys control.OperatorKeys, addresses map[string]string) error {
+	machine := state.New()
+	var client *platform.Client
+	if set.PlatformUrl != "" {
+		client = platform.NewClient(set.PlatformUrl)
+	}
+	d.Control = control.New(control.Options{
+		Machine:           machine,
+		Clock:             clock.Boot{},
+		Log:               d.Process.Log,
+		SessionTTL:        ms(set.SessionTtlMs),
+		Margin:            ms(set.SessionMarginMs),
+		LeaseTTL:          ms(set.LeaseTtlMs),
+		Platform:          client,
+		OperatorKeys:      keys,
+		OperatorAddresses: addresses,
+		Registry:          d.Process.Registry,
+		Dump:              d.Process.Dump,
+	})
+	d.Control.Register(d.rpcServer)
+	node, err := replica.Start(replica.Options{
+		DataFolder:        set.DataFolder,
+		RPCAddress:        set.RpcAddress,
+		ControlAddresses:  set.ControlAddresses,
+		Bootstrap:         set.Bootstrap,
+		HeartbeatInterval: ms(set.HeartbeatIntervalMs),
+		ElectionTimeout:   ms(set.ElectionTimeoutMs),
+		SnapshotEntries:   uint64(set.SnapshotEntries),
+		StateMachine:      machine,
+		Server:            d.rpcServer,
+		Client:            d.rpcClient,
+		Clock:             clock.Boot{},
+		Log:               d.Process.Log,
+		Registry:          d.Process.Registry,
+		OnLeader:          d.Control.OnLeader,
+	})
+	if err != nil {
+		return err
+	}
+	d.Node = node
+	d.Control.SetNode(node)
+	d.Process.AddDumper("replica", func() any { return node.Status() })
+	d.Process.AddDumper("state", func() any { return control.DumpState(machine) })
+	d.Process.AddDumper("leadership", func() any { return d.Control.DumpLeadership() })
+	d.Process.AddProbe(func() error {
+		if node.Status().LeaderID == 0 {
+			return errors.New("no leader of the control group is known")
+		}
+		return nil
+	})
+	return nil
+}
+
+func (d *Daemon) serve(rpcListener, operatorListener, admin net.Listener) {
+	ctx, cancel := context.WithCancel(context.Background())
+	d.cancel = cancel
+	operators := daemon.HTTPServer(d.Control.OperatorHandler())
+	adminServer := d.Process.AdminServer()
+	d.http = []*http.Server{operators, adminServer}
+	go d.report("rpc", func() error { return d.rpcServer.Serve(rpcListener) })
+	go d.report("operators", func() error { return operators.Serve(operatorListener) })
+	go d.report("admin", func() error { return adminServer.Serve(admin) })
+	go d.Process.DumpOnSignal(ctx)
+	d.Process.SetReady(true)
+}
+
+func (d *Daemon) report(name string, serve func() error) {
+	if err := serve(); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		d.Process.Log.WithError(err).WithField("listener", name).Error("listener ended")
+	}
+}
+
+// Stop fails readiness, lets operators' calls end, and leaves the group's
+// state on disk.
+func (d *Daemon) Stop() error {
+	d.Process.SetReady(false)
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	var errs []error
+	for _, s := range d.http {
+		errs = append(errs, s.Shutdown(ctx))
+	}
+	d.Node.Stop()
+	d.rpcServer.Close()
+	d.rpcClient.Close()
+	d.cancel()
+	d.Process.Log.Info("control replica stopped")
+	return errors.Join(errs...)
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,95 @@
+// Package daemon holds what the programs share: settings, secrets, listeners
+// and the wait for a signal to stop.
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"bergamotdrum.example/bergamotdrum/internal/settings"
+)
+
+const (
+	minSecretBytes = 16
+	// Bounds how long a caller may take over its request header.
+	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = 2 * time.Minute
+	maxHeaderBytes    = 64 << 10
+	// secretFileMode is the widest mode accepted for files with secrets.
+	secretFileMode = 0o600
+)
+
+// LoadSettings reads one section of an INI file. The error lists every problem
+// on a line of its own.
+func LoadSettings(path, section string, into proto.Message) error {
+	problems := settings.Load(path, section, into)
+	if len(problems) == 0 {
+		return nil
+	}
+	lines := make([]string, 0, len(problems))
+	for _, p := range problems {
+		lines = append(lines, p.String())
+	}
+	return fmt.Errorf("settings are refused:\n  %s", strings.Join(lines, "\n  "))
+}
+
+// ReadSecret reads a file that only its owner may read.
+func ReadSecret(path string) ([]byte, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, fmt.Errorf("secret file: %w", err)
+	}
+	if info.Mode().Perm()&^secretFileMode != 0 {
+		return nil, fmt.Errorf("secret file %s has mode %o; set it to 600", path, info.Mode().Perm())
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("secret file: %w", err)
+	}
+	secret := []byte(strings.TrimSpace(string(data)))
+	if len(secret) < minSecretBytes {
+		return nil, fmt.Errorf("secret file %s holds %d bytes; write at least %d", path, len(secret), minSecretBytes)
+	}
+	return secret, nil
+}
+
+// Listen opens the listeners in order, or none.
+func Listen(addresses ...string) ([]net.Listener, error) {
+	var open []net.Listener
+	for _, a := range addresses {
+		l, err := net.Listen("tcp", a)
+		if err != nil {
+			for _, o := range open {
+				o.Close()
+			}
+			return nil, fmt.Errorf("listen on %s: %w", a, err)
+		}
+		open = append(open, l)
+	}
+	return open, nil
+}
+
+// HTTPServer returns a server with header limits and timeouts. Bodies are
+// bounded by the handlers.
+func HTTPServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+}
+
+// StopSignal returns a context that ends on SIGTERM or SIGINT.
+func StopSignal() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+}
--- /dev/null
+++ b/internal/state/apply.go
@@ -0,0 +1,171 @@
+package state
+
+import (
+	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+	"bergamotdrum.example/bergamotdrum/internal/objects"
+	"bergamotdrum.example/bergamotdrum/internal/result"
+)
+
+// apply changes the state by one command. It is deterministic: the result
+// depends on the state, the index and the command only.
+func (s *State) apply(index uint64, cmd *apiv1.Command) *apiv1.CommandResult {
+	s.AppliedIndex = index
+	s.LogTimeMS = max(s.LogTimeMS, cmd.TimeUnixMs)
+	res := &apiv1.CommandResult{Index: index, Status: result.OK()}
+	viewChanged := s.dispatch(index, cmd, res)
+	if viewChanged {
+		s.ViewVersion = index
+	}
+	return res
+}
+
+// dispatch returns whether the view changed.
+func (s *State) dispatch(index uint64, cmd *apiv1.Command, res *apiv1.CommandResult) bool {
+	switch c := cmd.Body.(type) {
+	case *apiv1.Command_PublishConfig:
+		return s.applyPublish(index, c.PublishConfig, res)
+	case *apiv1.Command_OpenSession:
+		return s.applyOpenSession(index, c.OpenSession, res)
+	case *apiv1.Command_ExpireSessions:
+		s.Membership.ExpireSessions(index, c.ExpireSessions)
+		s.Ledger.ExpireSessions(c.ExpireSessions.SessionIds)
+		return true
+	case *apiv1.Command_ReleaseSessions:
+		s.Membership.ReleaseSessions(c.ReleaseSessions)
+		return true
+	case *apiv1.Command_FinishRecovery:
+		fail(res, s.Membership.FinishRecovery(c.FinishRecovery))
+		return true
+	case *apiv1.Command_ReportDemand:
+		s.applyReportDemand(c.ReportDemand, res)
+	case *apiv1.Command_StartRequest:
+		s.applyStartRequest(c.StartRequest, res)
+	case *apiv1.Command_FinishRequest:
+		s.applyFinishRequest(c.FinishRequest, res)
+	default:
+		return s.dispatchFleet(cmd, res)
+	}
+	return false
+}
+
+// dispatchFleet handles the commands on jobs and VMs.
+func (s *State) dispatchFleet(cmd *apiv1.Command, res *apiv1.CommandResult) bool {
+	var rejected []*apiv1.Rejection
+	changed := false
+	switch c := cmd.Body.(type) {
+	case *apiv1.Command_SubmitJob:
+		s.applySubmitJob(c.SubmitJob, res)
+		return false
+	case *apiv1.Command_PlaceJobs:
+		rejected = s.Jobs.Place(s.LogTimeMS, c.PlaceJobs, s.Index, s.Fleet, s.Membership)
+	case *apiv1.Command_ReportTasks:
+		changed = s.trackLeaving(func() {
+			rejected = s.Jobs.Report(s.LogTimeMS, c.ReportTasks, s.Index, s.Fleet, s.Membership)
+		})
+	case *apiv1.Command_ExpireLeases:
+		changed = s.trackLeaving(func() {
+			rejected = s.Jobs.ExpireLeases(s.LogTimeMS, c.ExpireLeases, s.Membership)
+		})
+	case *apiv1.Command_CancelJobs:
+		rejected = s.Jobs.Cancel(s.LogTimeMS, c.CancelJobs, s.Membership)
+	case *apiv1.Command_ObserveVms:
+		changed = s.trackLeaving(func() { rejected = s.Fleet.Observe(s.LogTimeMS, c.ObserveVms, s.Index) })
+	case *apiv1.Command_CreateIntents:
+		changed = s.trackLeaving(func() { rejected = s.Fleet.CreateIntents(s.LogTimeMS, c.CreateIntents, s.Index) })
+	case *apiv1.Command_AdvanceIntents:
+		changed = s.trackLeaving(func() { rejected = s.Fleet.AdvanceIntents(s.LogTimeMS, c.AdvanceIntents, s.Index) })
+	default:
+		fail(res, result.NotRun(apiv1.ResultCode_RESULT_CODE_INVALID_ARGUMENT, "the command has no body that this version knows"))
+		return false
+	}
+	res.Body = &apiv1.CommandResult_Rejections{Rejections: &apiv1.Rejections{Rejections: rejected}}
+	return changed
+}
+
+func fail(res *apiv1.CommandResult, err *result.Error) {
+	if err != nil {
+		res.Status = err.Status()
+	}
+}
+
+func (s *State) applyPublish(index uint64, cmd *apiv1.PublishConfig, res *apiv1.CommandResult) bool {
+	before := s.Publish.Current().Version
+	out, err := s.Publish.Publish(s.LogTimeMS, cmd)
+	if err != nil {
+		fail(res, err)
+		return false
+	}
+	res.Body = &apiv1.CommandResult_Publish{Publish: out}
+	if s.Publish.Current().Version == before {
+		return false // a resend; nothing changed
+	}
+	s.Index = objects.NewIndex(s.Publish.Current().Objects)
+	s.Membership.SetConfig(index, s.Index)
+	return true
+}
+
+func (s *State) applyOpenSession(index uint64, cmd *apiv1.OpenSession, res *apiv1.CommandResult) bool {
+	live := s.Membership.Sessions()
+	session, err := s.Membership.OpenSession(index, cmd)
+	if err != nil {
+		fail(res, err)
+		return false
+	}
+	s.expireReplaced(live)
+	res.Body = &apiv1.CommandResult_Session{Session: session}
+	return true
+}
+
+// expireReplaced ends the started requests of sessions that a new one of the
+// same process replaced.
+func (s *State) expireReplaced(before []*apiv1.Session) {
+	var ids []uint64
+	for _, old := range before {
+		if !old.Expired && !s.Membership.LiveSession(old.Id) {
+			ids = append(ids, old.Id)
+		}
+	}
+	s.Ledger.ExpireSessions(ids)
+}
+
+func (s *State) applyReportDemand(cmd *apiv1.ReportDemand, res *apiv1.CommandResult) {
+	out, err := s.Membership.ReportDemand(cmd)
+	if err != nil {
+		fail(res, err)
+		return
+	}
+	res.Body = &apiv1.CommandResult_Allotments{Allotments: out}
+}
+
+// applyStartRequest refuses sessions that have expired: their started requests
+// are already counted as unknown, so a later start would never be.
+func (s *State) applyStartRequest(cmd *apiv1.StartRequest, res *apiv1.CommandResult) {
+	if !s.Membership.LiveSession(cmd.SessionId) {
+		fail(res, result.NotRun(apiv1.ResultCode_RESULT_CODE_SESSION_EXPIRED, "session %d has expired; open a new one", cmd.SessionId))
+		return
+	}
+	record, err := s.Ledger.Start(s.LogTimeMS, cmd)
+	if err != nil {
+		fail(res, err)
+		return
+	}
+	res.Body = &apiv1.CommandResult_Request{Request: record}
+}
+
+func (s *State) applyFinishRequest(cmd *apiv1.FinishRequest, res *apiv1.CommandResult) {
+	record, err := s.Ledger.Finish(s.LogTimeMS, cmd)
+	if err != nil {
+		fail(res, err)
+		return
+	}
+	res.Body = &apiv1.CommandResult_Request{Request: record}
+}
+
+func (s *State) applySubmitJob(cmd *apiv1.SubmitJob, res *apiv1.CommandResult) {
+	job, err := s.Jobs.Submit(s.LogTimeMS, cmd, s.Index, s.Fleet)
+	if err != nil {
+		fail(res, err)
+		return
+	}
+	res.Body = &apiv1.CommandResult_Job{Job: job}
+}
--- /dev/null
+++ b/internal/state/machine.go
@@ -0,0 +1,97 @@
+package state
+
+import (
+	"fmt"
+	"sync"
+
+	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+	"bergamotdrum.example/bergamotdrum/internal/objects"
+)
+
+// Machine guards the State for one writer, the replica's apply loop, and many
+// readers.
+type Machine struct {
+	mu    sync.RWMutex
+	state *State
+	// changed is closed and replaced after each view change.
+	changed chan struct{}
+}
+
+// New returns a machine with an empty state.
+func New() *Machine {
+	return &Machine{state: newState(), changed: make(chan struct{})}
+}
+
+// Apply implements replica.StateMachine.
+func (m *Machine) Apply(index uint64, cmd *apiv1.Command) *apiv1.CommandResult {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	before := m.state.ViewVersion
+	res := m.state.apply(index, cmd)
+	if m.state.ViewVersion != before {
+		m.notify()
+	}
+	return res
+}
+
+func (m *Machine) notify() {
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+// Read runs fn under a read lock. fn keeps no reference to the state.
+func (m *Machine) Read(fn func(*State)) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	fn(m.state)
+}
+
+// ViewVersion returns the version and a channel that is closed when it changes.
+func (m *Machine) ViewVersion() (view, config uint64, changed <-chan struct{}) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.state.ViewVersion, m.state.Publish.Current().Version, m.changed
+}
+
+// Snapshot implements replica.StateMachine. The message shares no memory with
+// the state.
+func (m *Machine) Snapshot() *apiv1.StateSnapshot {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	s := m.state
+	return &apiv1.StateSnapshot{
+		AppliedIndex:  s.AppliedIndex,
+		LogTimeUnixMs: s.LogTimeMS,
+		ViewVersion:   s.ViewVersion,
+		Publish:       s.Publish.Snapshot(),
+		Membership:    s.Membership.Snapshot(),
+		Ledger:        s.Ledger.Snapshot(),
+		Jobs:          s.Jobs.Snapshot(),
+		Fleet:         s.Fleet.Snapshot(),
+	}
+}
+
+// Restore implements replica.StateMachine.
+func (m *Machine) Restore(snap *apiv1.StateSnapshot) error {
+	s := newState()
+	s.AppliedIndex = snap.AppliedIndex
+	s.LogTimeMS = snap.LogTimeUnixMs
+	s.ViewVersion = snap.ViewVersion
+	for name, restore := range map[string]func() error{
+		"publish":    func() error { return s.Publish.Restore(snap.Publish) },
+		"membership": func() error { return s.Membership.Restore(snap.Membership) },
+		"ledger":     func() error { return s.Ledger.Restore(snap.Ledger) },
+		"jobs":       func() error { return s.Jobs.Restore(snap.Jobs) },
+		"fleet":      func() error { return s.Fleet.Restore(snap.Fleet) },
+	} {
+		if err := restore(); err != nil {
+			return fmt.Errorf("restore %s: %w", name, err)
+		}
+	}
+	s.Index = objects.NewIndex(s.Publish.Current().Objects)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.state = s
+	m.notify()
+	return nil
+}
