--- /dev/null
+++ b/internal/fleet/budget.go
@@ -0,0 +1,75 @@
+package fleet
+
+import (
+	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+	"bergamotdrum.example/bergamotdrum/internal/objects"
+	"bergamotdrum.example/bergamotdrum/internal/result"
+)
+
+// downCount counts the VMs of one pool that are down for any cause.
+type downCount struct {
+	pool  uint32
+	zones map[string]uint32
+	// racks are counted per zone, because rack names may repeat between zones.
+	racks map[rackKey]uint32
+}
+
+type rackKey struct{ zone, rack string }
+
+func rackOf(vm *apiv1.Vm) rackKey { return rackKey{vm.AvailabilityZone, vm.Rack} }
+
+func countDown(vms []*apiv1.Vm, ix *objects.Index) *downCount {
+	c := &downCount{zones: map[string]uint32{}, racks: map[rackKey]uint32{}}
+	for _, vm := range vms {
+		if !Available(vm, ix) {
+			c.add(vm)
+		}
+	}
+	return c
+}
+
+func (c *downCount) add(vm *apiv1.Vm) {
+	c.pool++
+	c.zones[vm.AvailabilityZone]++
+	c.racks[rackOf(vm)]++
+}
+
+// allows returns nil when one more VM may be taken down within the budget.
+func (c *downCount) allows(vm *apiv1.Vm, b *apiv1.AvailabilityBudget) *result.Error {
+	if c.pool >= b.MaxDown {
+		return exceeded("pool %s has %d VMs down of at most %d", vm.Pool, c.pool, b.MaxDown)
+	}
+	zone := c.zones[vm.AvailabilityZone]
+	if b.MaxDownPerZone > 0 && zone >= b.MaxDownPerZone {
+		return exceeded("pool %s has %d VMs down in availability zone %s of at most %d",
+			vm.Pool, zone, vm.AvailabilityZone, b.MaxDownPerZone)
+	}
+	rack := c.racks[rackOf(vm)]
+	if b.MaxDownPerRack > 0 && rack >= b.MaxDownPerRack {
+		return exceeded("pool %s has %d VMs down in rack %s of at most %d", vm.Pool, rack, vm.Rack, b.MaxDownPerRack)
+	}
+	return nil
+}
+
+func exceeded(format string, args ...any) *result.Error {
+	return result.NotRun(apiv1.ResultCode_RESULT_CODE_BUDGET_EXCEEDED, format, args...)
+}
+
+// checkBudget returns nil when vm may be taken down now. A VM that is down
+// already takes nothing from the budget.
+func (s *State) checkBudget(vm *apiv1.Vm, ix *objects.Index) *result.Error {
+	if !Available(vm, ix) {
+		return nil
+	}
+	return countDown(s.InPool(vm.Pool), ix).allows(vm, budgetOf(vm.Pool, ix))
+}
+
+// budgetOf returns a budget of zero for a pool or budget that does not exist.
+func budgetOf(pool string, ix *objects.Index) *apiv1.AvailabilityBudget {
+	if p, ok := ix.Pools[pool]; ok {
+		if b, ok := ix.Budgets[p.AvailabilityBudget]; ok {
+			return b
+		}
+	}
+	return &apiv1.AvailabilityBudget{}
+}
--- /dev/null
+++ b/internal/jobs/place.go
@@ -0,0 +1,138 @@
+package jobs
+
+import (
+	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+	"bergamotdrum.example/bergamotdrum/internal/objects"
+	"bergamotdrum.example/bergamotdrum/internal/result"
+)
+
+// Place commits the parts of a plan that still hold: a lease for each
+// placement, and requests to running overnight jobs to slow down or to stop.
+func (s *State) Place(logTimeMS int64, cmd *apiv1.PlaceJobs, ix *objects.Index, w Workers, l Limits) []*apiv1.Rejection {
+	var out []*apiv1.Rejection
+	for _, p := range cmd.Placements {
+		out = reject(out, p.JobId, s.place(logTimeMS, p, ix, w, l))
+	}
+	for _, id := range cmd.ThrottleJobIds {
+		out = reject(out, id, s.throttle(logTimeMS, id))
+	}
+	for _, id := range cmd.PreemptJobIds {
+		out = reject(out, id, s.preempt(logTimeMS, id))
+	}
+	return out
+}
+
+func reject(out []*apiv1.Rejection, id string, err *result.Error) []*apiv1.Rejection {
+	if err == nil {
+		return out
+	}
+	return append(out, &apiv1.Rejection{Id: id, Status: err.Status()})
+}
+
+func (s *State) place(logTimeMS int64, p *apiv1.Placement, ix *objects.Index, w Workers, l Limits) *result.Error {
+	j, ok := s.jobs[p.JobId]
+	if !ok {
+		return notFound(p.JobId)
+	}
+	if j.State != apiv1.JobState_JOB_STATE_PENDING || j.Epoch != p.ExpectedEpoch {
+		return result.NotRun(apiv1.ResultCode_RESULT_CODE_LEASE_STALE,
+			"job %s is %s at epoch %d, not pending at epoch %d", j.JobId, j.State, j.Epoch, p.ExpectedEpoch)
+	}
+	vm, err := s.target(j, p.WorkerId, ix, w)
+	if err != nil {
+		return err
+	}
+	if !l.AcquireJob(j.Team) {
+		return result.NotRun(apiv1.ResultCode_RESULT_CODE_TEAM_LIMIT, "team %s is at its limit", j.Team)
+	}
+	s.change(logTimeMS, j, func(j *apiv1.Job) {
+		j.Epoch++
+		j.State = apiv1.JobState_JOB_STATE_PLACED
+		j.Reason = ""
+		j.Lease = &apiv1.JobLease{Epoch: j.Epoch, WorkerId: p.WorkerId, Vm: vm.Id}
+	})
+	return nil
+}
+
+// target returns the worker's VM when the job may start there.
+func (s *State) target(j *apiv1.Job, workerID string, ix *objects.Index, w Workers) (*apiv1.Vm, *result.Error) {
+	vm, ok := w.Worker(workerID)
+	if !ok {
+		return nil, result.NotRun(apiv1.ResultCode_RESULT_CODE_VM_UNKNOWN, "worker %q is not known", workerID)
+	}
+	if vm.Pool != j.Pool {
+		return nil, noCapacity("worker %s is in pool %s, not in %s", workerID, vm.Pool, j.Pool)
+	}
+	if !ix.ZoneIn(vm.AvailabilityZone) {
+		return nil, result.NotRun(apiv1.ResultCode_RESULT_CODE_ZONE_OUT, "availability zone %s is out", vm.AvailabilityZone)
+	}
+	if !w.Placeable(vm.Id, ix) {
+		return nil, noCapacity("VM %s is down, leaving or quarantined", vm.Id)
+	}
+	free := s.free(vm)
+	if need := amountOf(j.Resources); !need.fits(free) {
+		return nil, noCapacity("VM %s has %s free; the job needs %s", vm.Id, free, need)
+	}
+	return vm, nil
+}
+
+func (s *State) free(vm *apiv1.Vm) amount {
+	free := amountOf(vm.Capacity)
+	if l, ok := s.loads[vm.Id]; ok {
+		free = free.minus(l.used)
+	}
+	return free
+}
+
+// throttle marks an overnight job to run slower. Its declared sizes stay
+// counted, because the worker gives no bound on what it then uses.
+func (s *State) throttle(logTimeMS int64, id string) *result.Error {
+	j, err := s.victim(id)
+	if err != nil || j.Lease.Throttled {
+		return err
+	}
+	s.change(logTimeMS, j, func(j *apiv1.Job) {
+		j.Lease = &apiv1.JobLease{Epoch: j.Lease.Epoch, WorkerId: j.Lease.WorkerId, Vm: j.Lease.Vm, Throttled: true}
+	})
+	return nil
+}
+
+// preempt asks a throttled overnight job to checkpoint and stop. A job that may
+// not be repeated is never stopped, because it could not start again.
+func (s *State) preempt(logTimeMS int64, id string) *result.Error {
+	j, err := s.victim(id)
+	if err != nil || j.State == apiv1.JobState_JOB_STATE_STOPPING {
+		return err
+	}
+	if !j.Repeatable || !j.Lease.Throttled {
+		return noCapacity("job %s is not repeatable or not throttled yet and cannot be preempted", id)
+	}
+	s.change(logTimeMS, j, func(j *apiv1.Job) {
+		j.State = apiv1.JobState_JOB_STATE_STOPPING
+		j.PreemptRequested = true
+	})
+	return nil
+}
+
+// victim returns a running overnight job while an urgent job of its pool waits.
+func (s *State) victim(id string) (*apiv1.Job, *result.Error) {
+	j, ok := s.jobs[id]
+	if !ok {
+		return nil, notFound(id)
+	}
+	if j.Lease == nil || j.Priority != apiv1.Priority_PRIORITY_OVERNIGHT {
+		return nil, noCapacity("job %s is not a running overnight job", id)
+	}
+	if s.urgent[j.Pool] == 0 {
+		return nil, noCapacity("no urgent job waits for pool %s", j.Pool)
+	}
+	return j, nil
+}
+
+func noCapacity(format string, args ...any) *result.Error {
+	return result.NotRun(apiv1.ResultCode_RESULT_CODE_NO_CAPACITY, format, args...)
+}
+
+func notFound(id string) *result.Error {
+	return result.NotRun(apiv1.ResultCode_RESULT_CODE_JOB_NOT_FOUND, "job %s is not known", id)
+}
--- /dev/null
+++ b/internal/jobs/submit.go
@@ -0,0 +1,136 @@
+package jobs
+
+import (
+	"time"
+
+	"github.com/google/uuid"
+	"google.golang.org/protobuf/proto"
+
+	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+	"bergamotdrum.example/bergamotdrum/internal/objects"
+	"bergamotdrum.example/bergamotdrum/internal/result"
+)
+
+const (
+	// maxIDAheadMS bounds the difference between a caller's clock and log time.
+	maxIDAheadMS = 5 * 60 * 1000
+	// maxDataBytes bounds a payload, a checkpoint and a result, which all
+	// travel through the log.
+	maxDataBytes = 256 << 10
+	// emptyPoolRetry is about the time in which workers of a pool announce
+	// themselves.
+	emptyPoolRetry = time.Second
+)
+
+// Submit commits a job. A resend with the same id returns the job as it is.
+func (s *State) Submit(logTimeMS int64, cmd *apiv1.SubmitJob, ix *objects.Index, w Workers) (*apiv1.Job, *result.Error) {
+	if j, ok := s.jobs[cmd.JobId]; ok {
+		return resent(j, cmd)
+	}
+	if err := s.checkID(logTimeMS, cmd.JobId); err != nil {
+		return nil, err
+	}
+	q, err := s.checkQueue(cmd, ix)
+	if err != nil {
+		return nil, err
+	}
+	if len(cmd.Payload) > maxDataBytes {
+		return nil, result.NotRun(apiv1.ResultCode_RESULT_CODE_TOO_LARGE,
+			"payload has %d bytes of at most %d", len(cmd.Payload), maxDataBytes)
+	}
+	if err := checkFits(cmd, q.Pool, w); err != nil {
+		return nil, err
+	}
+	j := &apiv1.Job{
+		JobId: cmd.JobId, ClientAccount: cmd.ClientAccount, Team: cmd.Team,
+		Queue: q.Name, Pool: q.Pool, Priority: q.Priority, Resources: cmd.Resources,
+		Repeatable: cmd.Repeatable, DeclaredRunMs: cmd.DeclaredRunMs, Payload: cmd.Payload,
+		State: apiv1.JobState_JOB_STATE_PENDING, SubmittedUnixMs: logTimeMS, ChangedUnixMs: logTimeMS,
+	}
+	s.order = append(s.order, j.JobId)
+	s.put(j)
+	return j, nil
+}
+
+// resent returns the known job when cmd asks for the same work.
+func resent(j *apiv1.Job, cmd *apiv1.SubmitJob) (*apiv1.Job, *result.Error) {
+	same := j.ClientAccount == cmd.ClientAccount && j.Queue == cmd.Queue && j.Repeatable == cmd.Repeatable &&
+		proto.Equal(j.Resources, cmd.Resources)
+	if !same {
+		return nil, result.New(apiv1.ResultCode_RESULT_CODE_IDEMPOTENCY_KEY_REUSED,
+			"job id %s was used for another job; use a new id for each job", cmd.JobId)
+	}
+	return j, nil
+}
+
+func (s *State) checkID(logTimeMS int64, id string) *result.Error {
+	ms, ok := idTimeMS(id)
+	if !ok {
+		return result.NotRun(apiv1.ResultCode_RESULT_CODE_IDEMPOTENCY_KEY_INVALID, "job id %q is not a UUIDv7 in lower case", id)
+	}
+	if ms > logTimeMS+maxIDAheadMS {
+		return result.NotRun(apiv1.ResultCode_RESULT_CODE_IDEMPOTENCY_KEY_INVALID,
+			"job id %s is more than 5 minutes ahead; set the caller's clock", id)
+	}
+	if ms < logTimeMS-retentionMS || ms <= s.forgottenMS {
+		return result.New(apiv1.ResultCode_RESULT_CODE_OUTCOME_UNKNOWN,
+			"job id %s is older than the records kept; it may have run", id)
+	}
+	return nil
+}
+
+// idTimeMS returns the time in a UUIDv7. Only the canonical form is accepted,
+// so that two spellings of one id cannot become two jobs.
+func idTimeMS(id string) (int64, bool) {
+	u, err := uuid.Parse(id)
+	if err != nil || u.Version() != 7 || u.String() != id {
+		return 0, false
+	}
+	var ms int64
+	for _, b := range u[:6] {
+		ms = ms<<8 | int64(b)
+	}
+	return ms, true
+}
+
+func (s *State) checkQueue(cmd *apiv1.SubmitJob, ix *objects.Index) (*apiv1.Queue, *result.Error) {
+	q, ok := ix.Queues[cmd.Queue]
+	if !ok || q.Pool == "" {
+		return nil, result.NotRun(apiv1.ResultCode_RESULT_CODE_UNKNOWN_QUEUE, "queue %q takes no jobs", cmd.Queue)
+	}
+	if !ix.QueueAllows(q, cmd.Team) {
+		return nil, result.NotRun(apiv1.ResultCode_RESULT_CODE_QUEUE_NOT_ALLOWED,
+			"queue %s is not open to team %q", q.Name, cmd.Team)
+	}
+	if s.pending[q.Name] >= q.MaxDepth {
+		return nil, result.NotRun(apiv1.ResultCode_RESULT_CODE_QUEUE_FULL, "queue %s holds %d waiting jobs", q.Name, q.MaxDepth)
+	}
+	return q, nil
+}
+
+// checkFits refuses a job that is larger than every VM of its pool, empty.
+func checkFits(cmd *apiv1.SubmitJob, pool string, w Workers) *result.Error {
+	need := amountOf(cmd.Resources)
+	var largest amount
+	workers := 0
+	for _, vm := range w.InPool(pool) {
+		if vm.WorkerId == "" {
+			continue
+		}
+		workers++
+		c := amountOf(vm.Capacity)
+		if need.fits(c) {
+			return nil
+		}
+		largest.cpuMillis = max(largest.cpuMillis, c.cpuMillis)
+		largest.memoryMB = max(largest.memoryMB, c.memoryMB)
+		largest.accelerators = max(largest.accelerators, c.accelerators)
+	}
+	if workers == 0 {
+		err := result.NotRun(apiv1.ResultCode_RESULT_CODE_NO_CAPACITY, "pool %s has no workers yet", pool)
+		err.RetryAfter = emptyPoolRetry
+		return err
+	}
+	return result.NotRun(apiv1.ResultCode_RESULT_CODE_JOB_NEVER_FITS,
+		"job needs %s; no VM of pool %s has them together (largest of each: %s)", need, pool, largest)
+}
