--- a/internal/control/operator.go
+++ b/internal/control/operator.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -141,10 +142,7 @@
 	if err := c.decode(req); err != nil {
 		return nil, err
 	}
-	reply := &apiv1.CheckReply{}
-	for _, p := range objects.Check(req.Objects) {
-		reply.Problems = append(reply.Problems, p.Message())
-	}
+	reply := &apiv1.CheckReply{Problems: objects.ConfigProblems(objects.Check(req.Objects))}
 	err := c.read(ctx, func(st *state.State) { reply.ConfigVersion = st.Publish.Current().Version })
 	return reply, err
 }
@@ -204,10 +202,7 @@
 func (s *Server) configHistory(ctx context.Context, c *operatorCall) (proto.Message, error) {
 	reply := &apiv1.ConfigHistory{}
 	err := c.read(ctx, func(st *state.State) {
-		for _, config := range append([]*apiv1.Config{st.Publish.Current()}, st.Publish.History()...) {
-			if listed(reply, config.Version) {
-				continue
-			}
+		for _, config := range slices.Backward(st.Publish.History()) {
 			reply.Versions = append(reply.Versions, &apiv1.ConfigVersion{
 				Version: config.Version, PublishedUnixMs: config.PublishedUnixMs,
 				Author: config.Author, Comment: config.Comment,
@@ -217,15 +212,6 @@
 	return reply, err
 }
 
-func listed(h *apiv1.ConfigHistory, version uint64) bool {
-	for _, v := range h.Versions {
-		if v.Version == version {
-			return true
-		}
-	}
-	return false
-}
-
 func (s *Server) listJobs(ctx context.Context, c *operatorCall) (proto.Message, error) {
 	reply := &apiv1.JobList{}
 	err := c.read(ctx, func(st *state.State) {
--- a/internal/control/workers.go
+++ b/internal/control/workers.go
@@ -126,7 +126,10 @@
 		})
 	}
 	var once []*apiv1.TaskReport
-	for _, job := range st.Jobs.LeasedTo(hb.WorkerId) {
+	for _, job := range st.Jobs.Leased(hb.Vm) {
+		if job.Lease.WorkerId != hb.WorkerId {
+			continue
+		}
 		in := l.instruction(now, job, held[job.JobId] == job.Lease.Epoch)
 		if in == nil {
 			continue
--- a/internal/control/workertracker.go
+++ b/internal/control/workertracker.go
@@ -51,9 +51,11 @@
 			t.seen[vm.Id] = now
 		}
 	}
-	leased := st.Jobs.Leased()
-	current := make(map[string]bool, len(leased))
-	for _, job := range leased {
+	current := map[string]bool{}
+	for _, job := range st.Jobs.Live() {
+		if job.Lease == nil {
+			continue
+		}
 		current[job.JobId] = true
 		r := t.leases[job.JobId]
 		if r == nil || r.epoch != job.Lease.Epoch {
--- a/internal/state/apply.go
+++ b/internal/state/apply.go
@@ -63,9 +63,7 @@
 			rejected = s.Jobs.Report(s.LogTimeMS, c.ReportTasks, s.Index, s.Fleet, s.Membership)
 		})
 	case *apiv1.Command_ExpireLeases:
-		changed = s.trackLeaving(func() {
-			rejected = s.Jobs.ExpireLeases(s.LogTimeMS, c.ExpireLeases, s.Membership)
-		})
+		rejected = s.Jobs.ExpireLeases(s.LogTimeMS, c.ExpireLeases, s.Membership)
 	case *apiv1.Command_CancelJobs:
 		rejected = s.Jobs.Cancel(s.LogTimeMS, c.CancelJobs, s.Membership)
 	case *apiv1.Command_ObserveVms:
@@ -101,6 +99,7 @@
 	}
 	s.Index = objects.NewIndex(s.Publish.Current().Objects)
 	s.Membership.SetConfig(index, s.Index)
+	s.Fleet.SetConfig(s.Index)
 	return true
 }
 
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -77,16 +77,14 @@
 	s.AppliedIndex = snap.AppliedIndex
 	s.LogTimeMS = snap.LogTimeUnixMs
 	s.ViewVersion = snap.ViewVersion
-	for name, restore := range map[string]func() error{
-		"publish":    func() error { return s.Publish.Restore(snap.Publish) },
-		"membership": func() error { return s.Membership.Restore(snap.Membership) },
-		"ledger":     func() error { return s.Ledger.Restore(snap.Ledger) },
-		"jobs":       func() error { return s.Jobs.Restore(snap.Jobs) },
-		"fleet":      func() error { return s.Fleet.Restore(snap.Fleet) },
-	} {
-		if err := restore(); err != nil {
-			return fmt.Errorf("restore %s: %w", name, err)
-		}
+	if err := s.Publish.Restore(snap.Publish); err != nil {
+		return fmt.Errorf("restore configuration: %w", err)
+	}
+	s.Membership.Restore(snap.Membership)
+	s.Jobs.Restore(snap.Jobs)
+	s.Fleet.Restore(snap.Fleet)
+	if err := s.Ledger.Restore(snap.Ledger); err != nil {
+		return fmt.Errorf("restore request ledger: %w", err)
 	}
 	s.Index = objects.NewIndex(s.Publish.Current().Objects)
 	m.mu.Lock()
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -72,8 +72,7 @@
 // still be running.
 func (s *State) LongestDeadlineMS() uint32 {
 	longest := uint32(0)
-	configs := append(s.Publish.History(), s.Publish.Current())
-	for _, c := range configs {
+	for _, c := range s.Publish.History() {
 		for _, svc := range c.GetObjects().GetService() {
 			longest = max(longest, svc.MaxDeadlineMs)
 		}
