Add sessions, shard assignment, fair share and the shard host

Entries need a granting host early, so that the wiring can start. Sessions and allotments are a pure sub-state; the scheduler core is pure and the host does its I/O.

Demand reports carry a sequence (new field ReportDemand.sequence): a report that is committed late could otherwise acknowledge a ceiling that the shard has raised since, which would free an amount that is in use.

--- /dev/null
+++ b/internal/membership/sessions.go
@@ -0,0 +1,72 @@
+package membership
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+	"bergamotdrum.example/bergamotdrum/internal/result"
+)
+
+// OpenSession opens a session at the log index. A resend with the incarnation
+// of a live session returns that session; another incarnation of the process
+// expires its older session.
+func (s *State) OpenSession(index uint64, cmd *apiv1.OpenSession) (*apiv1.Session, *result.Error) {
+	if cmd.ProcessId == "" || cmd.RpcAddress == "" {
+		return nil, result.NotRun(apiv1.ResultCode_RESULT_CODE_INVALID_ARGUMENT, "a session needs a process id and an rpc address")
+	}
+	for _, id := range sortedKeys(s.sessions) {
+		old := s.sessions[id]
+		if old.Expired || old.ProcessId != cmd.ProcessId {
+			continue
+		}
+		if old.Incarnation == cmd.Incarnation {
+			return proto.CloneOf(old), nil
+		}
+		s.expire(id)
+	}
+	s.lastSessionID++
+	session := &apiv1.Session{
+		Id:               s.lastSessionID,
+		ProcessId:        cmd.ProcessId,
+		AvailabilityZone: cmd.AvailabilityZone,
+		RpcAddress:       cmd.RpcAddress,
+		Incarnation:      cmd.Incarnation,
+		OpenedIndex:      index,
+	}
+	s.sessions[session.Id] = session
+	s.assignOrphans(index)
+	s.moveOneShardTo(index, session.Id)
+	return proto.CloneOf(session), nil
+}
+
+// ExpireSessions ends live sessions and assigns their shards to others. Ids
+// that are unknown or already expired are ignored.
+func (s *State) ExpireSessions(index uint64, cmd *apiv1.ExpireSessions) {
+	for _, id := range cmd.SessionIds {
+		s.expire(id)
+	}
+	s.assignOrphans(index)
+}
+
+// ReleaseSessions forgets expired sessions. Live sessions are left alone.
+func (s *State) ReleaseSessions(cmd *apiv1.ReleaseSessions) {
+	for _, id := range cmd.SessionIds {
+		if session, ok := s.sessions[id]; ok && session.Expired {
+			delete(s.sessions, id)
+		}
+	}
+}
+
+func (s *State) expire(id uint64) {
+	session, ok := s.sessions[id]
+	if !ok || session.Expired {
+		return
+	}
+	session.Expired = true
+	for _, sh := range s.shards {
+		if sh.SessionId == id {
+			sh.SessionId = 0
+			sh.Recovering = true
+		}
+	}
+}
--- /dev/null
+++ b/internal/scheduler/cluster_test.go
@@ -0,0 +1,247 @@
+package scheduler
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
+
+	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+	"bergamotdrum.example/bergamotdrum/internal/membership"
+	"bergamotdrum.example/bergamotdrum/internal/objects"
+	"bergamotdrum.example/bergamotdrum/internal/session"
+)
+
+const (
+	testTTL      = 2 * time.Second
+	testMargin   = 250 * time.Millisecond
+	testDeadline = 3 * time.Second
+	// Time after a publish in which starts may still follow the old limit.
+	testInForce = 5 * time.Second
+	testSlots   = 4
+)
+
+var testServices = []string{"alerts", "models"}
+
+func testIndex(limit uint32) *objects.Index {
+	set := &apiv1.ObjectSet{
+		Limit:            []*apiv1.Limit{{Name: "l", MaxRunning: limit}},
+		Team:             []*apiv1.Team{{Name: "a", Weight: 1, Limit: "l"}, {Name: "b", Weight: 2, Limit: "l"}},
+		AvailabilityZone: []*apiv1.AvailabilityZone{{Name: "z1", State: apiv1.ZoneState_ZONE_STATE_IN}},
+		Queue:            []*apiv1.Queue{{Name: "q", MaxDepth: 1000, Priority: apiv1.Priority_PRIORITY_NORMAL}},
+	}
+	for _, s := range testServices {
+		set.Service = append(set.Service, &apiv1.Service{
+			Name: s, SlotsPerMinion: testSlots, ConnectionsPerMinion: 64, EntryVms: 8, MaxDeadlineMs: uint32(testDeadline.Milliseconds()),
+		})
+	}
+	return objects.NewIndex(set)
+}
+
+// cluster is a control group, entry processes and minions in one bubble. Its
+// messages are delayed, duplicated, reordered and lost.
+type cluster struct {
+	mu      sync.Mutex
+	state   *membership.State
+	index   uint64
+	ix      *objects.Index
+	rng     *rand.Rand
+	began   time.Time
+	procs   []*process
+	renewed map[uint64]time.Duration
+	release map[uint64]time.Duration
+
+	limit, oldLimit uint32
+	limitAt         time.Duration
+	jobs            map[string]int
+	running         map[string]int // by team
+	onMinion        map[string]int
+	started         int
+	problems        []string
+	faults          bool
+}
+
+func newCluster(seed uint64, processes int, limit uint32) *cluster {
+	c := &cluster{
+		state: membership.New(), rng: rand.New(rand.NewPCG(seed, 1)), began: time.Now(),
+		renewed: map[uint64]time.Duration{}, release: map[uint64]time.Duration{},
+		jobs: map[string]int{}, running: map[string]int{}, onMinion: map[string]int{},
+	}
+	c.publish(limit)
+	for i := range processes {
+		c.procs = append(c.procs, newProcess(c, fmt.Sprintf("p%d", i)))
+	}
+	return c
+}
+
+// Now implements clock.Clock.
+func (c *cluster) Now() time.Duration { return time.Since(c.began) }
+
+func (c *cluster) publish(limit uint32) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.oldLimit = max(limit, c.limit)
+	if c.Now()-c.limitAt < testInForce {
+		c.oldLimit = max(c.oldLimit, limit)
+	}
+	c.limit, c.limitAt = limit, c.Now()
+	c.ix = testIndex(limit)
+	c.index++
+	c.state.SetConfig(c.index, c.ix)
+}
+
+func (c *cluster) job(team string, acquire bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case acquire && c.state.AcquireJob(team):
+		c.jobs[team]++
+		c.checkLimit(team)
+	case !acquire && c.jobs[team] > 0:
+		c.jobs[team]--
+		c.state.ReleaseJob(team)
+	}
+}
+
+func (c *cluster) checkLimit(team string) {
+	limit := c.limit
+	if c.Now()-c.limitAt < testInForce {
+		limit = max(limit, c.oldLimit)
+	}
+	if n := c.running[team] + c.jobs[team]; n > int(limit) {
+		c.problems = append(c.problems, fmt.Sprintf("%v: team %s runs %d, limit %d", c.Now(), team, n, limit))
+	}
+}
+
+func (c *cluster) start(g *apiv1.Grant) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.started++
+	c.running[g.Team]++
+	c.onMinion[g.MinionId]++
+	if n := c.onMinion[g.MinionId]; n > testSlots {
+		c.problems = append(c.problems, fmt.Sprintf("%v: minion %s runs %d, slots %d", c.Now(), g.MinionId, n, testSlots))
+	}
+	c.checkLimit(g.Team)
+}
+
+func (c *cluster) end(g *apiv1.Grant) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.running[g.Team]--
+	c.onMinion[g.MinionId]--
+}
+
+// chance draws from the generator shared by all goroutines.
+func (c *cluster) chance(percent int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.faults && c.rng.IntN(100) < percent
+}
+
+func (c *cluster) delay(most time.Duration) {
+	c.mu.Lock()
+	d := time.Millisecond
+	if c.faults {
+		d += time.Duration(c.rng.Int64N(int64(most)))
+	}
+	c.mu.Unlock()
+	time.Sleep(d)
+}
+
+// lead expires and releases sessions like the control leader.
+func (c *cluster) lead(ctx context.Context) {
+	for ctx.Err() == nil {
+		time.Sleep(20 * time.Millisecond)
+		c.mu.Lock()
+		for _, s := range c.state.Sessions() {
+			switch {
+			case !s.Expired && c.Now() > c.renewed[s.Id]+testTTL+testMargin:
+				c.index++
+				c.state.ExpireSessions(c.index, &apiv1.ExpireSessions{SessionIds: []uint64{s.Id}})
+				c.release[s.Id] = c.Now() + testDeadline
+			case s.Expired && c.Now() > c.release[s.Id]:
+				c.state.ReleaseSessions(&apiv1.ReleaseSessions{SessionIds: []uint64{s.Id}})
+			}
+		}
+		c.mu.Unlock()
+	}
+}
+
+func (c *cluster) view() *session.Snapshot {
+	return &session.Snapshot{View: &apiv1.View{Sessions: c.state.Sessions(), Shards: c.state.Shards()}, Index: c.ix}
+}
+
+func (c *cluster) apply(cmd *apiv1.Command) *apiv1.CommandResult {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.index++
+	res := &apiv1.CommandResult{Index: c.index}
+	switch b := cmd.Body.(type) {
+	case *apiv1.Command_FinishRecovery:
+		if err := c.state.FinishRecovery(b.FinishRecovery); err != nil {
+			res.Status = err.Status()
+		}
+	case *apiv1.Command_ReportDemand:
+		a, err := c.state.ReportDemand(b.ReportDemand)
+		if err != nil {
+			res.Status = err.Status()
+		}
+		res.Body = &apiv1.CommandResult_Allotments{Allotments: a}
+	}
+	return res
+}
+
+var errLost = errors.New("message lost")
+
+// executor commits for one process over the faulty network.
+type executor struct{ p *process }
+
+func (e executor) Execute(ctx context.Context, cmd *apiv1.Command) (*apiv1.CommandResult, error) {
+	c := e.p.c
+	if c.chance(10) { // committed late, after the caller gave up
+		go func() { c.delay(time.Second); c.apply(cmd) }()
+		return nil, errLost
+	}
+	c.delay(30 * time.Millisecond)
+	if e.p.isCut() || ctx.Err() != nil {
+		return nil, errLost
+	}
+	res := c.apply(cmd)
+	if c.chance(10) {
+		go func() { c.delay(time.Second); c.apply(cmd) }()
+	}
+	c.delay(30 * time.Millisecond)
+	if c.chance(10) {
+		return nil, errLost
+	}
+	return res, nil
+}
+
+// Call implements Caller for Entry.ReportGrants.
+func (c *cluster) Call(ctx context.Context, address, _ string, req, resp proto.Message) error {
+	c.delay(50 * time.Millisecond)
+	for _, p := range c.procs {
+		if p.name == address && !c.chance(20) {
+			report := p.reportGrants(req.(*apiv1.ReportGrants))
+			c.delay(200 * time.Millisecond)
+			if ctx.Err() != nil {
+				return ctx.Err()
+			}
+			proto.Merge(resp, report)
+			return nil
+		}
+	}
+	return errLost
+}
+
+func quietLog() *logrus.Entry {
+	l := logrus.New()
+	l.SetLevel(logrus.PanicLevel)
+	return logrus.NewEntry(l)
+}
--- /dev/null
+++ b/internal/scheduler/dump.go
@@ -0,0 +1,178 @@
+package scheduler
+
+import (
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+
+	"bergamotdrum.example/bergamotdrum/internal/fairshare"
+)
+
+// ShardDump is the state of one shard for the state dump.
+type ShardDump struct {
+	Service    string       `json:"service"`
+	Epoch      uint64       `json:"epoch"`
+	Granting   bool         `json:"granting"`
+	Recovery   []string     `json:"recovery_waits_for,omitempty"`
+	Grants     int          `json:"grants"`
+	Queued     int          `json:"queued"`
+	Slots      uint32       `json:"slots"`
+	FreeSlots  uint32       `json:"free_slots"`
+	MeanSlotMS float64      `json:"mean_slot_ms"`
+	Teams      []TeamDump   `json:"teams"`
+	Minions    []MinionDump `json:"minions"`
+	Heads      []HeadDump   `json:"queue_heads"`
+}
+
+// TeamDump compares a team's use with its share and limit. The parts are
+// fractions of the use and of the weight of all teams that have used slots
+// recently.
+type TeamDump struct {
+	Team            string  `json:"team"`
+	Running         uint32  `json:"running"`
+	Queued          uint32  `json:"queued"`
+	Ceiling         uint32  `json:"ceiling"`
+	Limit           uint32  `json:"limit"`
+	Frozen          bool    `json:"frozen,omitempty"`
+	UsedSlotSeconds float64 `json:"used_slot_seconds"`
+	UsedPart        float64 `json:"used_part"`
+	SharePart       float64 `json:"share_part"`
+}
+
+// MinionDump is one minion and, when it gets no work, the reason.
+type MinionDump struct {
+	Minion   string `json:"minion"`
+	VM       string `json:"vm"`
+	Zone     string `json:"availability_zone"`
+	Rack     string `json:"rack"`
+	Used     uint32 `json:"used"`
+	Slots    uint32 `json:"slots"`
+	Failures int    `json:"failures_in_row,omitempty"`
+	Excluded string `json:"excluded,omitempty"`
+}
+
+// HeadDump is the oldest request of a team's queue and why it waits.
+type HeadDump struct {
+	Team     string `json:"team"`
+	Class    string `json:"class"`
+	WaitedMS int64  `json:"waited_ms"`
+	LeftMS   int64  `json:"left_ms"`
+	Reason   string `json:"reason"`
+}
+
+// Dump returns the shard's state.
+func (c *Core) Dump(now time.Duration) *ShardDump {
+	slots, free := c.usableSlots(now)
+	d := &ShardDump{
+		Service:    c.service,
+		Epoch:      c.epoch,
+		Granting:   c.granting,
+		Grants:     len(c.grants),
+		Queued:     len(c.waiting),
+		Slots:      slots,
+		FreeSlots:  free,
+		MeanSlotMS: c.rate.mean * 1000,
+	}
+	d.Teams = c.dumpTeams(now)
+	for _, id := range slices.Sorted(maps.Keys(c.minions)) {
+		d.Minions = append(d.Minions, c.dumpMinion(now, c.minions[id]))
+	}
+	for _, name := range slices.Sorted(maps.Keys(c.teams)) {
+		d.Heads = append(d.Heads, c.dumpHeads(now, c.teams[name])...)
+	}
+	return d
+}
+
+func (c *Core) dumpTeams(now time.Duration) []TeamDump {
+	var out []TeamDump
+	used, weights := 0.0, uint64(0)
+	for _, name := range slices.Sorted(maps.Keys(c.teams)) {
+		t := c.teams[name]
+		usage := c.picker.Usage(now, name)
+		if usage > 0 || t.wanted() > 0 {
+			used += usage
+			weights += c.weight(t)
+		}
+		out = append(out, TeamDump{
+			Team: name, Running: t.running, Queued: t.queued, Ceiling: t.ceiling,
+			Limit: c.index.MaxRunning(name), Frozen: t.report.frozen, UsedSlotSeconds: usage,
+		})
+	}
+	for i := range out {
+		t := &out[i]
+		if t.UsedSlotSeconds > 0 {
+			t.UsedPart = t.UsedSlotSeconds / used
+		}
+		if t.UsedSlotSeconds > 0 || t.Running+t.Queued > 0 {
+			t.SharePart = float64(c.weight(c.teams[t.Team])) / float64(weights)
+		}
+	}
+	return out
+}
+
+func (c *Core) dumpMinion(now time.Duration, m *minion) MinionDump {
+	return MinionDump{
+		Minion:   m.id,
+		VM:       m.announced.GetVm(),
+		Zone:     m.announced.GetAvailabilityZone(),
+		Rack:     m.announced.GetRack(),
+		Used:     m.used,
+		Slots:    c.slots(now, m),
+		Failures: m.failures,
+		Excluded: c.excluded(now, m),
+	}
+}
+
+func (c *Core) excluded(now time.Duration, m *minion) string {
+	switch {
+	case m.announced == nil:
+		return "has not announced itself"
+	case now-m.seen >= announceExpiry:
+		return "last announced itself " + (now - m.seen).Round(time.Millisecond).String() + " ago"
+	case m.announced.Leaving:
+		return "announces that it leaves"
+	case !c.index.ZoneIn(m.announced.AvailabilityZone):
+		return "its availability zone is out or unknown"
+	case !c.placeable(now, m):
+		return "its VM leaves"
+	case now < m.avoidedUntil:
+		return "avoided after failures for another " + (m.avoidedUntil - now).Round(time.Millisecond).String()
+	}
+	return ""
+}
+
+func (c *Core) dumpHeads(now time.Duration, t *teamState) []HeadDump {
+	var out []HeadDump
+	for class := range t.queues {
+		if t.queues[class].l.Len() == 0 {
+			continue
+		}
+		it := t.queues[class].front()
+		out = append(out, HeadDump{
+			Team:     t.name,
+			Class:    fairshare.Class(class).String(),
+			WaitedMS: (now - it.enqueued).Milliseconds(),
+			LeftMS:   (it.deadline - now).Milliseconds(),
+			Reason:   c.waitReason(now, t),
+		})
+	}
+	return out
+}
+
+func (c *Core) waitReason(now time.Duration, t *teamState) string {
+	slots, free := c.usableSlots(now)
+	switch {
+	case !c.granting:
+		return "the shard counts the grants of its predecessor"
+	case t.report.frozen:
+		return "the team's limit fell; its new part is not known yet"
+	case t.atCeiling():
+		return "the team runs " + strconv.Itoa(int(t.running)) + " of its part " + strconv.Itoa(int(t.ceiling)) + " of its limit"
+	case slots == 0:
+		return "no minion is usable"
+	case free == 0:
+		return "all " + strconv.Itoa(int(slots)) + " slots are in use and other teams are further below their share"
+	}
+	return "it is granted at the next step"
+}
--- /dev/null
+++ b/internal/scheduler/grants.go
@@ -0,0 +1,140 @@
+package scheduler
+
+import (
+	"time"
+
+	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+)
+
+// grantKey names a grant over all epochs of the shard.
+type grantKey struct{ epoch, id uint64 }
+
+// grant occupies one slot of a minion until it is released or expires.
+type grant struct {
+	key     grantKey
+	session uint64
+	team    string
+	minion  *minion
+	granted time.Duration
+	expires time.Duration
+	heapPos int
+}
+
+func (g *grant) due() time.Duration { return g.expires }
+func (g *grant) pos() *int          { return &g.heapPos }
+
+func (c *Core) grant(now time.Duration, it *item, m *minion) *apiv1.Grant {
+	c.lastGrant++
+	g := &grant{
+		key:     grantKey{c.epoch, c.lastGrant},
+		session: it.request.SessionId,
+		team:    it.request.Team,
+		minion:  m,
+		granted: now,
+		expires: it.deadline + grantExpiryMargin,
+		heapPos: -1,
+	}
+	c.hold(g)
+	m.lastGranted = now
+	t := c.teams[g.team]
+	c.picker.Start(now, g.team, it.class)
+	c.updateBlocked(now, t)
+	left := max(1, uint32((it.deadline - now).Milliseconds()))
+	return &apiv1.Grant{
+		GrantId:          g.key.id,
+		Service:          c.service,
+		Epoch:            c.epoch,
+		MinionId:         m.id,
+		Vm:               m.announced.GetVm(),
+		AvailabilityZone: m.announced.GetAvailabilityZone(),
+		Address:          m.announced.GetAddress(),
+		StartWithinMs:    min(left, uint32(startWithin.Milliseconds())),
+		MaxConnections:   c.connections(m),
+		Team:             g.team,
+		TimeoutMs:        left,
+	}
+}
+
+// connections is one entry's part of the connections to a minion, at least
+// one because a grant without a connection is useless.
+func (c *Core) connections(m *minion) uint32 {
+	n := c.config.ConnectionsPerMinion
+	if m.announced.Connections > 0 {
+		n = min(n, m.announced.Connections)
+	}
+	return max(1, n/max(1, c.config.EntryVms))
+}
+
+func (c *Core) hold(g *grant) {
+	c.grants[g.key] = g
+	c.expiries.add(g)
+	g.minion.occupy(1)
+	c.teams[g.team].running++
+}
+
+// Release frees the slot of a grant. Unknown grants are ignored: a release may
+// arrive twice or after the grant's expiry. It reports whether it freed a slot.
+func (c *Core) Release(now time.Duration, req *apiv1.ReleaseRequest) bool {
+	key := grantKey{req.Epoch, req.GrantId}
+	g, ok := c.grants[key]
+	if !ok {
+		if !c.granting && req.Epoch < c.epoch && c.early != nil {
+			c.early[key] = struct{}{}
+		}
+		return false
+	}
+	if g.session != req.SessionId {
+		return false
+	}
+	c.free(now, g)
+	if req.Outcome != apiv1.GrantOutcome_GRANT_OUTCOME_NOT_STARTED {
+		c.rate.observe(now - g.granted)
+	}
+	c.judge(now, g.minion, req.Outcome)
+	return true
+}
+
+func (c *Core) free(now time.Duration, g *grant) {
+	delete(c.grants, g.key)
+	c.expiries.remove(g)
+	g.minion.occupy(-1)
+	t := c.teams[g.team]
+	t.running--
+	t.slotTime += now - g.granted
+	c.picker.Finish(now, g.granted, g.team)
+	c.updateBlocked(now, t)
+}
+
+func (c *Core) expireGrants(now time.Duration) {
+	for {
+		g, ok := c.expiries.next(now)
+		if !ok {
+			return
+		}
+		c.free(now, g)
+	}
+}
+
+// AddHeld counts grants of earlier epochs that a session reported. A grant
+// reported twice is counted once.
+func (c *Core) AddHeld(now time.Duration, report *apiv1.GrantReport) {
+	for _, held := range report.Grants {
+		key := grantKey{held.Epoch, held.GrantId}
+		_, known := c.grants[key]
+		_, released := c.early[key]
+		if known || released || held.Epoch >= c.epoch {
+			continue
+		}
+		c.team(now, held.Team)
+		c.hold(&grant{
+			key:     key,
+			session: report.SessionId,
+			team:    held.Team,
+			minion:  c.minion(held.MinionId),
+			granted: now,
+			expires: now + time.Duration(held.RemainingMs)*time.Millisecond + grantExpiryMargin,
+			heapPos: -1,
+		})
+		c.picker.Resume(now, held.Team)
+	}
+}
--- /dev/null
+++ b/internal/scheduler/handover_test.go
@@ -0,0 +1,119 @@
+package scheduler
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+// step is one drawn action of a stateful test.
+type step struct {
+	kind, process, service, team, n int
+	wait, run                       time.Duration
+}
+
+const (
+	stepLoad = iota
+	stepCut
+	stepHeal
+	stepLimit
+	stepJob
+	stepKinds
+)
+
+func drawSteps(rt *rapid.T, count int) []step {
+	return rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) step {
+		return step{
+			kind:    rapid.SampledFrom([]int{stepLoad, stepLoad, stepLoad, stepCut, stepHeal, stepLimit, stepJob}).Draw(rt, "kind"),
+			process: rapid.IntRange(0, 2).Draw(rt, "process"),
+			service: rapid.IntRange(0, 1).Draw(rt, "service"),
+			team:    rapid.IntRange(0, 1).Draw(rt, "team"),
+			n:       rapid.IntRange(1, 12).Draw(rt, "n"),
+			wait:    time.Duration(rapid.IntRange(0, 3000).Draw(rt, "wait")) * time.Millisecond,
+			run:     time.Duration(rapid.IntRange(10, 3500).Draw(rt, "run")) * time.Millisecond,
+		}
+	}), count, count).Draw(rt, "steps")
+}
+
+func (c *cluster) do(s step) {
+	p := c.procs[s.process]
+	team := []string{"a", "b"}[s.team]
+	switch s.kind {
+	case stepLoad:
+		for range s.n {
+			go p.request(testServices[s.service], team, testDeadline, s.run)
+		}
+	case stepCut:
+		p.setCut(true)
+	case stepHeal:
+		p.setCut(false)
+	case stepLimit:
+		c.publish(uint32(s.n))
+	case stepJob:
+		c.job(team, s.n%2 == 0)
+	}
+}
+
+// runSteps returns the violations seen, and whether work starts again after
+// all faults ended.
+func runSteps(t *testing.T, seed uint64, steps []step) (problems []string, recovered bool) {
+	synctest.Test(t, func(*testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		c := newCluster(seed, 3, 6)
+		c.faults = true
+		go c.lead(ctx)
+		for _, p := range c.procs {
+			go p.run(ctx)
+		}
+		time.Sleep(time.Second)
+		for _, s := range steps {
+			c.do(s)
+			time.Sleep(s.wait)
+		}
+		c.mu.Lock()
+		c.faults = false
+		c.mu.Unlock()
+		for i, p := range c.procs {
+			p.setCut(false)
+			c.job([]string{"a", "b", "a"}[i], false)
+		}
+		c.publish(100)
+		time.Sleep(20 * time.Second)
+		recovered = true
+		for _, s := range testServices {
+			if err := c.procs[0].request(s, "a", testDeadline, time.Millisecond); err != nil {
+				recovered = false
+				c.problems = append(c.problems, fmt.Sprintf("after the faults: %v", err))
+			}
+		}
+		cancel()
+		time.Sleep(10 * time.Second)
+		problems = c.problems
+	})
+	return problems, recovered
+}
+
+// Guards against slots and limits being exceeded while shards change hosts
+// under lost, late, duplicated and reordered messages.
+func TestSlotsAndLimitsHoldDuringHandover(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		steps := drawSteps(rt, 25)
+		problems, _ := runSteps(t, rapid.Uint64().Draw(rt, "seed"), steps)
+		if len(problems) > 0 {
+			rt.Fatalf("%d violations, first: %s", len(problems), problems[0])
+		}
+	})
+}
+
+// Guards against a host that never grants.
+func TestHostGrantsAfterRecovery(t *testing.T) {
+	problems, recovered := runSteps(t, 1, []step{{kind: stepLoad, n: 12, run: time.Second, wait: 5 * time.Second}})
+	g := NewWithT(t)
+	g.Expect(problems).To(BeEmpty())
+	g.Expect(recovered).To(BeTrue())
+}
--- /dev/null
+++ b/internal/scheduler/queue.go
@@ -0,0 +1,171 @@
+package scheduler
+
+import (
+	"container/list"
+	"time"
+
+	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+	"bergamotdrum.example/bergamotdrum/internal/fairshare"
+	"bergamotdrum.example/bergamotdrum/internal/result"
+)
+
+const (
+	// defaultQueueDepth bounds a queue that this process's configuration does
+	// not name yet.
+	defaultQueueDepth = 1000
+	// retryNoCapacity is about the time in which a minion announces itself.
+	retryNoCapacity = time.Second
+	minRetryAfter   = 50 * time.Millisecond
+)
+
+// item is one queued request.
+type item struct {
+	ticket   uint64
+	request  *apiv1.AcquireRequest
+	class    fairshare.Class
+	enqueued time.Duration
+	deadline time.Duration
+	element  *list.Element
+	heapPos  int
+}
+
+func (it *item) due() time.Duration { return it.deadline }
+func (it *item) pos() *int          { return &it.heapPos }
+
+// itemList is a first-in first-out list; the zero value is empty.
+type itemList struct{ l list.List }
+
+func (q *itemList) front() *item { return q.l.Front().Value.(*item) }
+
+// classLoad counts the queued requests of a class and the weight of the teams
+// they belong to.
+type classLoad struct {
+	queued uint32
+	weight uint64
+}
+
+// Enqueue admits a request to the queue, or refuses it as not run when the
+// queue is full or it cannot start before its deadline. Step then grants it.
+func (c *Core) Enqueue(now time.Duration, req *apiv1.AcquireRequest) (uint64, *result.Error) {
+	if c.config == nil {
+		return 0, c.refuse(apiv1.ResultCode_RESULT_CODE_UNKNOWN_SERVICE, 0, "service %s is not configured", c.service)
+	}
+	queue := c.index.Queues[req.Queue]
+	timeout := time.Duration(min(req.TimeoutMs, c.config.MaxDeadlineMs)) * time.Millisecond
+	t := c.team(now, req.Team)
+	class := classOf(queue, req.Priority)
+	if err := c.admit(now, t, class, req.Queue, timeout); err != nil {
+		return 0, err
+	}
+	c.lastTicket++
+	it := &item{ticket: c.lastTicket, request: req, class: class, enqueued: now, deadline: now + timeout, heapPos: -1}
+	c.queue(now, t, it)
+	return it.ticket, nil
+}
+
+// Cancel removes a queued request and reports whether it was still queued.
+func (c *Core) Cancel(now time.Duration, ticket uint64) bool {
+	it, ok := c.waiting[ticket]
+	if ok {
+		c.unqueue(now, it)
+	}
+	return ok
+}
+
+// Flush refuses everything queued.
+func (c *Core) Flush(now time.Duration, err *result.Error) []Outcome {
+	var out []Outcome
+	for len(c.deadlines.items) > 0 {
+		it := c.deadlines.items[0]
+		c.unqueue(now, it)
+		out = append(out, Outcome{Ticket: it.ticket, Err: err})
+	}
+	return out
+}
+
+func classOf(queue *apiv1.Queue, requested apiv1.Priority) fairshare.Class {
+	if queue != nil {
+		requested = queue.Priority
+	}
+	switch requested {
+	case apiv1.Priority_PRIORITY_URGENT:
+		return fairshare.Urgent
+	case apiv1.Priority_PRIORITY_OVERNIGHT:
+		return fairshare.Overnight
+	}
+	return fairshare.Normal
+}
+
+func (c *Core) queue(now time.Duration, t *teamState, it *item) {
+	q := &t.queues[it.class]
+	if q.l.Len() == 0 {
+		c.classes[it.class].weight += c.weight(t)
+	}
+	it.element = q.l.PushBack(it)
+	t.queued++
+	c.classes[it.class].queued++
+	c.depths[it.request.Queue]++
+	c.waiting[it.ticket] = it
+	c.deadlines.add(it)
+	c.picker.Enqueue(now, t.name, it.class)
+}
+
+func (c *Core) unqueue(now time.Duration, it *item) {
+	t := c.teams[it.request.Team]
+	q := &t.queues[it.class]
+	q.l.Remove(it.element)
+	t.queued--
+	load := &c.classes[it.class]
+	load.queued--
+	if q.l.Len() == 0 {
+		load.weight -= min(load.weight, c.weight(t))
+	}
+	if load.queued == 0 {
+		load.weight = 0 // weights may have changed while queued
+	}
+	if c.depths[it.request.Queue]--; c.depths[it.request.Queue] == 0 {
+		delete(c.depths, it.request.Queue)
+	}
+	delete(c.waiting, it.ticket)
+	c.deadlines.remove(it)
+	c.picker.Dequeue(now, t.name, it.class)
+}
+
+func (c *Core) weight(t *teamState) uint64 {
+	return uint64(max(c.index.Teams[t.name].GetWeight(), 1))
+}
+
+func (c *Core) expireQueued(now time.Duration) []Outcome {
+	var out []Outcome
+	for {
+		it, ok := c.deadlines.next(now)
+		if !ok {
+			return out
+		}
+		err := c.expired(now, it)
+		c.unqueue(now, it)
+		out = append(out, Outcome{Ticket: it.ticket, Err: err})
+	}
+}
+
+// expired names the reason for which a request did not start in time.
+func (c *Core) expired(now time.Duration, it *item) *result.Error {
+	waited := now - it.enqueued
+	slots, _ := c.usableSlots(now)
+	switch t := c.teams[it.request.Team]; {
+	case !c.granting:
+		return c.refuse(apiv1.ResultCode_RESULT_CODE_SHARD_UNAVAILABLE, retryShard, "shard of %s counts the grants of its predecessor; waited %v", c.service, waited)
+	case slots == 0:
+		return c.noCapacity(now)
+	case t.atCeiling():
+		return c.refuse(apiv1.ResultCode_RESULT_CODE_TEAM_LIMIT, c.rate.retryAfter(t.ceiling), "team %s runs %d of its limit's part of %d; waited %v", t.name, t.running, t.ceiling, waited)
+	}
+	return c.refuse(apiv1.ResultCode_RESULT_CODE_DEADLINE_TOO_SHORT, c.rate.retryAfter(slots), "no slot of %s was free within %v", c.service, waited)
+}
+
+func (c *Core) noCapacity(now time.Duration) *result.Error {
+	if c.allZonesOut(now) {
+		return c.refuse(apiv1.ResultCode_RESULT_CODE_ZONE_OUT, retryNoCapacity, "every minion of %s is in an availability zone that is out", c.service)
+	}
+	return c.refuse(apiv1.ResultCode_RESULT_CODE_NO_CAPACITY, retryNoCapacity, "no minion of %s is usable", c.service)
+}
--- /dev/null
+++ b/internal/scheduler/recovery.go
@@ -0,0 +1,172 @@
+package scheduler
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+	"bergamotdrum.example/bergamotdrum/internal/result"
+)
+
+const (
+	reportGrantsTimeout = time.Second
+	retryInterval       = 100 * time.Millisecond
+	executeTimeout      = 2 * time.Second
+)
+
+// recover counts the grants of earlier epochs and then starts granting. It
+// needs the report of every session that was open at the assignment; of a
+// session that expires first, it waits for the release, after which none of
+// its requests can run.
+func (sh *hosted) recover(ctx context.Context) {
+	began := sh.now()
+	if !sh.collect(ctx) || !sh.finishRecovery(ctx) {
+		return
+	}
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	if sh.stopped != nil {
+		return
+	}
+	sh.core.StartGranting()
+	took := sh.now() - began
+	sh.host.metrics.recovered(sh.assigned.Service, took)
+	sh.log.WithField("recovery_seconds", took.Seconds()).Info("shard grants")
+	sh.step()
+	sh.reportDemand()
+}
+
+// collect returns true once all reports are in, false when ctx ended.
+func (sh *hosted) collect(ctx context.Context) bool {
+	answers := make(chan *apiv1.GrantReport)
+	asked := map[uint64]bool{}
+	answered := map[uint64]bool{}
+	for {
+		open := sh.unreported(answered)
+		if len(open) == 0 && sh.hasView() {
+			return true
+		}
+		for _, s := range open {
+			if !s.Expired && !asked[s.Id] {
+				asked[s.Id] = true
+				sh.host.wg.Go(func() { sh.askUntilAnswered(ctx, s, answers) })
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-sh.views:
+		case report := <-answers:
+			answered[report.SessionId] = true
+			sh.count(report)
+		}
+	}
+}
+
+func (sh *hosted) hasView() bool {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	return sh.snap != nil
+}
+
+// unreported lists the sessions of the newest view that may hold grants of
+// earlier epochs. A session opened since the assignment holds none: its first
+// view already names this epoch.
+func (sh *hosted) unreported(answered map[uint64]bool) []*apiv1.Session {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	var open []*apiv1.Session
+	sh.pending = nil
+	if sh.snap == nil {
+		return nil
+	}
+	for _, s := range sh.snap.View.GetSessions() {
+		if s.OpenedIndex >= sh.assigned.AssignedIndex || answered[s.Id] {
+			continue
+		}
+		open = append(open, s)
+		state := "report"
+		if s.Expired {
+			state = "release"
+		}
+		sh.pending = append(sh.pending, fmt.Sprintf("%s of session %d of %s", state, s.Id, s.ProcessId))
+	}
+	return open
+}
+
+func (sh *hosted) count(report *apiv1.GrantReport) {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	sh.core.AddHeld(sh.now(), report)
+}
+
+// askUntilAnswered ends when the session answered or no longer needs to be
+// asked. An answer from another session at the same address does not count:
+// the asked one has ended and is released in its time.
+func (sh *hosted) askUntilAnswered(ctx context.Context, s *apiv1.Session, answers chan<- *apiv1.GrantReport) {
+	req := &apiv1.ReportGrants{Service: sh.assigned.Service, Epoch: sh.assigned.Epoch}
+	for ctx.Err() == nil && sh.live(s.Id) {
+		report := &apiv1.GrantReport{}
+		call, cancel := context.WithTimeout(ctx, reportGrantsTimeout)
+		err := sh.host.o.Client.Call(call, s.RpcAddress, "Entry.ReportGrants", req, report)
+		cancel()
+		if err == nil && report.SessionId == s.Id {
+			select {
+			case answers <- report:
+			case <-ctx.Done():
+			}
+			return
+		}
+		sh.log.WithError(err).WithField("session_id", s.Id).Debug("grant report is missing")
+		sleep(ctx, retryInterval)
+	}
+}
+
+func (sh *hosted) live(id uint64) bool {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	s := sh.snap.Session(id)
+	return s != nil && !s.Expired
+}
+
+// finishRecovery commits the counts. It returns false when the epoch or ctx
+// ended.
+func (sh *hosted) finishRecovery(ctx context.Context) bool {
+	for ctx.Err() == nil {
+		sh.mu.Lock()
+		cmd := &apiv1.FinishRecovery{Service: sh.assigned.Service, Epoch: sh.assigned.Epoch, Demands: sh.core.Counted(sh.now())}
+		sh.mu.Unlock()
+		_, err := sh.execute(ctx, &apiv1.Command{Body: &apiv1.Command_FinishRecovery{FinishRecovery: cmd}})
+		if err == nil {
+			return true
+		}
+		if result.CodeOf(err) == apiv1.ResultCode_RESULT_CODE_EPOCH_STALE {
+			sh.log.WithError(err).Info("shard moved during its recovery")
+			return false
+		}
+		sh.log.WithError(err).Warn("recovery is not committed yet")
+		sleep(ctx, retryInterval)
+	}
+	return false
+}
+
+// execute commits a command and turns a status in the result into an error.
+func (sh *hosted) execute(ctx context.Context, cmd *apiv1.Command) (*apiv1.CommandResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, executeTimeout)
+	defer cancel()
+	res, err := sh.host.o.Control.Execute(ctx, cmd)
+	if err != nil {
+		return nil, err
+	}
+	return res, result.FromStatus(res.GetStatus())
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/scheduler/reporting.go
@@ -0,0 +1,51 @@
+package scheduler
+
+import (
+	"time"
+
+	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+)
+
+const (
+	// minReportInterval bounds the commits a shard causes under load.
+	minReportInterval = 100 * time.Millisecond
+	// refreshInterval is how soon a shard without changes hears of targets
+	// that changed for the demand of other services.
+	refreshInterval = 250 * time.Millisecond
+)
+
+// reportDemand commits the demand when it changed and asks for new targets
+// otherwise. It must be called with the lock held and does not block.
+func (sh *hosted) reportDemand() {
+	if sh.reporting || !sh.core.granting || !sh.mayGrant() || !sh.reportDue() {
+		return
+	}
+	sh.reporting = true
+	sh.reported = sh.now()
+	cmd := sh.core.Report()
+	sh.host.wg.Go(func() { sh.commitDemand(cmd) })
+}
+
+func (sh *hosted) reportDue() bool {
+	since := sh.now() - sh.reported
+	if sh.core.sequence > 0 && since < minReportInterval {
+		return false
+	}
+	if sh.core.DemandChanged() {
+		return true
+	}
+	return since >= refreshInterval && sh.core.HoldsAllotments()
+}
+
+func (sh *hosted) commitDemand(cmd *apiv1.ReportDemand) {
+	res, err := sh.execute(sh.host.ctx, &apiv1.Command{Body: &apiv1.Command_ReportDemand{ReportDemand: cmd}})
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	sh.reporting = false
+	if err != nil {
+		sh.log.WithError(err).Debug("demand report failed")
+		return
+	}
+	sh.core.ApplyAllotments(sh.now(), cmd.Sequence, res.GetAllotments())
+	sh.step()
+}
