--- /dev/null
+++ b/internal/consensus/follower.go
@@ -0,0 +1,97 @@
+package consensus
+
+import (
+	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+)
+
+// stepFromLeader handles messages of the leader of this term.
+func (c *Core) stepFromLeader(m *apiv1.RaftMessage) {
+	if c.role == Leader {
+		panic("consensus: two leaders in one term")
+	}
+	if c.role != Follower || c.leader != m.From {
+		c.becomeFollower(c.term, m.From)
+	}
+	c.electionElapsed = 0
+	switch m.Kind {
+	case apiv1.MessageKind_MESSAGE_KIND_APPEND:
+		c.handleAppend(m)
+	case apiv1.MessageKind_MESSAGE_KIND_HEARTBEAT:
+		c.log.commitTo(m.Commit)
+		c.send(&apiv1.RaftMessage{Kind: apiv1.MessageKind_MESSAGE_KIND_HEARTBEAT_REPLY, To: m.From, ReadRound: m.ReadRound})
+	case apiv1.MessageKind_MESSAGE_KIND_SNAPSHOT:
+		c.handleSnapshot(m)
+	}
+}
+
+func (c *Core) handleAppend(m *apiv1.RaftMessage) {
+	reply := &apiv1.RaftMessage{Kind: apiv1.MessageKind_MESSAGE_KIND_APPEND_REPLY, To: m.From}
+	switch t, ok := c.log.term(m.LogIndex); {
+	case m.LogIndex < c.log.committed:
+		// Every leader holds the committed entries, so the logs match there.
+		reply.LogIndex = c.log.committed
+	case !ok || t != m.LogTerm:
+		reply.Reject, reply.LogIndex = true, m.LogIndex
+		reply.HintIndex = c.log.conflictHint(m.LogIndex)
+	default:
+		c.appendFrom(m.Entries)
+		reply.LogIndex = m.LogIndex + uint64(len(m.Entries))
+		c.log.commitTo(min(m.Commit, reply.LogIndex))
+	}
+	c.send(reply)
+}
+
+// appendFrom adds the entries that are missing. It truncates only at a real
+// conflict: a delayed message may hold a prefix of what is acknowledged.
+func (c *Core) appendFrom(entries []*apiv1.LogEntry) {
+	for i, e := range entries {
+		t, ok := c.log.term(e.Index)
+		if ok && t == e.Term {
+			continue
+		}
+		if ok {
+			c.log.truncate(e.Index)
+			c.dropGroups(e.Index)
+		}
+		c.log.append(entries[i:])
+		c.addGroups(entries[i:])
+		return
+	}
+}
+
+func (c *Core) handleSnapshot(m *apiv1.RaftMessage) {
+	meta := m.Snapshot.GetMeta()
+	if meta.GetIndex() > c.log.committed {
+		if t, ok := c.log.term(meta.Index); ok && t == meta.Term {
+			c.log.commitTo(meta.Index)
+		} else {
+			c.installSnapshot(m.Snapshot)
+		}
+	}
+	c.send(&apiv1.RaftMessage{Kind: apiv1.MessageKind_MESSAGE_KIND_SNAPSHOT_REPLY, To: m.From, LogIndex: c.log.committed})
+}
+
+func (c *Core) installSnapshot(s *apiv1.Snapshot) {
+	c.install = s
+	c.snapshot = s.Meta
+	c.log.reset(s.Meta.Index, s.Meta.Term)
+	c.groups = []groupAt{{index: s.Meta.Index, group: cloneGroup(s.Meta.Group)}}
+}
+
+// MetaAt describes a snapshot of the state after the applied index.
+func (c *Core) MetaAt(index uint64) *apiv1.SnapshotMeta {
+	t, _ := c.log.term(index)
+	return &apiv1.SnapshotMeta{Index: index, Term: t, Group: cloneGroup(c.groupAtIndex(index))}
+}
+
+// Compact takes over a synced snapshot of applied state and drops the log up to
+// keepAfter, or up to the snapshot when that is lower. Entries kept spare
+// followers that are a little behind a snapshot.
+func (c *Core) Compact(meta *apiv1.SnapshotMeta, keepAfter uint64) {
+	if meta.Index <= c.snapshot.Index || meta.Index > c.log.applied {
+		return
+	}
+	c.snapshot = meta
+	c.log.compact(min(keepAfter, meta.Index))
+	c.forgetGroups(c.log.base)
+}
