--- /dev/null
+++ b/internal/daemon/entry/daemon.go
@@ -0,0 +1,161 @@
+// Package entry wires an entry process from its settings.
+package entry
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+	"bergamotdrum.example/bergamotdrum/internal/clock"
+	"bergamotdrum.example/bergamotdrum/internal/daemon"
+	"bergamotdrum.example/bergamotdrum/internal/entry"
+	"bergamotdrum.example/bergamotdrum/internal/observe"
+	"bergamotdrum.example/bergamotdrum/internal/rpc"
+	"bergamotdrum.example/bergamotdrum/internal/scheduler"
+	"bergamotdrum.example/bergamotdrum/internal/session"
+)
+
+// closeTimeout bounds the hand-over of shards and the close of the session.
+const closeTimeout = 5 * time.Second
+
+// Daemon is a running entry process.
+type Daemon struct {
+	Process *observe.Process
+	Session *session.Session
+	Entry   *entry.Server
+
+	set       *apiv1.EntrySettings
+	host      *scheduler.Host
+	rpcServer *rpc.Server
+	rpcClient *rpc.Client
+	callers   *http.Server
+	targets   *http.Server
+	admin     *http.Server
+
+	stopHost    context.CancelFunc
+	stopSession context.CancelFunc
+	stopEntry   context.CancelFunc
+	hostDone    sync.WaitGroup
+	sessionDone sync.WaitGroup
+}
+
+// Start opens the listeners and begins a session with the control group.
+func Start(set *apiv1.EntrySettings) (*Daemon, error) {
+	secret, err := daemon.ReadSecret(set.ClusterSecretFile)
+	if err != nil {
+		return nil, err
+	}
+	process, err := observe.NewProcess("entry", set.ProcessId, set.LogLevel)
+	if err != nil {
+		return nil, err
+	}
+	listeners, err := daemon.Listen(set.CallerAddress, set.TargetAddress, set.RpcAddress, set.AdminAddress)
+	if err != nil {
+		return nil, err
+	}
+	d := &Daemon{
+		Process:   process,
+		set:       set,
+		rpcServer: rpc.NewServer(secret),
+		rpcClient: rpc.NewClient(secret),
+	}
+	d.wire()
+	d.serve(listeners)
+	process.Log.WithField("caller_address", set.CallerAddress).Info("entry process started")
+	return d, nil
+}
+
+func ms(v uint32) time.Duration { return time.Duration(v) * time.Millisecond }
+
+func (d *Daemon) wire() {
+	control := session.NewControl(d.rpcClient, d.set.ControlAddresses)
+	d.Session = session.New(session.Options{
+		Control:          control,
+		ProcessID:        d.set.ProcessId,
+		AvailabilityZone: d.set.AvailabilityZone,
+		RPCAddress:       d.set.RpcAddress,
+		RenewInterval:    ms(d.set.RenewIntervalMs),
+		Clock:            clock.Boot{},
+		Log:              d.Process.Log,
+		Registry:         d.Process.Registry,
+	})
+	d.host = scheduler.NewHost(scheduler.HostOptions{
+		Server:   d.rpcServer,
+		Client:   d.rpcClient,
+		Control:  control,
+		Session:  d.Session,
+		Clock:    clock.Boot{},
+		Log:      d.Process.Log,
+		Registry: d.Process.Registry,
+	})
+	d.Entry = entry.New(entry.Options{
+		Session:      d.Session,
+		Control:      control,
+		Client:       d.rpcClient,
+		Server:       d.rpcServer,
+		Clock:        clock.Boot{},
+		Log:          d.Process.Log,
+		Registry:     d.Process.Registry,
+		MaxBodyBytes: int64(d.set.MaxBodyBytes),
+	})
+	d.Session.OnView(d.host.OnView)
+	d.Session.SetBusyVMs(d.Entry.BusyVMs)
+	d.Process.AddProbe(d.Session.Probe)
+	d.Process.AddDumper("session", func() any { return d.Session.Dump() })
+	d.Process.AddDumper("shards", func() any { return d.host.Dump() })
+	d.Process.AddDumper("entry", func() any { return d.Entry.Dump() })
+}
+
+func (d *Daemon) serve(l []net.Listener) {
+	d.callers = d.Entry.CallerServer()
+	d.targets = d.Entry.TargetServer()
+	d.admin = d.Process.AdminServer()
+	hostCtx, stopHost := context.WithCancel(context.Background())
+	sessionCtx, stopSession := context.WithCancel(context.Background())
+	entryCtx, stopEntry := context.WithCancel(context.Background())
+	d.stopHost, d.stopSession, d.stopEntry = stopHost, stopSession, stopEntry
+	go d.report("callers", func() error { return d.callers.Serve(l[0]) })
+	go d.report("targets", func() error { return d.targets.Serve(l[1]) })
+	go d.report("rpc", func() error { return d.rpcServer.Serve(l[2]) })
+	go d.report("admin", func() error { return d.admin.Serve(l[3]) })
+	d.hostDone.Go(func() { d.report("shard host", func() error { return d.host.Run(hostCtx) }) })
+	d.sessionDone.Go(func() { d.report("session", func() error { return d.Session.Run(sessionCtx) }) })
+	go d.report("worker reports", func() error { return d.Entry.Run(entryCtx) })
+	go d.Process.DumpOnSignal(entryCtx)
+	d.Process.SetReady(true)
+}
+
+func (d *Daemon) report(name string, run func() error) {
+	err := run()
+	if err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, context.Canceled) {
+		d.Process.Log.WithError(err).WithField("part", name).Error("part of the process ended")
+	}
+}
+
+// Stop shuts down gracefully: it fails readiness, gives the balancer time to
+// notice, ends the requests in flight, hands over the shards and closes the
+// session. The shards serve other entry processes until the end, so that their
+// services stand still only for the hand-over.
+func (d *Daemon) Stop() error {
+	d.Process.SetReady(false)
+	time.Sleep(ms(d.set.ReadyDelayMs))
+	ctx, cancel := context.WithTimeout(context.Background(), ms(d.set.DrainTimeoutMs))
+	defer cancel()
+	errs := []error{d.Entry.Drain(ctx), d.callers.Shutdown(ctx)}
+	d.stopHost()
+	d.hostDone.Wait()
+	d.stopSession()
+	d.sessionDone.Wait()
+	d.stopEntry()
+	closeCtx, cancelClose := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancelClose()
+	errs = append(errs, d.targets.Shutdown(closeCtx), d.admin.Shutdown(closeCtx))
+	d.rpcServer.Close()
+	d.rpcClient.Close()
+	d.Process.Log.Info("entry process stopped")
+	return errors.Join(errs...)
+}
