--- /dev/null
+++ b/internal/entry/auth.go
@@ -0,0 +1,55 @@
+package entry
+
+import (
+	"net/http"
+	"strings"
+
+	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+	"bergamotdrum.example/bergamotdrum/internal/objects"
+	"bergamotdrum.example/bergamotdrum/internal/result"
+)
+
+const bearerPrefix = "Bearer "
+
+// identity is who a request counts for.
+type identity struct {
+	account string // empty for work without a key on an open queue
+	team    string
+}
+
+// credentialOf returns the caller's "<key id>.<secret>", empty without one.
+func credentialOf(r *http.Request) string {
+	value, ok := strings.CutPrefix(r.Header.Get("Authorization"), bearerPrefix)
+	if !ok {
+		return ""
+	}
+	return strings.TrimSpace(value)
+}
+
+// authorize checks the credential and the team against the queue. It runs at
+// admission and again directly before the first byte goes to a minion.
+func authorize(ix *objects.Index, credential string, queue *apiv1.Queue) (identity, *result.Error) {
+	if credential == "" && queue.Open && queue.OpenTeam != "" {
+		return identity{team: queue.OpenTeam}, nil
+	}
+	account, team, err := ix.Authenticate(credential)
+	if err != nil {
+		return identity{}, err
+	}
+	if !ix.QueueAllows(queue, team.Name) {
+		return identity{}, result.NotRun(apiv1.ResultCode_RESULT_CODE_QUEUE_NOT_ALLOWED, "team %q may not use queue %q", team.Name, queue.Name)
+	}
+	return identity{account: account.Name, team: team.Name}, nil
+}
+
+// serviceQueue returns the queue when it takes requests for the service.
+func serviceQueue(ix *objects.Index, name, service string) (*apiv1.Queue, *result.Error) {
+	queue, ok := ix.Queues[name]
+	if !ok {
+		return nil, result.NotRun(apiv1.ResultCode_RESULT_CODE_UNKNOWN_QUEUE, "queue %q does not exist; name one in the header %s", name, headerQueue)
+	}
+	if queue.Service != service {
+		return nil, result.NotRun(apiv1.ResultCode_RESULT_CODE_UNKNOWN_QUEUE, "queue %q does not take requests for service %q", name, service)
+	}
+	return queue, nil
+}
--- /dev/null
+++ b/internal/entry/grants.go
@@ -0,0 +1,248 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+	"bergamotdrum.example/bergamotdrum/internal/clock"
+	"bergamotdrum.example/bergamotdrum/internal/result"
+	"bergamotdrum.example/bergamotdrum/internal/rpc"
+)
+
+const (
+	// Pause before the shard host is asked again after it was not reachable.
+	acquirePause = 50 * time.Millisecond
+	// Longest wait for a shard that has no reachable host. A handover takes
+	// the session TTL and margin (2.25 s) and one election.
+	maxShardWait = 5 * time.Second
+	// Advice to callers refused while the shard has no host.
+	shardRetryAfter = 500 * time.Millisecond
+	releaseTimeout  = 2 * time.Second
+	releaseTries    = 3
+)
+
+type grantKey struct {
+	service string
+	epoch   uint64
+	id      uint64
+}
+
+// heldGrant is a grant this entry has and has not released.
+type heldGrant struct {
+	*apiv1.Grant
+	sessionID uint64        // session it was granted to
+	host      string        // rpc address of the shard host that granted it
+	startBy   time.Duration // on the clock
+	deadline  time.Duration // of the request, on the clock
+	received  time.Duration // on the clock
+}
+
+func (h *heldGrant) key() grantKey { return grantKey{h.Service, h.Epoch, h.GrantId} }
+
+// grantRegistry knows every held grant, so that a shard's new host can count
+// them. Its lock orders reports and starts: a grant is either in the report of
+// a new epoch or refused after it.
+type grantRegistry struct {
+	clock    clock.Clock
+	mu       sync.Mutex
+	minEpoch map[string]uint64 // by service: grants below are refused
+	held     map[grantKey]*heldGrant
+}
+
+func newGrantRegistry(c clock.Clock) *grantRegistry {
+	return &grantRegistry{clock: c, minEpoch: map[string]uint64{}, held: map[grantKey]*heldGrant{}}
+}
+
+// add registers a new grant unless its epoch is stale or it is held already.
+func (r *grantRegistry) add(h *heldGrant) *result.Error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err := r.staleLocked(h); err != nil {
+		return err
+	}
+	if _, ok := r.held[h.key()]; ok {
+		return result.NotRun(apiv1.ResultCode_RESULT_CODE_STALE_GRANT, "grant %d of epoch %d was received twice", h.GrantId, h.Epoch)
+	}
+	r.held[h.key()] = h
+	return nil
+}
+
+// stale returns an error when the grant may not be used any more.
+func (r *grantRegistry) stale(h *heldGrant) *result.Error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.staleLocked(h)
+}
+
+func (r *grantRegistry) staleLocked(h *heldGrant) *result.Error {
+	if h.Epoch < r.minEpoch[h.Service] {
+		return result.NotRun(apiv1.ResultCode_RESULT_CODE_STALE_GRANT, "the grant's epoch %d is older than %d", h.Epoch, r.minEpoch[h.Service])
+	}
+	return nil
+}
+
+func (r *grantRegistry) remove(h *heldGrant) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.held, h.key())
+}
+
+// report returns the held grants of the service and refuses lower epochs from
+// now on.
+func (r *grantRegistry) report(service string, epoch uint64) []*apiv1.HeldGrant {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.minEpoch[service] = max(r.minEpoch[service], epoch)
+	now := r.clock.Now()
+	var list []*apiv1.HeldGrant
+	for k, h := range r.held {
+		if k.service != service {
+			continue
+		}
+		list = append(list, &apiv1.HeldGrant{
+			GrantId:     h.GrantId,
+			Epoch:       h.Epoch,
+			MinionId:    h.MinionId,
+			Team:        h.Team,
+			RemainingMs: uint32(max(h.deadline-now, 0).Milliseconds()),
+		})
+	}
+	slices.SortFunc(list, func(a, b *apiv1.HeldGrant) int {
+		if a.Epoch != b.Epoch {
+			return int(a.Epoch) - int(b.Epoch)
+		}
+		return int(a.GrantId) - int(b.GrantId)
+	})
+	return list
+}
+
+func (s *Server) reportGrants(_ context.Context, req *apiv1.ReportGrants) (*apiv1.GrantReport, error) {
+	return &apiv1.GrantReport{
+		SessionId: s.o.Session.ID(),
+		Grants:    s.grants.report(req.Service, req.Epoch),
+	}, nil
+}
+
+// acquire obtains a grant. While the shard has no reachable host it asks again
+// until the deadline or maxShardWait. Every error means that nothing ran.
+func (s *Server) acquire(q *request, avoid []string) (*heldGrant, *result.Error) {
+	began := s.o.Clock.Now()
+	wait := time.NewTimer(maxShardWait)
+	defer wait.Stop()
+	for {
+		h, err := s.acquireOnce(q, avoid)
+		if err == nil {
+			s.metrics.grantWait.Observe((s.o.Clock.Now() - began).Seconds())
+			return h, nil
+		}
+		if !hostMoved(err.Code) {
+			err.NotRun = true
+			return nil, err
+		}
+		select {
+		case <-q.ctx.Done():
+			return nil, deadlineTooShort()
+		case <-wait.C:
+			return nil, err
+		case <-time.After(acquirePause):
+		}
+	}
+}
+
+// hostMoved tells errors that end once the view shows the shard's new host.
+func hostMoved(code apiv1.ResultCode) bool {
+	switch code {
+	case apiv1.ResultCode_RESULT_CODE_SHARD_UNAVAILABLE, apiv1.ResultCode_RESULT_CODE_EPOCH_STALE, apiv1.ResultCode_RESULT_CODE_STALE_GRANT:
+		return true
+	}
+	return false
+}
+
+func (s *Server) acquireOnce(q *request, avoid []string) (*heldGrant, *result.Error) {
+	if !s.o.Session.Valid() {
+		return nil, noSession()
+	}
+	snap := s.o.Session.Snapshot()
+	shard := snap.Shard(q.service)
+	host := snap.Session(shard.GetSessionId())
+	if shard == nil || host == nil || host.Expired {
+		return nil, shardUnavailable(q.service, errors.New("no live session hosts it"))
+	}
+	left := q.deadline - s.o.Clock.Now()
+	if left <= 0 {
+		return nil, deadlineTooShort()
+	}
+	h := &heldGrant{Grant: &apiv1.Grant{}, sessionID: s.o.Session.ID(), host: host.RpcAddress, deadline: q.deadline}
+	err := s.o.Client.Call(q.ctx, host.RpcAddress, "Shard.Acquire", &apiv1.AcquireRequest{
+		Service:       q.service,
+		Epoch:         shard.Epoch,
+		SessionId:     h.sessionID,
+		Team:          q.who.team,
+		ClientAccount: q.who.account,
+		Queue:         q.queue,
+		Priority:      q.priority,
+		TimeoutMs:     uint32(max(left.Milliseconds(), 1)),
+		AvoidMinions:  avoid,
+	}, h.Grant)
+	if err != nil {
+		return nil, s.acquireError(q, err)
+	}
+	h.received = s.o.Clock.Now()
+	h.startBy = h.received + time.Duration(h.StartWithinMs)*time.Millisecond
+	if err := s.grants.add(h); err != nil {
+		return nil, err
+	}
+	return h, nil
+}
+
+func (s *Server) acquireError(q *request, err error) *result.Error {
+	if q.ctx.Err() != nil {
+		return deadlineTooShort()
+	}
+	if _, ok := errors.AsType[*rpc.TransportError](err); ok {
+		return shardUnavailable(q.service, err)
+	}
+	return result.From(err)
+}
+
+// release ends the grant and tells the shard host in the background. When all
+// tries fail, the host counts the slot until the request's deadline.
+func (s *Server) release(h *heldGrant, outcome apiv1.GrantOutcome) {
+	s.grants.remove(h)
+	req := &apiv1.ReleaseRequest{
+		Service:   h.Service,
+		Epoch:     h.Epoch,
+		GrantId:   h.GrantId,
+		SessionId: h.sessionID,
+		Outcome:   outcome,
+		UsedMs:    uint32((s.o.Clock.Now() - h.received).Milliseconds()),
+	}
+	s.metrics.outcomes.WithLabelValues(h.Service, outcomeLabel(outcome)).Inc()
+	s.inFlight.run(func() { s.sendRelease(h.host, req) })
+}
+
+func (s *Server) sendRelease(host string, req *apiv1.ReleaseRequest) {
+	for range releaseTries {
+		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+		err := s.o.Client.Call(ctx, host, "Shard.Release", req, &apiv1.Empty{})
+		cancel()
+		if _, ok := errors.AsType[*rpc.TransportError](err); !ok {
+			return // done, or the host has no such grant
+		}
+	}
+	s.o.Log.WithField("service", req.Service).Warn("a grant could not be released; its slot is counted until its deadline")
+}
+
+func shardUnavailable(service string, err error) *result.Error {
+	e := result.NotRun(apiv1.ResultCode_RESULT_CODE_SHARD_UNAVAILABLE, "the scheduler shard of service %q is not reachable: %v", service, err)
+	e.RetryAfter = shardRetryAfter
+	return e
+}
+
+func deadlineTooShort() *result.Error {
+	return result.NotRun(apiv1.ResultCode_RESULT_CODE_DEADLINE_TOO_SHORT, "no slot became free within the request's timeout")
+}
--- /dev/null
+++ b/internal/entry/guard.go
@@ -0,0 +1,54 @@
+package entry
+
+import (
+	"slices"
+
+	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+	"bergamotdrum.example/bergamotdrum/internal/result"
+)
+
+// mayStart is the last check before the first byte of a request goes to a
+// minion. Time may have passed since the grant, for example because the
+// process was paused, so nothing decided earlier is relied on. An error means
+// that nothing ran.
+func (s *Server) mayStart(q *request, h *heldGrant) *result.Error {
+	if !s.o.Session.Valid() || s.o.Session.ID() != h.sessionID {
+		return noSession()
+	}
+	now := s.o.Clock.Now()
+	if now >= h.startBy {
+		return result.NotRun(apiv1.ResultCode_RESULT_CODE_STALE_GRANT, "the grant was not used within %d ms", h.StartWithinMs)
+	}
+	if now >= q.deadline {
+		return deadlineTooShort()
+	}
+	if err := s.grants.stale(h); err != nil {
+		return err
+	}
+	return s.checkView(q, h)
+}
+
+func (s *Server) checkView(q *request, h *heldGrant) *result.Error {
+	snap := s.o.Session.Snapshot()
+	queue, err := serviceQueue(snap.Index, q.queue, q.service)
+	if err != nil {
+		return err
+	}
+	who, err := authorize(snap.Index, q.credential, queue)
+	if err != nil {
+		return err
+	}
+	if who != q.who {
+		return result.NotRun(apiv1.ResultCode_RESULT_CODE_STALE_GRANT, "the key was moved to another client account or team")
+	}
+	if !snap.Index.ZoneIn(h.AvailabilityZone) {
+		return result.NotRun(apiv1.ResultCode_RESULT_CODE_ZONE_OUT, "availability zone %q is out of service", h.AvailabilityZone)
+	}
+	if slices.Contains(snap.View.GetLeavingVms(), h.Vm) {
+		return result.NotRun(apiv1.ResultCode_RESULT_CODE_STALE_GRANT, "VM %q is leaving", h.Vm)
+	}
+	if shard := snap.Shard(q.service); shard.GetEpoch() > h.Epoch {
+		return result.NotRun(apiv1.ResultCode_RESULT_CODE_STALE_GRANT, "the grant's epoch %d is older than %d", h.Epoch, shard.GetEpoch())
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/entry/metrics.go
@@ -0,0 +1,56 @@
+package entry
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+)
+
+type metrics struct {
+	requests       *prometheus.CounterVec
+	duration       *prometheus.HistogramVec
+	grantWait      prometheus.Histogram
+	outcomes       *prometheus.CounterVec
+	retries        prometheus.Counter
+	retriesRefused prometheus.Counter
+	batchFailures  *prometheus.CounterVec
+}
+
+func newMetrics(r prometheus.Registerer) *metrics {
+	m := &metrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "bergamot_entry_requests_total", Help: "Requests by service, result code and whether nothing ran.",
+		}, []string{"service", "result", "not_run"}),
+		duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "bergamot_entry_request_duration_seconds", Help: "Time from the header to the end of the response.",
+			Buckets: prometheus.ExponentialBuckets(0.001, 2, 16),
+		}, []string{"service"}),
+		grantWait: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "bergamot_entry_grant_wait_seconds", Help: "Time from asking for a grant to having one.",
+			Buckets: prometheus.ExponentialBuckets(0.0005, 2, 16),
+		}),
+		outcomes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "bergamot_entry_grants_released_total", Help: "Grants released by service and outcome.",
+		}, []string{"service", "outcome"}),
+		retries:        prometheus.NewCounter(prometheus.CounterOpts{Name: "bergamot_entry_retries_total", Help: "Attempts made again under the retry budget."}),
+		retriesRefused: prometheus.NewCounter(prometheus.CounterOpts{Name: "bergamot_entry_retries_refused_total", Help: "Retries that the budget refused."}),
+		batchFailures: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "bergamot_entry_batch_failures_total", Help: "Batches of announcements or heartbeats that could not be passed on.",
+		}, []string{"kind"}),
+	}
+	if r != nil {
+		r.MustRegister(m.requests, m.duration, m.grantWait, m.outcomes, m.retries, m.retriesRefused, m.batchFailures)
+	}
+	return m
+}
+
+func (m *metrics) count(service string, code apiv1.ResultCode, notRun bool) {
+	m.requests.WithLabelValues(service, strconv.Itoa(int(code)), strconv.FormatBool(notRun)).Inc()
+}
+
+func outcomeLabel(o apiv1.GrantOutcome) string {
+	return strings.ToLower(strings.TrimPrefix(o.String(), "GRANT_OUTCOME_"))
+}
--- /dev/null
+++ b/internal/entry/once.go
@@ -0,0 +1,255 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+	"bergamotdrum.example/bergamotdrum/internal/ledger"
+	"bergamotdrum.example/bergamotdrum/internal/result"
+	"bergamotdrum.example/bergamotdrum/internal/session"
+)
+
+const (
+	// Pauses between looks at a request that another entry is running.
+	minPendingPause = 100 * time.Millisecond
+	maxPendingPause = time.Second
+	// Time in which the outcome is committed after the answer; it outlasts an
+	// election of the control leader.
+	finishTimeout = 10 * time.Second
+	finishPause   = 100 * time.Millisecond
+	// Advice to callers while the control group elects a leader.
+	ledgerRetryAfter = 500 * time.Millisecond
+)
+
+// serveOnce runs a request that may not be repeated. The ledger decides
+// whether this entry runs it, another one does or did.
+func (s *Server) serveOnce(w http.ResponseWriter, q *request) {
+	for {
+		h, err := s.acquire(q, nil)
+		if err != nil {
+			s.serveWithoutGrant(w, q, err)
+			return
+		}
+		rec, err := s.start(q, h)
+		if err != nil {
+			s.abandonStart(q, h, err)
+			s.writeRequestError(w, q, err)
+			return
+		}
+		if rec.Created {
+			s.runOnce(w, q, h)
+			return
+		}
+		s.release(h, apiv1.GrantOutcome_GRANT_OUTCOME_NOT_STARTED)
+		if s.serveRecord(w, q, rec) {
+			return
+		}
+	}
+}
+
+// serveWithoutGrant answers a resend from the ledger even when there is no
+// capacity for a run.
+func (s *Server) serveWithoutGrant(w http.ResponseWriter, q *request, refused *result.Error) {
+	rec, err := s.lookup(q)
+	if err == nil && s.serveRecord(w, q, rec) {
+		return
+	}
+	if err != nil && decidesAlone(err.Code) {
+		s.writeRequestError(w, q, err)
+		return
+	}
+	e := *refused
+	// Without the ledger's word an earlier send of the id may have run.
+	e.NotRun = e.NotRun && (err == nil || err.Code == apiv1.ResultCode_RESULT_CODE_NOT_FOUND)
+	s.writeRequestError(w, q, &e)
+}
+
+// decidesAlone tells codes that say more about the id than a refused grant.
+func decidesAlone(code apiv1.ResultCode) bool {
+	return code == apiv1.ResultCode_RESULT_CODE_OUTCOME_UNKNOWN || code == apiv1.ResultCode_RESULT_CODE_IDEMPOTENCY_KEY_REUSED
+}
+
+// start commits that the request is about to run under the grant.
+func (s *Server) start(q *request, h *heldGrant) (*apiv1.RequestRecord, *result.Error) {
+	return s.commitStart(q.ctx, &apiv1.StartRequest{
+		ClientAccount: q.who.account,
+		RequestId:     q.id,
+		SessionId:     h.sessionID,
+		Service:       q.service,
+		Epoch:         h.Epoch,
+		GrantId:       h.GrantId,
+		MinionId:      h.MinionId,
+		Fingerprint:   q.fingerprint(),
+	})
+}
+
+// lookup reads the record without starting anything.
+func (s *Server) lookup(q *request) (*apiv1.RequestRecord, *result.Error) {
+	return s.commitStart(q.ctx, &apiv1.StartRequest{
+		ClientAccount: q.who.account,
+		RequestId:     q.id,
+		SessionId:     s.o.Session.ID(),
+		Service:       q.service,
+		Fingerprint:   q.fingerprint(),
+	})
+}
+
+func (s *Server) commitStart(ctx context.Context, cmd *apiv1.StartRequest) (*apiv1.RequestRecord, *result.Error) {
+	res, err := s.o.Control.Execute(ctx, &apiv1.Command{Body: &apiv1.Command_StartRequest{StartRequest: cmd}})
+	if answerLost(err) {
+		return nil, ledgerUnreachable(err)
+	}
+	if err != nil {
+		return nil, result.From(err)
+	}
+	if res.GetRequest() == nil {
+		return nil, result.New(apiv1.ResultCode_RESULT_CODE_INTERNAL, "StartRequest returned no record")
+	}
+	return res.GetRequest(), nil
+}
+
+func answerLost(err error) bool {
+	_, lost := errors.AsType[*session.LostAnswer](err)
+	return lost
+}
+
+// ledgerUnreachable is not marked as not run: an earlier send of the same id
+// may have run.
+func ledgerUnreachable(err error) *result.Error {
+	e := result.New(apiv1.ResultCode_RESULT_CODE_NO_QUORUM, "the ledger of started requests did not answer; send the request again with the same %s: %v", headerIdempotencyKey, err)
+	e.RetryAfter = ledgerRetryAfter
+	return e
+}
+
+// abandonStart handles a start that failed, or whose answer was lost. In the
+// second case the record may exist, so the id is given free again.
+func (s *Server) abandonStart(q *request, h *heldGrant, err *result.Error) {
+	s.release(h, apiv1.GrantOutcome_GRANT_OUTCOME_NOT_STARTED)
+	if err.Code == apiv1.ResultCode_RESULT_CODE_NO_QUORUM && !err.NotRun {
+		s.finish(q, h, apiv1.RequestState_REQUEST_STATE_NOT_RUN, nil)
+	}
+}
+
+// runOnce runs the request; the ledger holds this entry as its only runner.
+func (s *Server) runOnce(w http.ResponseWriter, q *request, h *heldGrant) {
+	left := q.deadline - s.o.Clock.Now()
+	ans, f := s.send(q, h, q.id, true, left)
+	if f != nil {
+		s.release(h, f.outcome)
+		s.failOnce(w, q, h, f)
+		return
+	}
+	stored := &apiv1.StoredAnswer{HttpStatus: uint32(ans.status), ContentType: ans.contentType}
+	if ans.rest != nil || len(ans.body) > ledger.MaxBodyBytes {
+		stored.BodyDropped = true
+	} else {
+		stored.Body = ans.body
+	}
+	s.finish(q, h, apiv1.RequestState_REQUEST_STATE_DONE, stored)
+	s.deliver(w, q, h, ans)
+}
+
+func (s *Server) failOnce(w http.ResponseWriter, q *request, h *heldGrant, f *failure) {
+	if !q.wrote {
+		s.finish(q, h, apiv1.RequestState_REQUEST_STATE_NOT_RUN, nil)
+		s.writeRequestError(w, q, f.err)
+		return
+	}
+	s.finish(q, h, apiv1.RequestState_REQUEST_STATE_UNKNOWN, nil)
+	s.writeRequestError(w, q, result.New(apiv1.ResultCode_RESULT_CODE_OUTCOME_UNKNOWN, "the request was sent and may have run: %s", f.err.Message))
+}
+
+// finish commits the outcome in the background, which Drain waits for.
+func (s *Server) finish(q *request, h *heldGrant, state apiv1.RequestState, ans *apiv1.StoredAnswer) {
+	cmd := &apiv1.Command{Body: &apiv1.Command_FinishRequest{FinishRequest: &apiv1.FinishRequest{
+		ClientAccount: q.who.account,
+		RequestId:     q.id,
+		SessionId:     h.sessionID,
+		Epoch:         h.Epoch,
+		GrantId:       h.GrantId,
+		State:         state,
+		Answer:        ans,
+	}}}
+	s.inFlight.run(func() { s.commitFinish(cmd) })
+}
+
+func (s *Server) commitFinish(cmd *apiv1.Command) {
+	ctx, cancel := context.WithTimeout(context.Background(), finishTimeout)
+	defer cancel()
+	for {
+		_, err := s.o.Control.Execute(ctx, cmd)
+		if err == nil {
+			return
+		}
+		if !transient(err) || ctx.Err() != nil {
+			s.o.Log.WithError(err).Warn("the outcome of a request could not be recorded")
+			return
+		}
+		time.Sleep(finishPause)
+	}
+}
+
+// transient tells errors after which the control group may answer again.
+func transient(err error) bool {
+	if answerLost(err) {
+		return true
+	}
+	code := result.CodeOf(err)
+	return code == apiv1.ResultCode_RESULT_CODE_NO_QUORUM || code == apiv1.ResultCode_RESULT_CODE_NOT_LEADER
+}
+
+// serveRecord answers a resend. It returns false when the id may be started
+// again.
+func (s *Server) serveRecord(w http.ResponseWriter, q *request, rec *apiv1.RequestRecord) bool {
+	rec, err := s.await(q, rec)
+	if err != nil {
+		s.writeRequestError(w, q, err)
+		return true
+	}
+	switch rec.State {
+	case apiv1.RequestState_REQUEST_STATE_NOT_RUN:
+		return false
+	case apiv1.RequestState_REQUEST_STATE_DONE:
+		s.writeStored(w, q, rec.Answer)
+	default:
+		s.writeRequestError(w, q, result.New(apiv1.ResultCode_RESULT_CODE_OUTCOME_UNKNOWN, "request %s was started and its outcome is not known", q.id))
+	}
+	return true
+}
+
+// await looks at a started request until it ends or the timeout passes.
+func (s *Server) await(q *request, rec *apiv1.RequestRecord) (*apiv1.RequestRecord, *result.Error) {
+	wait := minPendingPause
+	for rec.State == apiv1.RequestState_REQUEST_STATE_STARTED {
+		select {
+		case <-q.ctx.Done():
+			return rec, nil // answered as unknown
+		case <-time.After(wait):
+		}
+		wait = min(2*wait, maxPendingPause)
+		next, err := s.lookup(q)
+		if err != nil && q.ctx.Err() == nil && !transient(err) {
+			return nil, err
+		}
+		if err == nil {
+			rec = next
+		}
+	}
+	return rec, nil
+}
+
+func (s *Server) writeStored(w http.ResponseWriter, q *request, a *apiv1.StoredAnswer) {
+	if a.GetBodyDropped() {
+		s.writeRequestError(w, q, result.New(apiv1.ResultCode_RESULT_CODE_ANSWER_NOT_KEPT, "request %s ran and answered %d; its response is no longer kept", q.id, a.GetHttpStatus()))
+		return
+	}
+	s.writeAnswer(w, q, &answer{
+		status:      int(a.GetHttpStatus()),
+		contentType: a.GetContentType(),
+		length:      int64(len(a.GetBody())),
+		body:        a.GetBody(),
+	})
+}
--- /dev/null
+++ b/internal/entry/retry.go
@@ -0,0 +1,110 @@
+package entry
+
+import (
+	"sync"
+	"time"
+
+	"bergamotdrum.example/bergamotdrum/internal/clock"
+)
+
+const (
+	// Retries allowed per request, so that retries cannot multiply an overload.
+	retriesPerRequest = 0.1
+	// Retries allowed per second at low rates.
+	minRetriesPerSecond = 3
+	// Most retries saved up for a burst.
+	maxSavedRetries = 30
+)
+
+// retryBudget allows a tenth of the requests, but at least
+// minRetriesPerSecond, to be retried.
+type retryBudget struct {
+	clock     clock.Clock
+	mu        sync.Mutex
+	tokens    float64
+	window    time.Duration // start of the current second
+	deposited float64       // in the current second
+}
+
+func newRetryBudget(c clock.Clock) *retryBudget {
+	return &retryBudget{clock: c, tokens: minRetriesPerSecond, window: c.Now()}
+}
+
+// deposit counts one request.
+func (b *retryBudget) deposit() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance()
+	b.deposited += retriesPerRequest
+	b.add(retriesPerRequest)
+}
+
+// take uses one retry and reports whether there was one.
+func (b *retryBudget) take() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance()
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// advance tops up each second that ended below the minimum.
+func (b *retryBudget) advance() {
+	seconds := (b.clock.Now() - b.window) / time.Second
+	if seconds <= 0 {
+		return
+	}
+	b.window += seconds * time.Second
+	b.add(max(minRetriesPerSecond-b.deposited, 0) + minRetriesPerSecond*float64(seconds-1))
+	b.deposited = 0
+}
+
+func (b *retryBudget) add(n float64) {
+	b.tokens = min(b.tokens+n, maxSavedRetries)
+}
+
+const (
+	// A connection counts as silent after this many times the slowest recent
+	// response, so that work of normal length is not cut.
+	silenceFactor = 4
+	// Share by which the slowest response falls towards each newer one.
+	silenceDecay = 64
+)
+
+// silenceEstimate derives per service how long a healthy connection may stay
+// silent while the minion works.
+type silenceEstimate struct {
+	floor   time.Duration
+	mu      sync.Mutex
+	slowest map[string]time.Duration // time to the buffered response, decayed
+}
+
+func newSilenceEstimate(floor time.Duration) *silenceEstimate {
+	return &silenceEstimate{floor: floor, slowest: map[string]time.Duration{}}
+}
+
+func (e *silenceEstimate) observe(service string, took time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	slowest := e.slowest[service]
+	if took > slowest {
+		e.slowest[service] = took
+		return
+	}
+	e.slowest[service] = slowest - (slowest-took)/silenceDecay
+}
+
+// allowance returns the silence allowed with left time for the request. Until
+// a response of the service was seen, that is all of it.
+func (e *silenceEstimate) allowance(service string, left time.Duration) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	slowest, ok := e.slowest[service]
+	if !ok {
+		return left
+	}
+	return min(max(e.floor, silenceFactor*slowest), left)
+}
--- /dev/null
+++ b/internal/entry/server.go
@@ -0,0 +1,182 @@
+// Package entry serves callers and targets on an entry VM: it authenticates
+// requests, obtains grants from the shard hosts, proxies to minions, and passes
+// announcements and heartbeats on.
+package entry
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
+
+	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+	"bergamotdrum.example/bergamotdrum/internal/clock"
+	"bergamotdrum.example/bergamotdrum/internal/rpc"
+	"bergamotdrum.example/bergamotdrum/internal/session"
+)
+
+const (
+	defaultMaxBodyBytes     = 64 << 20
+	defaultMaxInFlight      = 4096
+	defaultMaxBufferedBytes = 256 << 20
+	defaultProgressTimeout  = time.Second
+	defaultHeaderTimeout    = 5 * time.Second
+	defaultBodyTimeout      = 10 * time.Second
+	idleTimeout             = 60 * time.Second
+	maxHeaderBytes          = 32 << 10
+	// Interval at which announcements and heartbeats are passed on.
+	batchInterval = 200 * time.Millisecond
+)
+
+// Session is the part of session.Session that the entry needs.
+type Session interface {
+	Valid() bool
+	ID() uint64
+	Snapshot() *session.Snapshot
+}
+
+// Control is the part of session.Control that the entry needs.
+type Control interface {
+	Execute(ctx context.Context, cmd *apiv1.Command) (*apiv1.CommandResult, error)
+	ReportWorkers(ctx context.Context, req *apiv1.WorkerBatch) (*apiv1.WorkerBatchReply, error)
+	GetJob(ctx context.Context, req *apiv1.GetJob) (*apiv1.Job, error)
+}
+
+// Caller makes calls to shard hosts; *rpc.Client implements it.
+type Caller interface {
+	Call(ctx context.Context, address, method string, req, resp proto.Message) error
+}
+
+// Options configures a server. Zero values take the defaults.
+type Options struct {
+	Session  Session
+	Control  Control
+	Client   Caller
+	Server   *rpc.Server // Entry.ReportGrants is registered on it; nil in tests
+	Clock    clock.Clock
+	Log      *logrus.Entry
+	Registry prometheus.Registerer // nil in tests
+
+	MaxBodyBytes     int64 // largest request body of one caller
+	MaxInFlight      int   // requests served at once
+	MaxBufferedBytes int64 // request bodies held at once, all callers together
+	// ProgressTimeout is the shortest silence after which a connection to a
+	// minion is dropped.
+	ProgressTimeout time.Duration
+	HeaderTimeout   time.Duration // for a caller to send the request header
+	BodyTimeout     time.Duration // for a caller to send the whole body
+}
+
+func (o *Options) setDefaults() {
+	setDefault(&o.MaxBodyBytes, defaultMaxBodyBytes)
+	setDefault(&o.MaxInFlight, defaultMaxInFlight)
+	setDefault(&o.MaxBufferedBytes, defaultMaxBufferedBytes)
+	setDefault(&o.ProgressTimeout, defaultProgressTimeout)
+	setDefault(&o.HeaderTimeout, defaultHeaderTimeout)
+	setDefault(&o.BodyTimeout, defaultBodyTimeout)
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Server is one entry process's service for callers and targets.
+type Server struct {
+	o        Options
+	inFlight *inFlight
+	buffers  *byteBudget
+	grants   *grantRegistry
+	pools    *pools
+	retries  *retryBudget
+	silence  *silenceEstimate
+	metrics  *metrics
+	minions  *announcements
+	workers  *heartbeats
+}
+
+// New returns a server and registers its rpc methods.
+func New(o Options) *Server {
+	o.setDefaults()
+	s := &Server{
+		o:        o,
+		inFlight: newInFlight(o.MaxInFlight),
+		buffers:  &byteBudget{left: o.MaxBufferedBytes},
+		grants:   newGrantRegistry(o.Clock),
+		pools:    newPools(),
+		retries:  newRetryBudget(o.Clock),
+		silence:  newSilenceEstimate(o.ProgressTimeout),
+		metrics:  newMetrics(o.Registry),
+		minions:  newAnnouncements(),
+		workers:  newHeartbeats(),
+	}
+	if o.Server != nil {
+		rpc.Register(o.Server, "Entry.ReportGrants", s.reportGrants)
+	}
+	return s
+}
+
+// CallerHandler serves /v1/services/ and /v1/jobs.
+func (s *Server) CallerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/jobs", s.serveJob(s.submitJob))
+	mux.HandleFunc("POST /v1/jobs/cancel", s.serveJob(s.cancelJobs))
+	mux.HandleFunc("GET /v1/jobs/{id}", s.serveJob(s.getJob))
+	mux.HandleFunc("/", s.serveNotFound)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		// ServeMux would redirect paths such as "a//b", which belong to the
+		// service.
+		if strings.HasPrefix(r.URL.EscapedPath(), servicePrefix) {
+			s.serveService(w, r)
+			return
+		}
+		mux.ServeHTTP(w, r)
+	})
+}
+
+// TargetHandler serves the announcements of minions and workers.
+func (s *Server) TargetHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/announce/minion", s.serveAnnouncement)
+	mux.HandleFunc("POST /v1/workers/heartbeat", s.serveHeartbeat)
+	mux.HandleFunc("/", s.serveNotFound)
+	return mux
+}
+
+// HTTPServer returns a server for one of the handlers with the limits for
+// slow and oversized input set.
+func (s *Server) HTTPServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: s.o.HeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+}
+
+// Run passes announcements and heartbeats on until ctx ends.
+func (s *Server) Run(ctx context.Context) error {
+	ticker := time.NewTicker(batchInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			s.pools.closeIdle()
+			return nil
+		case <-ticker.C:
+			s.flush(ctx)
+		}
+	}
+}
+
+// Drain refuses new work and waits until the requests in flight, their ledger
+// entries and their releases are done, or ctx ends.
+func (s *Server) Drain(ctx context.Context) error {
+	return s.inFlight.drain(ctx)
+}
--- /dev/null
+++ b/internal/ledger/ledger.go
@@ -0,0 +1,254 @@
+// Package ledger is the replicated record of non-repeatable requests: which
+// were started, and what they answered. It decides that each request id runs
+// at most once.
+package ledger
+
+import (
+	"bytes"
+	"container/list"
+	"time"
+
+	"github.com/google/uuid"
+	"google.golang.org/protobuf/proto"
+
+	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+	"bergamotdrum.example/bergamotdrum/internal/result"
+)
+
+const (
+	// Retention is how long an id is remembered, in log time. Older ids answer
+	// OUTCOME_UNKNOWN.
+	Retention = 24 * time.Hour
+	// MaxAhead is how far an id's time may be ahead of log time.
+	MaxAhead = 5 * time.Minute
+	// MaxBodyBytes is the largest response body that is stored.
+	MaxBodyBytes = 64 << 10
+	// Bounds the stored bodies together. Bodies and records must fit into one
+	// snapshot message of at most rpc.MaxFrameBytes (64 MiB).
+	defaultMaxTotalBodyBytes = 16 << 20
+	// A record takes about 130 bytes in a snapshot, so this many take 32 MiB.
+	defaultMaxRecords = 250_000
+	// Advice to a caller that was refused because the ledger is full.
+	fullRetryAfter = time.Minute
+)
+
+type key struct {
+	account string
+	id      uuid.UUID
+}
+
+type entry struct {
+	record  *apiv1.RequestRecord
+	seq     uint64        // order of the starts
+	element *list.Element // position in State.order
+}
+
+// State holds the records. It is not safe for concurrent use.
+type State struct {
+	records map[key]*entry
+	order   *list.List     // *entry in the order of their start
+	started map[key]*entry // records in state STARTED
+	bodies  bodyHeap       // records that may hold a body, oldest start first
+	seq     uint64
+
+	bodyBytes         int
+	maxTotalBodyBytes int
+	maxRecords        int
+}
+
+// New returns an empty ledger.
+func New() *State {
+	return &State{
+		records:           map[key]*entry{},
+		order:             list.New(),
+		started:           map[key]*entry{},
+		maxTotalBodyBytes: defaultMaxTotalBodyBytes,
+		maxRecords:        defaultMaxRecords,
+	}
+}
+
+// Start records that the request is about to run. The caller may run it only
+// when the returned record has Created set. A command without a grant only
+// reads the record and returns NOT_FOUND when there is none. The caller must
+// have checked that the session is live. Other codes: IDEMPOTENCY_KEY_INVALID,
+// IDEMPOTENCY_KEY_REUSED, NO_CAPACITY (all not run) and OUTCOME_UNKNOWN for an
+// id past the retention.
+func (s *State) Start(logTimeMS int64, cmd *apiv1.StartRequest) (*apiv1.RequestRecord, *result.Error) {
+	s.prune(logTimeMS)
+	id, err := checkID(logTimeMS, cmd.RequestId)
+	if err != nil {
+		return nil, err
+	}
+	k := key{cmd.ClientAccount, id}
+	e, ok := s.records[k]
+	if ok && !bytes.Equal(e.record.Fingerprint, cmd.Fingerprint) {
+		return nil, result.NotRun(apiv1.ResultCode_RESULT_CODE_IDEMPOTENCY_KEY_REUSED, "request id %s was used for another request; use a new id for each request", cmd.RequestId)
+	}
+	if cmd.GrantId == 0 {
+		return s.lookup(e, cmd.RequestId)
+	}
+	if ok && e.record.State != apiv1.RequestState_REQUEST_STATE_NOT_RUN {
+		// The same grant asks again when its first answer was lost.
+		started := e.record.State == apiv1.RequestState_REQUEST_STATE_STARTED
+		return copyOf(e.record, started && ownedBy(e.record, cmd)), nil
+	}
+	if !ok && len(s.records) >= s.maxRecords {
+		full := result.NotRun(apiv1.ResultCode_RESULT_CODE_NO_CAPACITY, "the ledger holds its maximum of %d requests; retry later", s.maxRecords)
+		full.RetryAfter = fullRetryAfter
+		return nil, full
+	}
+	return copyOf(s.insert(logTimeMS, k, cmd).record, true), nil
+}
+
+func (s *State) lookup(e *entry, id string) (*apiv1.RequestRecord, *result.Error) {
+	if e == nil {
+		return nil, result.NotRun(apiv1.ResultCode_RESULT_CODE_NOT_FOUND, "request %s was not started", id)
+	}
+	return copyOf(e.record, false), nil
+}
+
+func (s *State) insert(logTimeMS int64, k key, cmd *apiv1.StartRequest) *entry {
+	if old, ok := s.records[k]; ok {
+		s.order.Remove(old.element)
+	}
+	return s.add(k, &apiv1.RequestRecord{
+		ClientAccount: cmd.ClientAccount,
+		RequestId:     k.id.String(),
+		SessionId:     cmd.SessionId,
+		Epoch:         cmd.Epoch,
+		GrantId:       cmd.GrantId,
+		State:         apiv1.RequestState_REQUEST_STATE_STARTED,
+		Fingerprint:   bytes.Clone(cmd.Fingerprint),
+		StartedUnixMs: logTimeMS,
+	})
+}
+
+func (s *State) add(k key, r *apiv1.RequestRecord) *entry {
+	s.seq++
+	e := &entry{record: r, seq: s.seq}
+	e.element = s.order.PushBack(e)
+	s.records[k] = e
+	if r.State == apiv1.RequestState_REQUEST_STATE_STARTED {
+		s.started[k] = e
+	}
+	return e
+}
+
+// Finish records the outcome of a started request. Only the session and grant
+// that started it may finish it. DONE is also accepted after the session's
+// expiry made the record UNKNOWN, because the outcome is then known after all.
+func (s *State) Finish(logTimeMS int64, cmd *apiv1.FinishRequest) (*apiv1.RequestRecord, *result.Error) {
+	s.prune(logTimeMS)
+	id, err := uuid.Parse(cmd.RequestId)
+	if err != nil {
+		return nil, result.New(apiv1.ResultCode_RESULT_CODE_IDEMPOTENCY_KEY_INVALID, "request id %q is not a UUID", cmd.RequestId)
+	}
+	k := key{cmd.ClientAccount, id}
+	e, ok := s.records[k]
+	if !ok {
+		return nil, result.New(apiv1.ResultCode_RESULT_CODE_NOT_FOUND, "request %s is not in the ledger", cmd.RequestId)
+	}
+	if !ownedBy(e.record, cmd) {
+		return nil, result.New(apiv1.ResultCode_RESULT_CODE_STALE_GRANT, "request %s was started by another grant", cmd.RequestId)
+	}
+	if e.record.State == cmd.State {
+		return copyOf(e.record, false), nil
+	}
+	if !mayFinish(e.record.State, cmd.State) {
+		return nil, result.New(apiv1.ResultCode_RESULT_CODE_INVALID_ARGUMENT, "request %s is %v and cannot become %v", cmd.RequestId, e.record.State, cmd.State)
+	}
+	e.record.State = cmd.State
+	delete(s.started, k)
+	if cmd.State == apiv1.RequestState_REQUEST_STATE_DONE {
+		s.store(e, cmd.Answer)
+	}
+	return copyOf(e.record, false), nil
+}
+
+func mayFinish(from, to apiv1.RequestState) bool {
+	switch to {
+	case apiv1.RequestState_REQUEST_STATE_DONE:
+		return from == apiv1.RequestState_REQUEST_STATE_STARTED || from == apiv1.RequestState_REQUEST_STATE_UNKNOWN
+	case apiv1.RequestState_REQUEST_STATE_UNKNOWN, apiv1.RequestState_REQUEST_STATE_NOT_RUN:
+		return from == apiv1.RequestState_REQUEST_STATE_STARTED
+	}
+	return false
+}
+
+// ExpireSessions makes the started requests of the sessions UNKNOWN: nobody is
+// left who could tell whether they ran.
+func (s *State) ExpireSessions(ids []uint64) {
+	expired := make(map[uint64]bool, len(ids))
+	for _, id := range ids {
+		expired[id] = true
+	}
+	for k, e := range s.started {
+		if expired[e.record.SessionId] {
+			e.record.State = apiv1.RequestState_REQUEST_STATE_UNKNOWN
+			delete(s.started, k)
+		}
+	}
+}
+
+// prune removes records whose ids are past the retention. An id is at most
+// MaxAhead ahead of its start, so the order of the starts suffices.
+func (s *State) prune(logTimeMS int64) {
+	oldest := logTimeMS - (Retention + MaxAhead).Milliseconds()
+	for front := s.order.Front(); front != nil; front = s.order.Front() {
+		e := front.Value.(*entry)
+		if e.record.StartedUnixMs >= oldest {
+			break
+		}
+		s.order.Remove(front)
+		k := keyOf(e.record)
+		delete(s.records, k)
+		delete(s.started, k)
+		s.dropBody(e)
+	}
+	s.popEmptyBodies()
+}
+
+func checkID(logTimeMS int64, text string) (uuid.UUID, *result.Error) {
+	id, err := uuid.Parse(text)
+	if err != nil || id.Version() != 7 {
+		return id, result.NotRun(apiv1.ResultCode_RESULT_CODE_IDEMPOTENCY_KEY_INVALID, "request id %q is not a UUIDv7", text)
+	}
+	idMS := idTimeMS(id)
+	if idMS > logTimeMS+MaxAhead.Milliseconds() {
+		return id, result.NotRun(apiv1.ResultCode_RESULT_CODE_IDEMPOTENCY_KEY_INVALID, "the time in request id %s is more than %v ahead; set the clock", text, MaxAhead)
+	}
+	if idMS < logTimeMS-Retention.Milliseconds() {
+		return id, result.New(apiv1.ResultCode_RESULT_CODE_OUTCOME_UNKNOWN, "request id %s is older than %v; whether it ran is no longer recorded", text, Retention)
+	}
+	return id, nil
+}
+
+// idTimeMS returns the Unix milliseconds in the first 48 bits of a UUIDv7.
+func idTimeMS(id uuid.UUID) int64 {
+	var ms int64
+	for _, b := range id[:6] {
+		ms = ms<<8 | int64(b)
+	}
+	return ms
+}
+
+type owner interface {
+	GetSessionId() uint64
+	GetEpoch() uint64
+	GetGrantId() uint64
+}
+
+func ownedBy(r *apiv1.RequestRecord, o owner) bool {
+	return r.SessionId == o.GetSessionId() && r.Epoch == o.GetEpoch() && r.GrantId == o.GetGrantId()
+}
+
+func keyOf(r *apiv1.RequestRecord) key {
+	// Records hold only ids that checkID has parsed.
+	return key{r.ClientAccount, uuid.MustParse(r.RequestId)}
+}
+
+func copyOf(r *apiv1.RequestRecord, created bool) *apiv1.RequestRecord {
+	c := proto.CloneOf(r)
+	c.Created = created
+	return c
+}
