--- /dev/null
+++ b/internal/control/trackers_test.go
@@ -0,0 +1,136 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+)
+
+const testTTL = 2 * time.Second
+
+// Guards against a session that is still valid on its entry when the leader
+// commits its expiry: renewals arrive late, twice and out of order, and a new
+// leader takes over at any time.
+func TestSessionEndsOnTheEntryBeforeItExpiresOnTheLeader(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tracker := newSessionTracker(testTTL + testTTL/8)
+		committed := []*apiv1.Session{{Id: 1, Incarnation: 7}}
+		var now, validUntil time.Duration
+		tracker.sync(now, committed, time.Second)
+		var inFlight []time.Duration // times at which renewals were sent
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			switch rapid.SampledFrom([]string{"time", "send", "arrive", "leader", "expire"}).Draw(t, "step") {
+			case "time":
+				now += time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond
+			case "send":
+				inFlight = append(inFlight, now)
+			case "arrive":
+				if len(inFlight) == 0 {
+					continue
+				}
+				sent := inFlight[rapid.IntRange(0, len(inFlight)-1).Draw(t, "which")]
+				if tracker.renew(now, &apiv1.RenewSession{SessionId: 1, Incarnation: 7}) {
+					validUntil = max(validUntil, sent+testTTL)
+				}
+			case "leader":
+				tracker = newSessionTracker(testTTL + testTTL/8)
+				tracker.sync(now, committed, time.Second)
+			case "expire":
+				if len(tracker.expired(now)) == 0 {
+					continue
+				}
+				if validUntil > now {
+					t.Fatalf("the session expires at %v and is valid on the entry until %v", now, validUntil)
+				}
+				if tracker.renew(now, &apiv1.RenewSession{SessionId: 1, Incarnation: 7}) {
+					t.Fatal("a session was renewed after its expiry was proposed")
+				}
+				return
+			}
+		}
+	})
+}
+
+// Guards against a publish that is reported in force while a live session has
+// an older version, and against waiting for one that has expired.
+func TestInForceWaitsForEveryLiveSession(t *testing.T) {
+	g := NewWithT(t)
+	tracker := newSessionTracker(testTTL)
+	sessions := []*apiv1.Session{{Id: 1, ProcessId: "entry-1"}, {Id: 2, ProcessId: "entry-2"}}
+	tracker.sync(0, sessions, time.Second)
+	tracker.renew(0, &apiv1.RenewSession{SessionId: 1, ConfigVersion: 5})
+	tracker.renew(0, &apiv1.RenewSession{SessionId: 2, ConfigVersion: 4})
+	waiting, _ := tracker.waitingFor(5)
+	g.Expect(waiting).To(HaveLen(1))
+	g.Expect(waiting[0].ProcessId).To(Equal("entry-2"))
+	sessions[1].Expired = true
+	tracker.sync(testTTL, sessions, time.Second)
+	waiting, _ = tracker.waitingFor(5)
+	g.Expect(waiting).To(BeEmpty())
+}
+
+// Guards against a drain that ends while a request to the VM is in flight, or
+// while an expired session's requests may still run.
+func TestDrainWaitsForRequestsInFlight(t *testing.T) {
+	g := NewWithT(t)
+	tracker := newSessionTracker(testTTL)
+	sessions := []*apiv1.Session{{Id: 1}, {Id: 2}}
+	tracker.sync(0, sessions, time.Second)
+	tracker.renew(0, &apiv1.RenewSession{SessionId: 1, ViewVersion: 9})
+	tracker.renew(0, &apiv1.RenewSession{SessionId: 2, ViewVersion: 8})
+	g.Expect(tracker.drained("vm-1", 9)).To(BeFalse(), "session 2 has an older view")
+	tracker.renew(0, &apiv1.RenewSession{SessionId: 2, ViewVersion: 9, BusyVms: []string{"vm-1"}})
+	g.Expect(tracker.drained("vm-1", 9)).To(BeFalse(), "session 2 has a request in flight")
+	g.Expect(tracker.drained("vm-2", 9)).To(BeTrue())
+	sessions[1].Expired = true
+	tracker.sync(0, sessions, time.Second)
+	g.Expect(tracker.drained("vm-2", 9)).To(BeFalse(), "requests of session 2 may still run")
+	tracker.sync(0, sessions[:1], time.Second)
+	g.Expect(tracker.drained("vm-1", 9)).To(BeTrue())
+}
+
+// Guards against a worker that still counts on its lease when the leader
+// commits the expiry, and against a second start of a job that may not be
+// repeated under one lease.
+func TestLeaseEndsOnTheWorkerBeforeItExpiresOnTheLeader(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tracker := newWorkerTracker(testTTL + testTTL/8)
+		job := &apiv1.Job{
+			JobId: "j", State: apiv1.JobState_JOB_STATE_PLACED,
+			Lease: &apiv1.JobLease{Epoch: 1, WorkerId: "w"},
+		}
+		var now, validUntil time.Duration
+		tracker.leases["j"] = &leaseRenewal{epoch: 1, renewed: now}
+		starts := 0
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			switch rapid.SampledFrom([]string{"time", "heartbeat", "expire"}).Draw(t, "step") {
+			case "time":
+				now += time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond
+			case "heartbeat":
+				sent := max(0, now-time.Duration(rapid.IntRange(0, 3000).Draw(t, "delay"))*time.Millisecond)
+				if tracker.mayStart(now, job) {
+					starts++
+					validUntil = max(validUntil, sent+testTTL)
+				}
+			case "expire":
+				if len(tracker.expiredLeases(now)) == 0 {
+					continue
+				}
+				if validUntil > now {
+					t.Fatalf("the lease expires at %v and is valid on the worker until %v", now, validUntil)
+				}
+				if tracker.mayStart(now, job) {
+					t.Fatal("a job was started after the expiry of its lease was proposed")
+				}
+				return
+			}
+			if starts > 1 {
+				t.Fatal("a job that may not be repeated was handed out twice")
+			}
+		}
+	})
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -78,16 +78,6 @@
 	return open, nil
 }
 
-// HTTPServer returns a server with header limits and timeouts. Bodies are
-// bounded by the handlers.
-func HTTPServer(h http.Handler) *http.Server {
-	return &http.Server{
-		Handler:           h,
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-	}
-}
 
 // StopSignal returns a context that ends on SIGTERM or SIGINT.
 func StopSignal() (context.Context, context.CancelFunc) {
--- a/internal/daemon/entry/daemon.go
+++ b/internal/daemon/entry/daemon.go
@@ -106,13 +106,13 @@
 	d.Session.SetBusyVMs(d.Entry.BusyVMs)
 	d.Process.AddProbe(d.Session.Probe)
 	d.Process.AddDumper("session", func() any { return d.Session.Dump() })
-	d.Process.AddDumper("shards", func() any { return d.host.Dump() })
-	d.Process.AddDumper("entry", func() any { return d.Entry.Dump() })
+	d.Process.AddDumper("shards", d.host.Dump)
+	d.Process.AddDumper("entry", d.Entry.Dump)
 }
 
 func (d *Daemon) serve(l []net.Listener) {
-	d.callers = d.Entry.CallerServer()
-	d.targets = d.Entry.TargetServer()
+	d.callers = d.Entry.HTTPServer(d.Entry.CallerHandler())
+	d.targets = d.Entry.HTTPServer(d.Entry.TargetHandler())
 	d.admin = d.Process.AdminServer()
 	hostCtx, stopHost := context.WithCancel(context.Background())
 	sessionCtx, stopSession := context.WithCancel(context.Background())
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -60,6 +60,7 @@
 	id         uint64        // zero when no session is open
 	validUntil time.Duration // on the clock
 	listeners  []func(*Snapshot)
+	busyVMs    func() []string // nil when nothing is reported
 	// Versions of the snapshot; viewVersion restarts with each session.
 	viewVersion   uint64
 	configVersion uint64
@@ -205,12 +206,16 @@
 func (s *Session) renewal() *apiv1.RenewSession {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return &apiv1.RenewSession{
+	req := &apiv1.RenewSession{
 		SessionId:     s.id,
 		Incarnation:   s.incarnation,
 		ViewVersion:   s.viewVersion,
 		ConfigVersion: s.configVersion,
 	}
+	if s.busyVMs != nil {
+		req.BusyVms = s.busyVMs()
+	}
+	return req
 }
 
 func (s *Session) extend(id uint64, until time.Duration) {
@@ -236,12 +241,24 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
+	ids := []uint64{id}
 	_, err := s.o.Control.Execute(ctx, &apiv1.Command{Body: &apiv1.Command_ExpireSessions{
-		ExpireSessions: &apiv1.ExpireSessions{SessionIds: []uint64{id}},
+		ExpireSessions: &apiv1.ExpireSessions{SessionIds: ids},
 	}})
 	if err != nil {
 		return fmt.Errorf("close session %d: %w", id, err)
 	}
+	if s.busyVMs != nil && len(s.busyVMs()) > 0 {
+		return nil // requests are cut; the leader waits out their deadlines
+	}
+	// Nothing runs under this session any more, so the shards that it hosted
+	// need not wait for deadlines.
+	_, err = s.o.Control.Execute(ctx, &apiv1.Command{Body: &apiv1.Command_ReleaseSessions{
+		ReleaseSessions: &apiv1.ReleaseSessions{SessionIds: ids},
+	}})
+	if err != nil {
+		return fmt.Errorf("release session %d: %w", id, err)
+	}
 	s.o.Log.WithField("session_id", id).Info("session closed")
 	return nil
 }
