--- a/internal/scheduler/cluster_test.go
+++ b/internal/scheduler/cluster_test.go
@@ -85,10 +85,10 @@
 func (c *cluster) publish(limit uint32) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.oldLimit = max(limit, c.limit)
-	if c.Now()-c.limitAt < testInForce {
-		c.oldLimit = max(c.oldLimit, limit)
+	if c.Now()-c.limitAt >= testInForce {
+		c.oldLimit = 0
 	}
+	c.oldLimit = max(c.oldLimit, c.limit, limit)
 	c.limit, c.limitAt = limit, c.Now()
 	c.ix = testIndex(limit)
 	c.index++
