Serve a request and a job through separate processes

The leader's job planner, the status and explain answers, bergamot-dev, and a process test with three control replicas and three entry processes.

--- a/internal/control/explain.go
+++ b/internal/control/explain.go
@@ -6,6 +6,7 @@
 	"google.golang.org/protobuf/proto"
 
 	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+	"bergamotdrum.example/bergamotdrum/internal/jobs"
 	"bergamotdrum.example/bergamotdrum/internal/result"
 	"bergamotdrum.example/bergamotdrum/internal/state"
 )
@@ -53,7 +54,7 @@
 		},
 	}
 	if job.State == apiv1.JobState_JOB_STATE_PENDING {
-		why := st.Jobs.Explain(id, st.Index, st.Fleet, st.Membership)
+		why := jobs.Explain(planInput(st), id)
 		report.Reasons = append(report.Reasons, &apiv1.ExplainReason{Code: apiv1.ResultCode_RESULT_CODE_NO_CAPACITY, Message: why})
 	}
 	return report
@@ -80,7 +81,7 @@
 	report := &apiv1.ExplainReport{
 		Kind:    "vm",
 		Id:      id,
-		Summary: st.Fleet.Explain(id, st.Index),
+		Summary: "Phase of the operation: " + vm.OperationId,
 		Facts: []*apiv1.ExplainFact{
 			fact("pool", vm.Pool), fact("availability zone", vm.AvailabilityZone), fact("rack", vm.Rack),
 			fact("operation", vm.OperationId), fact("worker", vm.WorkerId),
--- a/internal/control/operator.go
+++ b/internal/control/operator.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"slices"
 	"strconv"
-	"strings"
 	"time"
 
 	"google.golang.org/protobuf/encoding/protojson"
@@ -29,8 +28,8 @@
 
 // OperatorKeys checks the credentials of operators.
 type OperatorKeys interface {
-	// Authenticate returns the operator's name.
-	Authenticate(credential string) (string, *result.Error)
+	// Authenticate returns the name of the operator of an Authorization header.
+	Authenticate(header string) (string, *result.Error)
 }
 
 // operatorCall is one authenticated call on the leader.
@@ -66,8 +65,7 @@
 
 func (s *Server) operatorRoute(h operatorHandler) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		credential := strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
-		operator, authErr := s.o.OperatorKeys.Authenticate(credential)
+		operator, authErr := s.o.OperatorKeys.Authenticate(r.Header.Get("Authorization"))
 		if authErr != nil {
 			writeError(w, authErr)
 			return
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -13,7 +13,6 @@
 
 	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
 	"bergamotdrum.example/bergamotdrum/internal/clock"
-	"bergamotdrum.example/bergamotdrum/internal/platform"
 	"bergamotdrum.example/bergamotdrum/internal/replica"
 	"bergamotdrum.example/bergamotdrum/internal/result"
 	"bergamotdrum.example/bergamotdrum/internal/rpc"
@@ -39,8 +38,8 @@
 	// covers the drift between two boot clocks over one TTL.
 	Margin   time.Duration
 	LeaseTTL time.Duration
-	// Platform is nil when fleet operations are off.
-	Platform *platform.Client
+	// NewExecutor is nil when fleet operations are off.
+	NewExecutor func(ExecutorSource) Executor
 	// OperatorKeys maps an operator's name to the key.
 	OperatorKeys OperatorKeys
 	// OperatorAddresses maps a replica's RPC address to its operator address;
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -178,7 +178,7 @@
 	for _, t := range st.Index.Set.Team {
 		weights += t.Weight
 	}
-	running, queued := st.Membership.TeamLoad()
+	running, queued := teamLoad(st)
 	for _, t := range st.Index.Set.Team {
 		report.Teams = append(report.Teams, &apiv1.TeamStatus{
 			Team:          t.Name,
@@ -190,3 +190,17 @@
 		})
 	}
 }
+
+func teamLoad(st *state.State) (running, queued map[string]uint32) {
+	running, queued = map[string]uint32{}, map[string]uint32{}
+	snap := st.Membership.Snapshot()
+	for _, t := range snap.Limits {
+		running[t.Team] += t.JobsRunning
+	}
+	for _, a := range snap.Allotments {
+		busy := min(a.Amount, a.Wanted)
+		running[a.Team] += busy
+		queued[a.Team] += a.Wanted - busy
+	}
+	return running, queued
+}
--- a/internal/daemon/control/daemon.go
+++ b/internal/daemon/control/daemon.go
@@ -15,9 +15,9 @@
 	"bergamotdrum.example/bergamotdrum/internal/daemon"
 	"bergamotdrum.example/bergamotdrum/internal/observe"
 	"bergamotdrum.example/bergamotdrum/internal/operator"
-	"bergamotdrum.example/bergamotdrum/internal/platform"
 	"bergamotdrum.example/bergamotdrum/internal/replica"
 	"bergamotdrum.example/bergamotdrum/internal/rpc"
+	"bergamotdrum.example/bergamotdrum/internal/settings"
 	"bergamotdrum.example/bergamotdrum/internal/state"
 )
 
@@ -42,8 +42,8 @@
 	if err != nil {
 		return nil, err
 	}
-	keys, err := operator.LoadKeys(set.OperatorKeysFile)
-	if err != nil {
+	keys, problems := operator.ReadKeys(set.OperatorKeysFile)
+	if err := settings.Error(problems); err != nil {
 		return nil, err
 	}
 	process, err := observe.NewProcess("control", set.ProcessId, set.LogLevel)
@@ -90,10 +90,6 @@
 
 func (d *Daemon) startReplica(set *apiv1.ControlSettings, keys control.OperatorKeys, addresses map[string]string) error {
 	machine := state.New()
-	var client *platform.Client
-	if set.PlatformUrl != "" {
-		client = platform.NewClient(set.PlatformUrl)
-	}
 	d.Control = control.New(control.Options{
 		Machine:           machine,
 		Clock:             clock.Boot{},
@@ -101,7 +97,6 @@
 		SessionTTL:        ms(set.SessionTtlMs),
 		Margin:            ms(set.SessionMarginMs),
 		LeaseTTL:          ms(set.LeaseTtlMs),
-		Platform:          client,
 		OperatorKeys:      keys,
 		OperatorAddresses: addresses,
 		Registry:          d.Process.Registry,
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -6,12 +6,10 @@
 	"context"
 	"fmt"
 	"net"
-	"net/http"
 	"os"
 	"os/signal"
 	"strings"
 	"syscall"
-	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -20,10 +18,6 @@
 
 const (
 	minSecretBytes = 16
-	// Bounds how long a caller may take over its request header.
-	readHeaderTimeout = 5 * time.Second
-	idleTimeout       = 2 * time.Minute
-	maxHeaderBytes    = 64 << 10
 	// secretFileMode is the widest mode accepted for files with secrets.
 	secretFileMode = 0o600
 )
@@ -31,15 +25,10 @@
 // LoadSettings reads one section of an INI file. The error lists every problem
 // on a line of its own.
 func LoadSettings(path, section string, into proto.Message) error {
-	problems := settings.Load(path, section, into)
-	if len(problems) == 0 {
-		return nil
+	if err := settings.Error(settings.Load(path, section, into)); err != nil {
+		return fmt.Errorf("settings are refused: %w", err)
 	}
-	lines := make([]string, 0, len(problems))
-	for _, p := range problems {
-		lines = append(lines, p.String())
-	}
-	return fmt.Errorf("settings are refused:\n  %s", strings.Join(lines, "\n  "))
+	return nil
 }
 
 // ReadSecret reads a file that only its owner may read.
@@ -78,7 +67,6 @@
 	return open, nil
 }
 
-
 // StopSignal returns a context that ends on SIGTERM or SIGINT.
 func StopSignal() (context.Context, context.CancelFunc) {
 	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
--- /dev/null
+++ b/internal/daemon/dev/demonstrate.go
@@ -0,0 +1,160 @@
+package dev
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+)
+
+const retryInterval = 100 * time.Millisecond
+
+// demonstrate publishes a configuration and sends one request and one job.
+func demonstrate(ctx context.Context, s *site, o Options) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	set, credential := demoObjects()
+	if err := publish(ctx, s, set, o.Out); err != nil {
+		return err
+	}
+	if err := sendRequest(ctx, s, credential, o.Out); err != nil {
+		return err
+	}
+	if err := runJob(ctx, s, credential, o.Out); err != nil {
+		return err
+	}
+	if !o.Stay {
+		return nil
+	}
+	fmt.Fprintf(o.Out, "callers    http://%s  (Authorization: Bearer %s)\n", s.entry.CallerAddress, credential)
+	fmt.Fprintf(o.Out, "operators  http://%s  (Authorization: Bearer %s)\n", s.control.OperatorAddress, s.operatorCredential)
+	fmt.Fprintf(o.Out, "targets    http://%s\n", s.entry.TargetAddress)
+	fmt.Fprintf(o.Out, "state      http://%s/debug/state  http://%s/debug/state\n", s.control.AdminAddress, s.entry.AdminAddress)
+	<-ctx.Done()
+	return nil
+}
+
+func publish(ctx context.Context, s *site, set *apiv1.ObjectSet, out io.Writer) error {
+	reply := &apiv1.PublishReply{}
+	req := &apiv1.PublishConfig{RequestId: uuid.NewString(), Objects: set, Comment: "bergamot-dev"}
+	err := eventually(ctx, func() error {
+		return call(ctx, http.MethodPost, "http://"+s.control.OperatorAddress+"/v1/config/publish", s.operatorCredential, req, reply)
+	})
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "published  version %d, in force everywhere: %v\n", reply.Version, reply.InForce)
+	return nil
+}
+
+func sendRequest(ctx context.Context, s *site, credential string, out io.Writer) error {
+	url := "http://" + s.entry.CallerAddress + "/v1/services/" + serviceName + "/warnings"
+	id := uuid.Must(uuid.NewV7()).String()
+	return eventually(ctx, func() error {
+		r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader([]byte("heat warning for ward 3")))
+		if err != nil {
+			return err
+		}
+		r.Header.Set("Authorization", "Bearer "+credential)
+		r.Header.Set("Bergamot-Queue", requestQ)
+		r.Header.Set("Idempotency-Key", id)
+		resp, err := http.DefaultClient.Do(r)
+		if err != nil {
+			return err
+		}
+		defer resp.Body.Close()
+		body, err := io.ReadAll(resp.Body)
+		if err != nil {
+			return err
+		}
+		if resp.StatusCode != http.StatusOK {
+			return fmt.Errorf("request: %d %s", resp.StatusCode, body)
+		}
+		fmt.Fprintf(out, "request    %s answered %d with %q\n", id, resp.StatusCode, body)
+		return nil
+	})
+}
+
+func runJob(ctx context.Context, s *site, credential string, out io.Writer) error {
+	base := "http://" + s.entry.CallerAddress + "/v1/jobs"
+	job := &apiv1.Job{}
+	submit := &apiv1.SubmitJob{
+		JobId: uuid.Must(uuid.NewV7()).String(), Queue: jobQ, Repeatable: true, DeclaredRunMs: 500,
+		Resources: &apiv1.Resources{CpuMillis: 1000, MemoryMb: 512},
+		Payload:   []byte(`{"run_ms":500}`),
+	}
+	err := eventually(ctx, func() error { return call(ctx, http.MethodPost, base, credential, submit, job) })
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "job        %s submitted\n", job.JobId)
+	err = eventually(ctx, func() error {
+		if err := call(ctx, http.MethodGet, base+"/"+submit.JobId, credential, nil, job); err != nil {
+			return err
+		}
+		if job.State != apiv1.JobState_JOB_STATE_DONE {
+			return fmt.Errorf("job %s is %v", job.JobId, job.State)
+		}
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "job        %s done, lease epoch %d\n", job.JobId, job.Epoch)
+	return nil
+}
+
+// eventually repeats fn until it succeeds; processes need a moment to elect a
+// leader and to hear the first announcements.
+func eventually(ctx context.Context, fn func() error) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	for {
+		err := fn()
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("gave up after %v: %w", startTimeout, err)
+		case <-time.After(retryInterval):
+		}
+	}
+}
+
+func call(ctx context.Context, method, url, credential string, req, resp proto.Message) error {
+	var body io.Reader = http.NoBody
+	if req != nil {
+		data, err := protojson.Marshal(req)
+		if err != nil {
+			return err
+		}
+		body = bytes.NewReader(data)
+	}
+	r, err := http.NewRequestWithContext(ctx, method, url, body)
+	if err != nil {
+		return err
+	}
+	r.Header.Set("Authorization", "Bearer "+credential)
+	answer, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return err
+	}
+	defer answer.Body.Close()
+	data, err := io.ReadAll(answer.Body)
+	if err != nil {
+		return err
+	}
+	if answer.StatusCode/100 != 2 {
+		return fmt.Errorf("%s: %d %s", url, answer.StatusCode, data)
+	}
+	return protojson.UnmarshalOptions{DiscardUnknown: true}.Unmarshal(data, resp)
+}
--- /dev/null
+++ b/internal/daemon/dev/dev.go
@@ -0,0 +1,106 @@
+// Package dev runs every role in one process with fakes around it, for trying
+// the system out.
+package dev
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+	"bergamotdrum.example/bergamotdrum/internal/daemon/control"
+	"bergamotdrum.example/bergamotdrum/internal/daemon/entry"
+	"bergamotdrum.example/bergamotdrum/internal/fakes"
+)
+
+const (
+	startTimeout = 30 * time.Second
+	minions      = 2
+	workers      = 2
+)
+
+// Options configure a run.
+type Options struct {
+	// Folder keeps the data; a temporary one is used when empty.
+	Folder string
+	// Stay keeps the processes running until ctx ends.
+	Stay    bool
+	Verbose bool
+	Out     io.Writer
+}
+
+// Run starts the roles, publishes a configuration, serves one request and one
+// job, and stops gracefully.
+func Run(ctx context.Context, o Options) error {
+	folder := o.Folder
+	if folder == "" {
+		dir, err := os.MkdirTemp("", "bergamot-dev-")
+		if err != nil {
+			return fmt.Errorf("create a temporary folder: %w", err)
+		}
+		defer os.RemoveAll(dir)
+		folder = dir
+	}
+	level := "error"
+	if o.Verbose {
+		level = "info"
+	}
+	s, err := newSite(folder, level)
+	if err != nil {
+		return err
+	}
+	controlDaemon, err := control.Start(s.control)
+	if err != nil {
+		return err
+	}
+	defer controlDaemon.Stop()
+	entryDaemon, err := entry.Start(s.entry)
+	if err != nil {
+		return err
+	}
+	defer entryDaemon.Stop()
+	stopFakes, err := startFakes(ctx, s)
+	if err != nil {
+		return err
+	}
+	defer stopFakes()
+	return demonstrate(ctx, s, o)
+}
+
+// startFakes starts minions and workers that announce themselves.
+func startFakes(ctx context.Context, s *site) (func(), error) {
+	ctx, cancel := context.WithCancel(ctx)
+	target := "http://" + s.entry.TargetAddress
+	var running []*fakes.Minion
+	for i := range minions {
+		m, err := fakes.StartMinion(fakes.MinionOptions{
+			Announcement: &apiv1.MinionAnnouncement{
+				MinionId: fmt.Sprintf("minion-%d", i+1), Service: serviceName, Vm: fmt.Sprintf("vm-%d", i+1),
+				AvailabilityZone: zoneA, Rack: "rack-1", Slots: 8, Connections: 64, Pool: poolName,
+			},
+			AnnounceURLs: []string{target},
+		})
+		if err != nil {
+			cancel()
+			return nil, err
+		}
+		running = append(running, m)
+	}
+	for i := range workers {
+		w := fakes.NewWorker(fakes.WorkerOptions{
+			WorkerID: fmt.Sprintf("worker-%d", i+1), VM: fmt.Sprintf("vm-%d", i+1), Pool: poolName,
+			Zone: zoneA, Rack: "rack-1",
+			Capacity: &apiv1.Resources{CpuMillis: 16000, MemoryMb: 32 << 10, Accelerators: 1},
+			Entries:  []string{target},
+		})
+		go w.Run(ctx)
+	}
+	return func() {
+		cancel()
+		for _, m := range running {
+			m.Close()
+		}
+	}, nil
+}
--- /dev/null
+++ b/test/process/traffic_test.go
@@ -0,0 +1,203 @@
+package process_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+	"bergamotdrum.example/bergamotdrum/internal/fakes"
+	"bergamotdrum.example/bergamotdrum/internal/objects"
+)
+
+const (
+	service = "transfers"
+	pool    = "transfers"
+)
+
+// testObjects is one service and one job queue over three zones.
+func (c *cluster) testObjects() *apiv1.ObjectSet {
+	key, credential := objects.NewKey("home-1", "home-1")
+	c.callerCredential = credential
+	set := &apiv1.ObjectSet{
+		Limit:              []*apiv1.Limit{{Name: "care", MaxRunning: 30}},
+		Team:               []*apiv1.Team{{Name: "care", Weight: 1, Limit: "care"}},
+		ClientAccount:      []*apiv1.ClientAccount{{Name: "home-1", Team: "care"}},
+		Key:                []*apiv1.Key{key},
+		AvailabilityBudget: []*apiv1.AvailabilityBudget{{Name: "one-down", MaxDown: 1}},
+		Pool:               []*apiv1.Pool{{Name: pool, AvailabilityBudget: "one-down"}},
+		Service: []*apiv1.Service{{
+			Name: service, Pool: pool, SlotsPerMinion: 8, ConnectionsPerMinion: 64, EntryVms: 8, MaxDeadlineMs: 3000,
+		}},
+		Queue: []*apiv1.Queue{
+			{Name: "notices", Service: service, Teams: []string{"care"}, Priority: apiv1.Priority_PRIORITY_URGENT, MaxDepth: 1000},
+			{Name: "summaries", Pool: pool, Teams: []string{"care"}, Priority: apiv1.Priority_PRIORITY_OVERNIGHT, MaxDepth: 1000},
+		},
+	}
+	for _, z := range zones {
+		set.AvailabilityZone = append(set.AvailabilityZone, &apiv1.AvailabilityZone{
+			Name: z, Region: "region-1", State: apiv1.ZoneState_ZONE_STATE_IN,
+		})
+	}
+	c.objects = set
+	return set
+}
+
+// publish publishes the cluster's objects on top of the version in force and
+// waits until they are in force.
+func (c *cluster) publish() uint64 {
+	req := &apiv1.PublishConfig{RequestId: uuid.NewString(), Objects: c.objects}
+	reply := &apiv1.PublishReply{}
+	Eventually(func(g Gomega) {
+		report, err := c.status()
+		g.Expect(err).NotTo(HaveOccurred())
+		if reply.Version == 0 || report.ConfigVersion < reply.Version {
+			req.ExpectedVersion = report.ConfigVersion
+			req.RequestId = uuid.NewString()
+		}
+		g.Expect(c.operate(http.MethodPost, "/v1/config/publish", req, reply)).To(Succeed())
+	}).Should(Succeed())
+	Expect(reply.InForce).To(BeTrue(), "waiting for %v", reply.WaitingFor)
+	return reply.Version
+}
+
+// startTargets starts fake minions and workers, one of each per zone.
+func (c *cluster) startTargets() *fakes.RunLog {
+	var urls []string
+	for _, p := range c.entries {
+		urls = append(urls, "http://"+p.target)
+	}
+	log := &fakes.RunLog{}
+	ctx, cancel := context.WithCancel(context.Background())
+	DeferCleanup(cancel)
+	for i, z := range zones {
+		vm := fmt.Sprintf("vm-%d", i+1)
+		m, err := fakes.StartMinion(fakes.MinionOptions{
+			Announcement: &apiv1.MinionAnnouncement{
+				MinionId: fmt.Sprintf("minion-%d", i+1), Service: service, Vm: vm, AvailabilityZone: z,
+				Rack: z + "-rack-1", Slots: 8, Connections: 64, Pool: pool,
+			},
+			AnnounceURLs: urls, AnnounceInterval: 300 * time.Millisecond,
+		})
+		Expect(err).NotTo(HaveOccurred())
+		c.minions = append(c.minions, m)
+		w := fakes.NewWorker(fakes.WorkerOptions{
+			WorkerID: fmt.Sprintf("worker-%d", i+1), VM: vm, Pool: pool, Zone: z, Rack: z + "-rack-1",
+			Capacity: &apiv1.Resources{CpuMillis: 16000, MemoryMb: 32 << 10, Accelerators: 1},
+			Entries:  urls, Heartbeat: 300 * time.Millisecond, Log: log,
+		})
+		go w.Run(ctx)
+	}
+	return log
+}
+
+// answer is what a caller saw.
+type answer struct {
+	status int
+	result string
+	notRun bool
+	body   string
+}
+
+// send sends one request; id is set for one that may not be repeated.
+func (c *cluster) send(p *proc, id, body string) (answer, error) {
+	method := http.MethodPut
+	if id != "" {
+		method = http.MethodPost
+	}
+	r, err := http.NewRequest(method, "http://"+p.caller+"/v1/services/"+service+"/notice", bytes.NewReader([]byte(body)))
+	if err != nil {
+		return answer{}, err
+	}
+	r.Header.Set("Authorization", "Bearer "+c.callerCredential)
+	r.Header.Set("Bergamot-Queue", "notices")
+	r.Header.Set("Bergamot-Timeout-Ms", "3000")
+	if id != "" {
+		r.Header.Set("Idempotency-Key", id)
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return answer{}, err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return answer{
+		status: resp.StatusCode,
+		result: resp.Header.Get("Bergamot-Result"),
+		notRun: resp.Header.Get("Bergamot-Not-Run") == "true",
+		body:   string(data),
+	}, err
+}
+
+// served waits until a request through the entry process is answered.
+func (c *cluster) served(p *proc) {
+	GinkgoHelper()
+	Eventually(func(g Gomega) {
+		a, err := c.send(p, "", "ping "+p.name)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(a.status).To(Equal(http.StatusOK), "%+v", a)
+		g.Expect(a.body).To(ContainSubstring("ping " + p.name))
+	}).Should(Succeed())
+}
+
+func newID() string { return uuid.Must(uuid.NewV7()).String() }
+
+// submit submits a job of 300 ms through the entry process.
+func (c *cluster) submit(p *proc, repeatable bool) string {
+	GinkgoHelper()
+	id := newID()
+	Eventually(func() error {
+		return c.callJobs(p, http.MethodPost, "", &apiv1.SubmitJob{
+			JobId: id, Queue: "summaries", Repeatable: repeatable,
+			Resources: &apiv1.Resources{CpuMillis: 1000, MemoryMb: 512},
+			Payload:   []byte(`{"run_ms":300}`),
+		}, &apiv1.Job{})
+	}).Should(Succeed())
+	return id
+}
+
+func (c *cluster) jobDone(p *proc, id string) {
+	GinkgoHelper()
+	Eventually(func(g Gomega) {
+		job := &apiv1.Job{}
+		g.Expect(c.callJobs(p, http.MethodGet, "/"+id, nil, job)).To(Succeed())
+		g.Expect(job.State).To(Equal(apiv1.JobState_JOB_STATE_DONE))
+	}).Should(Succeed())
+}
+
+func (c *cluster) callJobs(p *proc, method, path string, req *apiv1.SubmitJob, resp *apiv1.Job) error {
+	var body io.Reader = http.NoBody
+	if req != nil {
+		data, err := protojson.Marshal(req)
+		if err != nil {
+			return err
+		}
+		body = bytes.NewReader(data)
+	}
+	r, err := http.NewRequest(method, "http://"+p.caller+"/v1/jobs"+path, body)
+	if err != nil {
+		return err
+	}
+	r.Header.Set("Authorization", "Bearer "+c.callerCredential)
+	answer, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return err
+	}
+	defer answer.Body.Close()
+	data, err := io.ReadAll(answer.Body)
+	if err != nil {
+		return err
+	}
+	if answer.StatusCode/100 != 2 {
+		return fmt.Errorf("jobs: %d %s", answer.StatusCode, data)
+	}
+	return protojson.UnmarshalOptions{DiscardUnknown: true}.Unmarshal(data, resp)
+}
