--- a/internal/fakes/worker_heartbeat.go
+++ b/internal/fakes/worker_heartbeat.go
@@ -141,7 +141,7 @@
 
 func (w *Worker) stop(id string, t *task, data []byte) {
 	t.ended = true
-	w.o.Log.end(t.run, w.o.Clock.Now(), RunStopped)
+	w.o.Log.end(t.run, RunStopped)
 	w.report(id, t, apiv1.TaskEvent_TASK_EVENT_STOPPED, data, "")
 }
 
--- /dev/null
+++ b/internal/jobs/explain.go
@@ -0,0 +1,85 @@
+package jobs
+
+import (
+	"fmt"
+
+	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+	"bergamotdrum.example/bergamotdrum/internal/fleet"
+)
+
+// Explain tells operators why the job waits, or what became of it.
+func Explain(in PlanInput, jobID string) string {
+	for _, j := range in.Jobs {
+		if j.JobId == jobID {
+			return explain(in, j)
+		}
+	}
+	return fmt.Sprintf("job %s is not known; its id is wrong or its record was dropped after 24 h", jobID)
+}
+
+func explain(in PlanInput, j *apiv1.Job) string {
+	if j.State != apiv1.JobState_JOB_STATE_PENDING {
+		return explainState(j)
+	}
+	last := ""
+	if j.Reason != "" {
+		last = " Last run: " + j.Reason + "."
+	}
+	if in.FreeSlots[j.Team] == 0 {
+		return fmt.Sprintf("waits: team %s is at its limit of %d running.%s", j.Team, in.Index.MaxRunning(j.Team), last)
+	}
+	return "waits: " + explainRoom(in, j) + last
+}
+
+func explainState(j *apiv1.Job) string {
+	text := "state " + j.State.String()
+	if j.Lease != nil {
+		text += fmt.Sprintf(" on worker %s, epoch %d", j.Lease.WorkerId, j.Lease.Epoch)
+	}
+	if j.Reason != "" {
+		text += ": " + j.Reason
+	}
+	return text
+}
+
+// explainRoom counts why each VM of the pool does not take the job.
+func explainRoom(in PlanInput, j *apiv1.Job) string {
+	p := newPlanner(in)
+	need := amountOf(j.Resources)
+	var total, down, leaving, zoneOut, small int
+	for _, vm := range in.VMs {
+		if vm.Pool != j.Pool || vm.WorkerId == "" {
+			continue
+		}
+		total++
+		switch {
+		case !need.fits(amountOf(vm.Capacity)):
+			small++
+		case vm.Down:
+			down++
+		case !in.Index.ZoneIn(vm.AvailabilityZone):
+			zoneOut++
+		case !fleet.Placeable(vm, in.Index):
+			leaving++
+		}
+	}
+	if p.target(j, need) != nil {
+		return fmt.Sprintf("%d %s jobs were submitted earlier; there is room and it is placed in turn.", ahead(in, j), j.Priority)
+	}
+	full := total - down - leaving - zoneOut - small
+	return fmt.Sprintf("needs %s; of %d VMs in pool %s %d are too small, %d down, %d leaving or quarantined, "+
+		"%d in a zone that is out, %d full.", need, total, j.Pool, small, down, leaving, zoneOut, full)
+}
+
+func ahead(in PlanInput, j *apiv1.Job) int {
+	n := 0
+	for _, o := range in.Jobs {
+		if o.JobId == j.JobId {
+			break
+		}
+		if o.State == apiv1.JobState_JOB_STATE_PENDING && o.Priority == j.Priority && o.Pool == j.Pool {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/jobs/lease_test.go
@@ -0,0 +1,337 @@
+package jobs_test
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+	"bergamotdrum.example/bergamotdrum/internal/clock"
+	"bergamotdrum.example/bergamotdrum/internal/fakes"
+	"bergamotdrum.example/bergamotdrum/internal/fleet"
+	"bergamotdrum.example/bergamotdrum/internal/jobs"
+	"bergamotdrum.example/bergamotdrum/internal/objects"
+)
+
+const (
+	baseMS = 1_800_000_000_000
+	ttl    = 10 * time.Second
+	margin = 250 * time.Millisecond
+	// maxRunning is above what the workers hold, so that room is the bound.
+	maxRunning = 20
+)
+
+// cluster is a leader reduced to its rules for leases, over the real sub-states
+// and fake workers whose network loses, repeats and delays heartbeats.
+type cluster struct {
+	t       *rapid.T
+	clock   clock.Fake
+	ix      *objects.Index
+	fleet   *fleet.State
+	jobs    *jobs.State
+	limits  limits
+	workers []*fakes.Worker
+	log     fakes.RunLog
+	// renewed is the time of the last renewal by job id.
+	renewed map[string]time.Duration
+	ids     []string
+	late    []*apiv1.WorkerHeartbeat
+	plans   []*apiv1.PlaceJobs
+	// nested is true while other workers go on during a slow answer.
+	nested bool
+}
+
+type limits map[string]int
+
+func (l limits) AcquireJob(team string) bool {
+	if l[team] >= maxRunning {
+		return false
+	}
+	l[team]++
+	return true
+}
+
+func (l limits) ReleaseJob(team string) { l[team]-- }
+
+func newCluster(t *rapid.T) *cluster {
+	set := &apiv1.ObjectSet{
+		Pool:               []*apiv1.Pool{{Name: "p", AvailabilityBudget: "b"}},
+		AvailabilityBudget: []*apiv1.AvailabilityBudget{{Name: "b", MaxDown: 1}},
+		AvailabilityZone:   []*apiv1.AvailabilityZone{{Name: "z"}},
+		Team:               []*apiv1.Team{{Name: "t", Weight: 1}},
+	}
+	for prio := 1; prio <= 3; prio++ {
+		set.Queue = append(set.Queue, &apiv1.Queue{Name: fmt.Sprint("q", prio), Pool: "p", Open: true, Priority: apiv1.Priority(prio), MaxDepth: 100})
+	}
+	c := &cluster{t: t, ix: objects.NewIndex(set), fleet: fleet.New(), jobs: jobs.New(), limits: limits{}, renewed: map[string]time.Duration{}}
+	capacity := &apiv1.Resources{CpuMillis: 2}
+	for i := range 3 {
+		w := fakes.NewWorker(fakes.WorkerOptions{
+			WorkerID: fmt.Sprint("w", i), VM: fmt.Sprint("vm", i), Pool: "p", Zone: "z", Capacity: capacity,
+			Entries: []string{"http://entry"}, Clock: &c.clock, Client: &http.Client{Transport: c}, Log: &c.log,
+		})
+		c.workers = append(c.workers, w)
+		c.fleet.Observe(baseMS, &apiv1.ObserveVms{Observations: []*apiv1.VmObservation{{
+			Vm: fmt.Sprint("vm", i), WorkerId: fmt.Sprint("w", i), Pool: "p", AvailabilityZone: "z", Capacity: capacity,
+		}}}, c.ix)
+	}
+	return c
+}
+
+func (c *cluster) now() int64 { return baseMS + c.clock.Now().Milliseconds() }
+
+// RoundTrip is the network between workers and the leader.
+func (c *cluster) RoundTrip(req *http.Request) (*http.Response, error) {
+	body, _ := io.ReadAll(req.Body)
+	hb := &apiv1.WorkerHeartbeat{}
+	if err := protojson.Unmarshal(body, hb); err != nil {
+		return nil, err
+	}
+	network := "ok"
+	if !c.nested {
+		network = rapid.SampledFrom([]string{"ok", "ok", "ok", "ok", "request lost", "answer lost", "late", "slow"}).Draw(c.t, "network")
+	}
+	var ins *apiv1.WorkerInstructions
+	switch network {
+	case "request lost":
+		return nil, io.ErrUnexpectedEOF
+	case "answer lost":
+		c.heartbeat(hb)
+		return nil, io.ErrUnexpectedEOF
+	case "late":
+		c.late = append(c.late, hb)
+		return nil, io.ErrUnexpectedEOF
+	case "slow":
+		ins = c.heartbeat(hb)
+		c.outage(hb.WorkerId)
+	default:
+		ins = c.heartbeat(hb)
+	}
+	out, err := protojson.Marshal(ins)
+	return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(bytes.NewReader(out))}, err
+}
+
+func (c *cluster) heartbeat(hb *apiv1.WorkerHeartbeat) *apiv1.WorkerInstructions {
+	ins := &apiv1.WorkerInstructions{LeaseTtlMs: uint32(ttl.Milliseconds())}
+	c.jobs.Report(c.now(), &apiv1.ReportTasks{Reports: hb.Reports}, c.ix, c.fleet, c.limits)
+	for _, r := range hb.Reports {
+		ins.Acknowledged = append(ins.Acknowledged, &apiv1.JobEpoch{JobId: r.JobId, Epoch: r.Epoch})
+	}
+	for _, l := range hb.Leases {
+		if j, ok := c.jobs.Get(l.JobId); ok && j.Lease.GetEpoch() == l.Epoch && j.Lease.GetWorkerId() == hb.WorkerId {
+			c.renewed[l.JobId] = c.clock.Now()
+			ins.Renewed = append(ins.Renewed, l)
+		}
+	}
+	for _, j := range c.jobs.Leased(hb.Vm) {
+		in := &apiv1.TaskInstruction{JobId: j.JobId, Epoch: j.Lease.Epoch, Payload: j.Payload, Checkpoint: j.Checkpoint}
+		switch {
+		case j.State == apiv1.JobState_JOB_STATE_PLACED:
+			in.Action = apiv1.TaskAction_TASK_ACTION_START
+			c.renewed[j.JobId] = c.clock.Now()
+		case j.State == apiv1.JobState_JOB_STATE_STOPPING && j.CancelRequested:
+			in.Action = apiv1.TaskAction_TASK_ACTION_STOP
+		case j.State == apiv1.JobState_JOB_STATE_STOPPING:
+			in.Action = apiv1.TaskAction_TASK_ACTION_CHECKPOINT_AND_STOP
+		case j.Lease.Throttled:
+			in.Action = apiv1.TaskAction_TASK_ACTION_THROTTLE
+		}
+		ins.Instructions = append(ins.Instructions, in)
+	}
+	return ins
+}
+
+func (c *cluster) expire() {
+	cmd := &apiv1.ExpireLeases{}
+	for _, j := range c.jobs.Live() {
+		if j.Lease != nil && c.clock.Now() > c.renewed[j.JobId]+ttl+margin {
+			cmd.Leases = append(cmd.Leases, &apiv1.JobEpoch{JobId: j.JobId, Epoch: j.Lease.Epoch})
+		}
+	}
+	c.jobs.ExpireLeases(c.now(), cmd, c.limits)
+}
+
+func (c *cluster) plan() {
+	c.place(c.compute())
+}
+
+// compute makes a plan that may be committed later, or twice.
+func (c *cluster) compute() *apiv1.PlaceJobs {
+	cmd := jobs.Plan(jobs.PlanInput{Jobs: c.jobs.Live(), VMs: c.fleet.VMs(), Index: c.ix, FreeSlots: map[string]uint32{"t": uint32(maxRunning - c.limits["t"])}})
+	c.plans = append(c.plans, cmd)
+	return cmd
+}
+
+func (c *cluster) place(cmd *apiv1.PlaceJobs) {
+	c.jobs.Place(c.now(), cmd, c.ix, c.fleet, c.limits)
+	for _, p := range cmd.Placements {
+		if j, _ := c.jobs.Get(p.JobId); j.Lease != nil && j.Epoch == p.ExpectedEpoch+1 {
+			c.renewed[p.JobId] = c.clock.Now()
+		}
+	}
+}
+
+func (c *cluster) submit() {
+	n := len(c.ids)
+	id := fmt.Sprintf("%08x-%04x-7000-8000-%012x", c.now()>>16, c.now()&0xffff, n)
+	payload := fmt.Sprintf(`{"run_ms":%d,"checkpoint_ms":500}`, rapid.SampledFrom([]int{0, 900, 15000, 40000}).Draw(c.t, "run"))
+	_, err := c.jobs.Submit(c.now(), &apiv1.SubmitJob{
+		JobId: id, Team: "t", Queue: fmt.Sprint("q", rapid.IntRange(1, 3).Draw(c.t, "priority")),
+		Resources: &apiv1.Resources{CpuMillis: 1}, Repeatable: rapid.Bool().Draw(c.t, "repeatable"), Payload: []byte(payload),
+	}, c.ix, c.fleet)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.ids = append(c.ids, id)
+}
+
+func (c *cluster) worker() *fakes.Worker { return rapid.SampledFrom(c.workers).Draw(c.t, "worker") }
+
+func (c *cluster) check(t *rapid.T) {
+	if a, b, found := c.log.Overlapping(); found {
+		t.Fatalf("two runs at once: %+v and %+v", a, b)
+	}
+	held := limits{}
+	used := map[string]uint32{}
+	for _, id := range c.ids {
+		j, ok := c.jobs.Get(id)
+		if !ok {
+			t.Fatalf("job %s is lost", id)
+		}
+		if runs := c.log.Of(id); !j.Repeatable && len(runs) > 1 {
+			t.Fatalf("job that may not be repeated ran twice: %+v", runs)
+		}
+		if leased := !jobs.Ended(j.State) && j.State != apiv1.JobState_JOB_STATE_PENDING; leased != (j.Lease != nil) {
+			t.Fatalf("job %s is %s with lease %v", id, j.State, j.Lease)
+		}
+		if j.Lease != nil {
+			held[j.Team]++
+			used[j.Lease.Vm] += j.Resources.CpuMillis
+		}
+	}
+	if held["t"] != c.limits["t"] {
+		t.Fatalf("%d leases, but %d counted against the limit", held["t"], c.limits["t"])
+	}
+	for vm, cpu := range used {
+		if cpu > 2 {
+			t.Fatalf("VM %s has leases for %d of 2", vm, cpu)
+		}
+	}
+	c.restore(t)
+}
+
+// restore goes on with a state restored from a snapshot, which must be the same.
+func (c *cluster) restore(t *rapid.T) {
+	snap := c.jobs.Snapshot()
+	other := jobs.New()
+	other.Restore(snap)
+	if !proto.Equal(snap, other.Snapshot()) {
+		t.Fatal("the restored state differs")
+	}
+	c.jobs = other
+}
+
+func (c *cluster) round() {
+	c.clock.Advance(time.Second)
+	c.expire()
+	c.plan()
+	for _, w := range c.workers {
+		w.Step()
+		w.Beat(c.t.Context())
+	}
+}
+
+// outage lets the leases of one worker expire while the others go on.
+func (c *cluster) outage(workerID string) {
+	c.nested = true
+	for range 12 {
+		c.clock.Advance(time.Second)
+		c.expire()
+		c.plan()
+		for i, w := range c.workers {
+			if fmt.Sprint("w", i) != workerID {
+				w.Step()
+				w.Beat(c.t.Context())
+			}
+		}
+	}
+	c.nested = false
+}
+
+// finish heals everything; then every job must end.
+func (c *cluster) finish() {
+	for _, w := range c.workers {
+		w.Resume()
+		w.SetFailAll(false)
+	}
+	for n := 0; n < 400 && len(c.jobs.Live()) > 0; n++ {
+		c.round()
+	}
+	if left := c.jobs.Live(); len(left) > 0 {
+		c.t.Fatalf("%d jobs never end, first: %v", len(left), left[0])
+	}
+}
+
+// Guards against double runs, lost jobs and leaked capacity when workers freeze
+// past their lease, and when heartbeats are lost, repeated or late.
+func TestLeasesUnderFaults(t *testing.T) {
+	jobs.Checks(300, 60)
+	rapid.Check(t, func(t *rapid.T) {
+		c := newCluster(t)
+		for range 8 {
+			c.submit()
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"":       c.check,
+			"round":  func(*rapid.T) { c.round() },
+			"submit": func(*rapid.T) { c.submit() },
+			"plan":   func(*rapid.T) { c.plan() },
+			"beat":   func(t *rapid.T) { c.worker().Beat(t.Context()) },
+			"step":   func(*rapid.T) { c.worker().Step() },
+			"pause":  func(*rapid.T) { c.worker().Pause() },
+			"resume": func(*rapid.T) { w := c.worker(); w.Resume(); w.Step() },
+			"crash":  func(*rapid.T) { c.worker().Crash() },
+			"fail":   func(t *rapid.T) { c.worker().SetFailAll(rapid.Bool().Draw(t, "fail")) },
+			"expire": func(*rapid.T) { c.expire() },
+			"rounds": func(*rapid.T) { c.round(); c.round() },
+			"freeze": func(*rapid.T) {
+				i := rapid.IntRange(0, 2).Draw(t, "frozen")
+				c.workers[i].Pause()
+				c.outage(fmt.Sprint("w", i))
+				c.workers[i].Resume()
+				c.workers[i].Step()
+			},
+			"compute": func(*rapid.T) { c.submit(); c.compute() },
+			"old plan": func(t *rapid.T) {
+				if len(c.plans) > 0 {
+					c.place(rapid.SampledFrom(c.plans).Draw(t, "plan"))
+				}
+			},
+			"late": func(*rapid.T) {
+				for _, hb := range c.late {
+					c.heartbeat(hb)
+				}
+			},
+			"cancel": func(t *rapid.T) {
+				if len(c.ids) > 0 {
+					id := rapid.SampledFrom(c.ids).Draw(t, "job")
+					c.jobs.Cancel(c.now(), &apiv1.CancelJobs{JobIds: []string{id, id}}, c.limits)
+				}
+			},
+			"time": func(t *rapid.T) {
+				c.clock.Advance(rapid.SampledFrom([]time.Duration{100 * time.Millisecond, time.Second, ttl, ttl + margin + 1}).Draw(t, "by"))
+				for _, w := range c.workers {
+					w.Step()
+				}
+			},
+		})
+		c.finish()
+	})
+}
--- /dev/null
+++ b/internal/jobs/main_test.go
@@ -0,0 +1,90 @@
+package jobs
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+
+	"github.com/google/uuid"
+
+	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+	"bergamotdrum.example/bergamotdrum/internal/fleet"
+	"bergamotdrum.example/bergamotdrum/internal/objects"
+)
+
+const startMS = 1_800_000_000_000
+
+// Checks is checks for tests outside the package.
+var Checks = checks
+
+// TestMain fixes the seed of generated tests unless one is given.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		f.Value.Set("20261204")
+		flag.Set("rapid.nofailfile", "true")
+	}
+	os.Exit(m.Run())
+}
+
+// checks sets the number of cases of the generated test that follows, and the
+// mean number of steps in each.
+func checks(n, steps int) {
+	flag.Set("rapid.checks", fmt.Sprint(n))
+	flag.Set("rapid.steps", fmt.Sprint(steps))
+}
+
+// jobID returns a UUIDv7 with the time and a number.
+func jobID(ms int64, n int) string {
+	var u uuid.UUID
+	for i := range 6 {
+		u[i] = byte(ms >> (40 - 8*i))
+	}
+	u[6], u[8] = 0x70, 0x80
+	u[13], u[14], u[15] = byte(n>>16), byte(n>>8), byte(n)
+	return u.String()
+}
+
+func testIndex(teams int) *objects.Index {
+	set := &apiv1.ObjectSet{
+		Pool:               []*apiv1.Pool{{Name: "p0", AvailabilityBudget: "b"}, {Name: "p1", AvailabilityBudget: "b"}},
+		AvailabilityBudget: []*apiv1.AvailabilityBudget{{Name: "b", MaxDown: 2}},
+		Limit:              []*apiv1.Limit{{Name: "l", MaxRunning: 100}},
+	}
+	for i := range 3 {
+		set.AvailabilityZone = append(set.AvailabilityZone, &apiv1.AvailabilityZone{Name: fmt.Sprint("z", i)})
+	}
+	set.AvailabilityZone[2].State = apiv1.ZoneState_ZONE_STATE_OUT
+	for i := range teams {
+		set.Team = append(set.Team, &apiv1.Team{Name: fmt.Sprint("t", i), Weight: uint32(i + 1), Limit: "l"})
+	}
+	for _, p := range []string{"p0", "p1"} {
+		for _, prio := range []apiv1.Priority{1, 2, 3} {
+			set.Queue = append(set.Queue, &apiv1.Queue{Name: fmt.Sprintf("%s-%d", p, prio), Pool: p, Open: true, Priority: prio, MaxDepth: 1000})
+		}
+	}
+	return objects.NewIndex(set)
+}
+
+func observe(f *fleet.State, ix *objects.Index, vm, pool, zone string, r *apiv1.Resources) {
+	f.Observe(startMS, &apiv1.ObserveVms{Observations: []*apiv1.VmObservation{{
+		Vm: vm, Pool: pool, AvailabilityZone: zone, Rack: "r", WorkerId: "w-" + vm, Capacity: r,
+	}}}, ix)
+}
+
+// teamLimits is the obvious version of the limit on running jobs.
+type teamLimits struct {
+	max     uint32
+	running map[string]uint32
+}
+
+func (l *teamLimits) AcquireJob(team string) bool {
+	if l.running[team] >= l.max {
+		return false
+	}
+	l.running[team]++
+	return true
+}
+
+func (l *teamLimits) ReleaseJob(team string) { l.running[team]-- }
