Add the client of the operators' HTTP API and the operators' keys

Every call of the API is a read or has the same effect when repeated, so the client repeats all of them; a publish keeps its request id. The stand-in holds a real publish sub-state, so a lost answer is lost after the publish took effect.

--- a/internal/objects/contradictions.go
+++ b/internal/objects/contradictions.go
@@ -220,3 +220,8 @@
 		c.warn(settings.MissingValue, "", "", "add a section [availability_zone \"name\"] for each zone", "there is no availability zone, so nothing starts anywhere")
 	}
 }
+
+// ValidKey reports whether the name, salt and hash of a key are well formed.
+func ValidKey(k *apiv1.Key) bool {
+	return namePattern.MatchString(k.Name) && isHex(k.Salt, saltBytes) && isHex(k.Hash, hashBytes)
+}
--- /dev/null
+++ b/internal/operator/client_test.go
@@ -0,0 +1,146 @@
+package operator_test
+
+import (
+	"context"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+
+	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+	"bergamotdrum.example/bergamotdrum/internal/operator"
+	"bergamotdrum.example/bergamotdrum/internal/operator/operatortest"
+	"bergamotdrum.example/bergamotdrum/internal/publish"
+	"bergamotdrum.example/bergamotdrum/internal/result"
+)
+
+func TestOperator(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "operator")
+}
+
+func start() (*operatortest.Control, string) {
+	control, credential, stop := operatortest.New()
+	DeferCleanup(stop)
+	return control, credential
+}
+
+func client(credential string, addresses ...string) *operator.Client {
+	c, err := operator.NewClient(operator.Options{Addresses: addresses, Credential: credential, Timeout: 10 * time.Second})
+	Expect(err).NotTo(HaveOccurred())
+	return c
+}
+
+func limit(value uint32) *apiv1.ObjectSet {
+	return &apiv1.ObjectSet{Limit: []*apiv1.Limit{{Name: "l", MaxRunning: value}}}
+}
+
+var _ = Describe("Client", func() {
+	ctx := context.Background()
+
+	// Guards against a publish that is applied twice after a lost answer, and
+	// against a resend that reports a conflict with itself.
+	It("resends a publish with the same request id after lost answers", func() {
+		control, credential := start()
+		control.LoseAnswers = 2
+		reply, err := client(credential, control.Address).Publish(ctx, &apiv1.PublishConfig{RequestId: "r1", Objects: limit(1)})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(proto.Equal(reply, &apiv1.PublishReply{Version: 1, InForce: true})).To(BeTrue())
+		Expect(control.Requests).To(HaveLen(3))
+		Expect(control.Current().Version).To(BeEquivalentTo(1))
+	})
+
+	It("follows NOT_LEADER to the leader, and asks the next replica when the leader is not known", func() {
+		leader, credential := start()
+		follower, _ := start()
+		follower.Leader = leader.Address
+		lost, _ := start()
+		lost.Leader = "-"
+		_, err := client(credential, lost.Address, follower.Address).Config(ctx, 0)
+		Expect(err).NotTo(HaveOccurred())
+		Expect([]int{len(lost.Requests), len(follower.Requests), len(leader.Requests)}).To(Equal([]int{1, 1, 1}))
+	})
+
+	// Guards against a "not run" that is not true: only when no attempt reached
+	// a replica may the client say so.
+	It("says not run only when nothing was reached", func() {
+		control, credential := start()
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		down := listener.Addr().String()
+		Expect(listener.Close()).To(Succeed())
+		short := func(addresses ...string) *operator.Client {
+			c, err := operator.NewClient(operator.Options{Addresses: addresses, Credential: credential, Timeout: 300 * time.Millisecond})
+			Expect(err).NotTo(HaveOccurred())
+			return c
+		}
+		cmd := &apiv1.PublishConfig{RequestId: "r1", Objects: limit(1)}
+		_, err = short(down).Publish(ctx, cmd)
+		Expect(result.From(err).NotRun).To(BeTrue())
+		Expect(result.CodeOf(err)).To(Equal(apiv1.ResultCode_RESULT_CODE_NO_QUORUM))
+		control.LoseAnswers = 1
+		control.BeforePublish = func(*publish.State) { control.Leader = "-" } // later attempts are refused as not run
+		_, err = short(control.Address).Publish(ctx, cmd)
+		Expect(result.From(err).NotRun).To(BeFalse())
+		Expect(result.CodeOf(err)).To(Equal(apiv1.ResultCode_RESULT_CODE_OUTCOME_UNKNOWN))
+	})
+
+	It("returns a refusal at once with its code", func() {
+		control, credential := start()
+		_, err := client(credential, control.Address).Publish(ctx, &apiv1.PublishConfig{RequestId: "r1", Objects: limit(0)})
+		Expect(result.CodeOf(err)).To(Equal(apiv1.ResultCode_RESULT_CODE_CONFIG_INVALID))
+		_, err = client(credential+"x", control.Address).Status(ctx)
+		Expect(result.CodeOf(err)).To(Equal(apiv1.ResultCode_RESULT_CODE_UNAUTHENTICATED))
+		Expect(control.Requests).To(HaveLen(2))
+	})
+})
+
+var _ = Describe("Keys", func() {
+	write := func(text string, mode os.FileMode) string {
+		path := filepath.Join(GinkgoT().TempDir(), "keys")
+		Expect(os.WriteFile(path, []byte(text), mode)).To(Succeed())
+		return path
+	}
+
+	It("accepts the secret of a line and nothing else", func() {
+		line, secret := operator.NewKeyLine("ada")
+		keys, problems := operator.ReadKeys(write("# operators\n\n"+line+"\n", 0o600))
+		Expect(problems).To(BeEmpty())
+		name, err := keys.Authenticate("Bearer ada." + secret)
+		Expect(err).To(BeNil())
+		Expect(name).To(Equal("ada"))
+		for _, header := range []string{"", "Bearer ", "Bearer ada", "Bearer ada.", "Bearer bob." + secret, "ada." + secret, "Bearer ada." + secret + "x"} {
+			_, err := keys.Authenticate(header)
+			Expect(err).NotTo(BeNil(), header)
+			Expect(err.NotRun).To(BeTrue())
+		}
+	})
+
+	It("refuses a file that others may read, and malformed lines without quoting them", func() {
+		line, _ := operator.NewKeyLine("ada")
+		_, problems := operator.ReadKeys(write(line, 0o644))
+		Expect(problems).To(HaveLen(1))
+		Expect(problems[0].Fix).To(ContainSubstring("chmod 0600"))
+		_, problems = operator.ReadKeys(write(line+"\n"+line+"\nada\na.b"+strings.TrimPrefix(line, "ada")+"\n"+line+"00\n", 0o600))
+		Expect(problems).To(HaveLen(4))
+		for _, p := range problems {
+			Expect(p.String()).NotTo(ContainSubstring(line[len(line)-16:]))
+		}
+		_, problems = operator.ReadKeys(write("# none\n", 0o600))
+		Expect(problems).To(HaveLen(1))
+	})
+
+	It("reads the client's secret", func() {
+		credential, problems := operator.ReadCredential("ada", write("s3cr3t\n", 0o600))
+		Expect(problems).To(BeEmpty())
+		Expect(credential).To(Equal("ada.s3cr3t"))
+		_, problems = operator.ReadCredential("ada", write("two words\n", 0o600))
+		Expect(problems).To(HaveLen(1))
+	})
+})
