--- a/internal/entry/connection.go
+++ b/internal/entry/connection.go
@@ -37,6 +37,7 @@
 	refused  *result.Error // the check's failure
 	silence  time.Duration // longest time without progress
 	wrote    atomic.Bool   // a byte of the armed request may have left
+	read     bool          // a byte came back since the connection was armed
 	progress atomic.Int64  // Unix nanoseconds of the last byte in any direction
 }
 
@@ -53,6 +54,7 @@
 	m.refused = nil
 	m.silence = silence
 	m.wrote.Store(false)
+	m.read = false
 	m.touch()
 }
 
@@ -104,6 +106,7 @@
 		_ = m.SetReadDeadline(time.Unix(0, last).Add(m.silence)) // fails only on a closed connection, as Read then does
 		n, err := m.Conn.Read(p)
 		if n > 0 {
+			m.read = true
 			m.touch()
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -213,12 +213,12 @@
 	f := &failure{outcome: apiv1.GrantOutcome_GRANT_OUTCOME_TARGET_FAILED}
 	code := apiv1.ResultCode_RESULT_CODE_TARGET_FAILED
 	switch {
-	case errors.Is(err, errSilent), conn.reused && !errors.Is(err, io.ErrUnexpectedEOF):
+	case errors.Is(err, errSilent), conn.reused && !conn.read:
 		// A reused connection may have been closed or frozen before this
 		// request, which says nothing about the minion.
 		f.outcome = apiv1.GrantOutcome_GRANT_OUTCOME_CONNECTION_SILENT
 		f.silent = true
-	case errors.Is(err, errWrongID), errors.Is(err, errNoLength), errors.Is(err, io.ErrUnexpectedEOF):
+	case conn.read:
 		code = apiv1.ResultCode_RESULT_CODE_INCOMPLETE_ANSWER
 	}
 	f.err = result.New(code, "minion %q gave no complete answer: %v", h.MinionId, err)
--- a/internal/entry/grants.go
+++ b/internal/entry/grants.go
@@ -19,6 +19,8 @@
 	// Longest wait for a shard that has no reachable host. A handover takes
 	// the session TTL and margin (2.25 s) and one election.
 	maxShardWait = 5 * time.Second
+	// Interval at which a waiting call checks whether the shard has moved.
+	hostCheckInterval = 250 * time.Millisecond
 	// Advice to callers refused while the shard has no host.
 	shardRetryAfter = 500 * time.Millisecond
 	releaseTimeout  = 2 * time.Second
@@ -134,7 +136,11 @@
 	wait := time.NewTimer(maxShardWait)
 	defer wait.Stop()
 	for {
+		asked := time.Now()
 		h, err := s.acquireOnce(q, avoid)
+		if time.Since(asked) > maxShardWait {
+			wait.Reset(maxShardWait) // the host was reached and queued the request
+		}
 		if err == nil {
 			s.metrics.grantWait.Observe((s.o.Clock.Now() - began).Seconds())
 			return h, nil
@@ -177,7 +183,9 @@
 		return nil, deadlineTooShort()
 	}
 	h := &heldGrant{Grant: &apiv1.Grant{}, sessionID: s.o.Session.ID(), host: host.RpcAddress, deadline: q.deadline}
-	err := s.o.Client.Call(q.ctx, host.RpcAddress, "Shard.Acquire", &apiv1.AcquireRequest{
+	ctx, stop := s.whileHosted(q.ctx, shard)
+	defer stop()
+	err := s.o.Client.Call(ctx, host.RpcAddress, "Shard.Acquire", &apiv1.AcquireRequest{
 		Service:       q.service,
 		Epoch:         shard.Epoch,
 		SessionId:     h.sessionID,
@@ -199,6 +207,28 @@
 	return h, nil
 }
 
+// whileHosted returns a context that ends when the shard moves, so that a call
+// to a host that was lost does not wait for its connection to be given up.
+func (s *Server) whileHosted(ctx context.Context, shard *apiv1.Shard) (context.Context, func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	var mu sync.Mutex // orders the timer's creation and its first run
+	mu.Lock()
+	defer mu.Unlock()
+	var timer *time.Timer
+	timer = time.AfterFunc(hostCheckInterval, func() {
+		mu.Lock()
+		defer mu.Unlock()
+		if s.o.Session.Snapshot().Shard(shard.Service).GetEpoch() != shard.Epoch {
+			cancel()
+			return
+		}
+		if ctx.Err() == nil {
+			timer.Reset(hostCheckInterval)
+		}
+	})
+	return ctx, func() { cancel(); timer.Stop() }
+}
+
 func (s *Server) acquireError(q *request, err error) *result.Error {
 	if q.ctx.Err() != nil {
 		return deadlineTooShort()
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -55,11 +55,11 @@
 
 // fakeControl commits to a real ledger.
 type fakeControl struct {
-	mu     sync.Mutex
-	ledger *ledger.State
-	starts int
-	jobs   []*apiv1.SubmitJob
-	batch  []*apiv1.WorkerBatch
+	mu      sync.Mutex
+	ledger  *ledger.State
+	onStart func() // runs at each StartRequest
+	jobs    []*apiv1.SubmitJob
+	batch   []*apiv1.WorkerBatch
 	// loseStart makes the answer of the next StartRequest get lost after the
 	// commit.
 	loseStart bool
@@ -73,7 +73,9 @@
 	var err *result.Error
 	switch b := cmd.Body.(type) {
 	case *apiv1.Command_StartRequest:
-		c.starts++
+		if c.onStart != nil {
+			c.onStart()
+		}
 		rec, err = c.ledger.Start(now, b.StartRequest)
 		if c.loseStart {
 			c.loseStart = false
@@ -108,14 +110,16 @@
 
 // fakeShard grants slots of the given minions in turn.
 type fakeShard struct {
-	mu        sync.Mutex
-	minions   []*apiv1.MinionAnnouncement
-	next      uint64
-	epoch     uint64
-	refuse    *result.Error
-	afterNext func() // runs once between a grant and its use
-	outcomes  map[apiv1.GrantOutcome]int
-	announced []*apiv1.MinionAnnouncement
+	mu             sync.Mutex
+	minions        []*apiv1.MinionAnnouncement
+	next           uint64
+	epoch          uint64
+	refuse         *result.Error
+	afterNext      func() // runs once between a grant and its use
+	outcomes       map[apiv1.GrantOutcome]int
+	maxConnections uint32
+	startWithin    uint32
+	announced      []*apiv1.MinionAnnouncement
 }
 
 func (f *fakeShard) Call(_ context.Context, _, method string, req, resp proto.Message) error {
@@ -145,7 +149,7 @@
 	}
 	proto.Merge(g, &apiv1.Grant{
 		GrantId: f.next, Service: r.Service, Epoch: f.epoch, MinionId: m.MinionId, Vm: m.Vm,
-		AvailabilityZone: m.AvailabilityZone, Address: m.Address, StartWithinMs: 1000, MaxConnections: 8,
+		AvailabilityZone: m.AvailabilityZone, Address: m.Address, StartWithinMs: f.startWithin, MaxConnections: f.maxConnections,
 		Team: r.Team, TimeoutMs: r.TimeoutMs,
 	})
 	if f.afterNext != nil {
@@ -184,7 +188,7 @@
 	w.session = &fakeSession{clock: w.clock, id: 7, validUntil: time.Hour}
 	w.session.snap = &session.Snapshot{View: view, Index: objects.NewIndex(view.Config.Objects)}
 	w.control = &fakeControl{ledger: ledger.New()}
-	w.shard = &fakeShard{epoch: 3, outcomes: map[apiv1.GrantOutcome]int{}}
+	w.shard = &fakeShard{epoch: 3, maxConnections: 8, startWithin: 1000, outcomes: map[apiv1.GrantOutcome]int{}}
 	for i := range minions {
 		id := string(rune('a' + i))
 		m, err := fakes.StartMinion(fakes.MinionOptions{Announcement: &apiv1.MinionAnnouncement{
@@ -214,6 +218,29 @@
 	return w
 }
 
+// burst sends n requests at once.
+func (w *world) burst(n int, method, path string) []reply {
+	replies := make([]reply, n)
+	var wg sync.WaitGroup
+	for i := range replies {
+		wg.Go(func() { replies[i] = w.send(0, method, path, "") })
+	}
+	wg.Wait()
+	return replies
+}
+
+// burstOK returns how many of n requests at once were served.
+func (w *world) burstOK(n int) (served int) {
+	for _, r := range w.burst(n, "GET", "/v1/services/alerts/") {
+		if r.status == 200 && r.err == nil {
+			served++
+		}
+	}
+	return served
+}
+
+func withProgressTimeout(o *Options) { o.ProgressTimeout = 50 * time.Millisecond }
+
 func testView() (*apiv1.View, string) {
 	key, credential := objects.NewKey("key-1", "home-1")
 	return &apiv1.View{
--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -41,6 +41,12 @@
 	b.left += n
 }
 
+func (b *byteBudget) used(total int64) int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return total - b.left
+}
+
 // readBody reads the whole body within the limits of size, time and memory.
 // The returned function gives the memory back.
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, func(), *result.Error) {
--- /dev/null
+++ b/internal/entry/limits_test.go
@@ -0,0 +1,152 @@
+package entry
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+)
+
+// Guards against callers that reach a service without the right.
+func TestWrongCallsAreRefusedAsNotRun(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(t, 1, 1)
+	cases := []struct {
+		code, method, path string
+		headers            []string
+	}{
+		{"1001", "GET", "/v1/services/alerts/", []string{"Authorization", "Bearer key-1.guess"}},
+		{"1001", "GET", "/v1/services/alerts/", []string{"Authorization", ""}},
+		{"1003", "GET", "/v1/services/alerts/", []string{headerQueue, "gait"}},
+		{"1005", "GET", "/v1/services/alerts/", []string{headerQueue, "night"}},
+		{"1004", "GET", "/v1/services/none/", nil},
+		{"1000", "GET", "/v1/services/alerts/", []string{headerTimeout, "30001"}},
+		{"1006", "POST", "/v1/services/alerts/", nil},
+		{"1007", "POST", "/v1/services/alerts/", []string{headerIdempotencyKey, "5"}},
+		{"1010", "GET", "/v2/", nil},
+	}
+	for _, c := range cases {
+		r := w.send(0, c.method, c.path, "", c.headers...)
+		g.Expect([]any{r.code(), r.notRun()}).To(Equal([]any{c.code, true}), "%v", c)
+	}
+	w.clock.Advance(2 * time.Hour)
+	g.Expect(w.send(0, "GET", "/v1/services/alerts/", "").code()).To(Equal("2004"))
+	arrived, _ := w.minions[0].Total()
+	g.Expect(arrived).To(BeZero())
+}
+
+// Guards against input that takes memory or connections without bound.
+func TestOversizedAndSlowInputIsRefused(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(t, 1, 1, func(o *Options) {
+		o.MaxBodyBytes = 1000
+		o.BodyTimeout = 50 * time.Millisecond
+		o.HeaderTimeout = 50 * time.Millisecond
+	})
+	big := strings.Repeat("x", 1001)
+	r := w.send(0, "PUT", "/v1/services/alerts/", big)
+	g.Expect([]any{r.status, r.code(), r.notRun()}).To(Equal([]any{413, "1009", true}))
+	req, _ := http.NewRequest("PUT", w.urls[0]+"/v1/services/alerts/", io.MultiReader(strings.NewReader(big))) // no declared length
+	req.Header = http.Header{"Authorization": {"Bearer " + w.credential}, headerQueue: {"heat"}}
+	resp, err := w.client.Do(req)
+	g.Expect(err).NotTo(HaveOccurred())
+	resp.Body.Close()
+	g.Expect(resp.StatusCode).To(Equal(413))
+
+	head := fmt.Sprintf("PUT /v1/services/alerts/ HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer %s\r\nBergamot-Queue: heat\r\nContent-Length: 10\r\n", w.credential)
+	g.Expect(w.raw(g, head+"\r\nhalf")).To(ContainSubstring("Bergamot-Not-Run: true"))
+	g.Expect(w.raw(g, head)).NotTo(ContainSubstring("200"), "the server closes the connection")
+	arrived, _ := w.minions[0].Total()
+	g.Expect(arrived).To(BeZero())
+	g.Expect(w.servers[0].buffers.left).To(BeEquivalentTo(defaultMaxBufferedBytes))
+}
+
+// raw sends bytes and returns all that comes back until the server closes.
+func (w *world) raw(g *WithT, text string) string {
+	c := w.dial(g, text)
+	defer c.Close()
+	got, _ := io.ReadAll(c)
+	return string(got)
+}
+
+func (w *world) dial(g *WithT, text string) net.Conn {
+	c, err := net.Dial("tcp", strings.TrimPrefix(w.urls[0], "http://"))
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = c.Write([]byte(text))
+	g.Expect(err).NotTo(HaveOccurred())
+	return c
+}
+
+// Guards against more work at once than the entry can hold.
+func TestInFlightIsBounded(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(t, 1, 1, func(o *Options) { o.MaxInFlight = 1; o.MaxBufferedBytes = 100 })
+	w.minions[0].SetResponder(func(*http.Request, []byte) (int, []byte) {
+		r := w.send(0, "GET", "/v1/services/alerts/", "")
+		g.Expect([]any{r.code(), r.notRun()}).To(Equal([]any{"2000", true}))
+		return 200, nil
+	})
+	g.Expect(w.send(0, "GET", "/v1/services/alerts/", "").status).To(Equal(200))
+	g.Expect(w.send(0, "PUT", "/v1/services/alerts/", strings.Repeat("x", 101)).code()).To(Equal("2000"))
+}
+
+// Guards against reports of targets that get lost or reach the wrong worker.
+func TestTargetsAreBatched(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(t, 1, 1)
+	targets := httptest.NewServer(w.servers[0].TargetHandler())
+	defer targets.Close()
+	post := func(path, body string) string {
+		resp, err := http.Post(targets.URL+path, "application/json", strings.NewReader(body))
+		g.Expect(err).NotTo(HaveOccurred())
+		defer resp.Body.Close()
+		b, _ := io.ReadAll(resp.Body)
+		return resp.Header.Get(headerResult) + " " + string(b)
+	}
+	announcement := `{"minion_id":"m","service":"alerts","vm":"vm-m","availability_zone":"zone-1","pool":"p","address":"127.0.0.1:9"}`
+	g.Expect(post("/v1/announce/minion", announcement)).To(Equal("1 "))
+	g.Expect(post("/v1/announce/minion", `{"minion_id":"m"}`)).To(HavePrefix("1000 "))
+	got := make(chan string, 2)
+	for _, id := range []string{"w1", "w2"} {
+		go func() { got <- id + post("/v1/workers/heartbeat", `{"worker_id":"`+id+`","vm":"v"}`) }()
+	}
+	g.Eventually(func() int {
+		w.servers[0].workers.mu.Lock()
+		defer w.servers[0].workers.mu.Unlock()
+		return len(w.servers[0].workers.waiting)
+	}).Should(Equal(2))
+	w.servers[0].flush(t.Context())
+	for range 2 {
+		r := <-got
+		g.Expect(r).To(ContainSubstring(`"` + r[:2] + `"`))
+	}
+	g.Expect(w.servers[0].Drain(t.Context())).To(Succeed())
+	g.Expect(w.control.batch).To(HaveLen(1))
+	g.Expect(w.control.batch[0].MinionVms[0].Vm).To(Equal("vm-m"))
+	g.Expect(w.shard.announced).To(HaveLen(1))
+}
+
+// Guards against jobs that count for another account, or that are read without
+// a key, which would stand for the operators.
+func TestJobsBelongToTheKey(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(t, 1, 1)
+	id := newAttemptID()
+	r := w.send(0, "POST", "/v1/jobs", `{"job_id":"`+id+`","client_account":"other","team":"gait","queue":"night","payload":"c2VjcmV0"}`)
+	g.Expect(r.status).To(Equal(200), r.body)
+	g.Expect(r.body).NotTo(ContainSubstring("c2VjcmV0"))
+	g.Expect([]string{w.control.jobs[0].ClientAccount, w.control.jobs[0].Team}).To(Equal([]string{"home-1", "care"}))
+	g.Expect(w.send(0, "GET", "/v1/jobs/"+id, "").body).To(ContainSubstring("home-1"))
+	g.Expect(w.send(0, "GET", "/v1/jobs/"+id, "", "Authorization", "").code()).To(Equal("1001"))
+	g.Expect(w.send(0, "POST", "/v1/jobs", `{"job_id":"`+id+`","queue":"heat"}`).code()).To(Equal("1005"))
+	w.session.change(func(v *apiv1.View) { v.Config.Objects.Queue[2].Teams = nil })
+	g.Expect(w.send(0, "POST", "/v1/jobs", `{"job_id":"`+id+`","queue":"night"}`).code()).To(Equal("1003"))
+}
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -19,7 +19,7 @@
 	batchFailures  *prometheus.CounterVec
 }
 
-func newMetrics(r prometheus.Registerer) *metrics {
+func newMetrics(r prometheus.Registerer, s *Server) *metrics {
 	m := &metrics{
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "bergamot_entry_requests_total", Help: "Requests by service, result code and whether nothing ran.",
@@ -43,10 +43,31 @@
 	}
 	if r != nil {
 		r.MustRegister(m.requests, m.duration, m.grantWait, m.outcomes, m.retries, m.retriesRefused, m.batchFailures)
+		r.MustRegister(gauges(s)...)
 	}
 	return m
 }
 
+func gauges(s *Server) []prometheus.Collector {
+	return []prometheus.Collector{
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "bergamot_entry_requests_in_flight", Help: "Requests of callers being served."}, func() float64 {
+			n, _, _ := s.inFlight.counts()
+			return float64(n)
+		}),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "bergamot_entry_buffered_bytes", Help: "Request bodies held in memory."}, func() float64 {
+			return float64(s.buffers.used(s.o.MaxBufferedBytes))
+		}),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "bergamot_entry_connections_open", Help: "Connections to minions, idle ones included."}, func() float64 {
+			sum := 0
+			for _, p := range s.pools.list() {
+				open, _ := p.counts()
+				sum += open
+			}
+			return float64(sum)
+		}),
+	}
+}
+
 func (m *metrics) count(service string, code apiv1.ResultCode, notRun bool) {
 	m.requests.WithLabelValues(service, strconv.Itoa(int(code)), strconv.FormatBool(notRun)).Inc()
 }
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -133,8 +133,12 @@
 	}
 }
 
-// runOnce runs the request; the ledger holds this entry as its only runner.
+// runOnce runs the request; the ledger holds this entry as its only runner. It
+// goes on when the caller leaves, so that a resend finds the response.
 func (s *Server) runOnce(w http.ResponseWriter, q *request, h *heldGrant) {
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(q.ctx), q.ends)
+	defer cancel()
+	q.ctx = ctx
 	left := q.deadline - s.o.Clock.Now()
 	ans, f := s.send(q, h, q.id, true, left)
 	if f != nil {
--- a/internal/entry/proxy.go
+++ b/internal/entry/proxy.go
@@ -35,7 +35,8 @@
 	}
 	defer free()
 	q.body = body
-	ctx, cancel := context.WithTimeout(r.Context(), q.timeout-time.Since(began))
+	q.ends = began.Add(q.timeout)
+	ctx, cancel := context.WithDeadline(r.Context(), q.ends)
 	defer cancel()
 	q.ctx = ctx
 	defer func() { s.metrics.duration.WithLabelValues(q.service).Observe(time.Since(began).Seconds()) }()
@@ -78,7 +79,7 @@
 
 // retryState is what earlier attempts of one request teach the next.
 type retryState struct {
-	avoid    []string // minions that failed
+	avoid    []string // minions tried without success
 	fresh    bool     // use a new connection
 	silent   bool     // the last attempt ended on a silent connection
 	regrants int
@@ -88,8 +89,9 @@
 func (r *retryState) note(h *heldGrant, f *failure) {
 	if f.regrant {
 		r.regrants++
-	}
-	if !f.silent || r.silent {
+	} else {
+		// Also after a silent connection, which is not blamed on the minion:
+		// when its whole path is stalled, another one serves sooner.
 		r.avoid = append(r.avoid, h.MinionId)
 	}
 	r.fresh = true
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -43,6 +43,7 @@
 	id          string        // of a non-repeatable request
 	timeout     time.Duration // for the whole request
 	deadline    time.Duration // on the clock
+	ends        time.Time     // the deadline for contexts and connections
 	wrote       bool          // a byte left for a minion in some attempt
 }
 
--- a/internal/entry/retry.go
+++ b/internal/entry/retry.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// Retries allowed per request, so that retries cannot multiply an overload.
-	retriesPerRequest = 0.1
+	// Requests that earn one retry, so that retries cannot multiply an overload.
+	requestsPerRetry = 10
 	// Retries allowed per second at low rates.
 	minRetriesPerSecond = 3
 	// Most retries saved up for a burst.
@@ -21,13 +21,13 @@
 type retryBudget struct {
 	clock     clock.Clock
 	mu        sync.Mutex
-	tokens    float64
+	tokens    int           // requestsPerRetry of them pay for one retry
 	window    time.Duration // start of the current second
-	deposited float64       // in the current second
+	deposited int           // tokens earned in the current second
 }
 
 func newRetryBudget(c clock.Clock) *retryBudget {
-	return &retryBudget{clock: c, tokens: minRetriesPerSecond, window: c.Now()}
+	return &retryBudget{clock: c, tokens: minRetriesPerSecond * requestsPerRetry, window: c.Now()}
 }
 
 // deposit counts one request.
@@ -35,8 +35,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance()
-	b.deposited += retriesPerRequest
-	b.add(retriesPerRequest)
+	b.deposited++
+	b.add(1)
 }
 
 // take uses one retry and reports whether there was one.
@@ -44,10 +44,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance()
-	if b.tokens < 1 {
+	if b.tokens < requestsPerRetry {
 		return false
 	}
-	b.tokens--
+	b.tokens -= requestsPerRetry
 	return true
 }
 
@@ -58,12 +58,13 @@
 		return
 	}
 	b.window += seconds * time.Second
-	b.add(max(minRetriesPerSecond-b.deposited, 0) + minRetriesPerSecond*float64(seconds-1))
+	const perSecond = minRetriesPerSecond * requestsPerRetry
+	b.add(max(perSecond-b.deposited, 0) + perSecond*(int(seconds)-1))
 	b.deposited = 0
 }
 
-func (b *retryBudget) add(n float64) {
-	b.tokens = min(b.tokens+n, maxSavedRetries)
+func (b *retryBudget) add(n int) {
+	b.tokens = min(b.tokens+n, maxSavedRetries*requestsPerRetry)
 }
 
 const (
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -90,7 +90,8 @@
 // Server is one entry process's service for callers and targets.
 type Server struct {
 	o        Options
-	inFlight *inFlight
+	inFlight *inFlight // callers
+	targets  *inFlight // minions and workers
 	buffers  *byteBudget
 	grants   *grantRegistry
 	pools    *pools
@@ -107,15 +108,16 @@
 	s := &Server{
 		o:        o,
 		inFlight: newInFlight(o.MaxInFlight),
+		targets:  newInFlight(o.MaxInFlight),
 		buffers:  &byteBudget{left: o.MaxBufferedBytes},
 		grants:   newGrantRegistry(o.Clock),
 		pools:    newPools(),
 		retries:  newRetryBudget(o.Clock),
 		silence:  newSilenceEstimate(o.ProgressTimeout),
-		metrics:  newMetrics(o.Registry),
 		minions:  newAnnouncements(),
 		workers:  newHeartbeats(),
 	}
+	s.metrics = newMetrics(o.Registry, s)
 	if o.Server != nil {
 		rpc.Register(o.Server, "Entry.ReportGrants", s.reportGrants)
 	}
@@ -143,12 +145,25 @@
 // TargetHandler serves the announcements of minions and workers.
 func (s *Server) TargetHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /v1/announce/minion", s.serveAnnouncement)
-	mux.HandleFunc("POST /v1/workers/heartbeat", s.serveHeartbeat)
+	mux.HandleFunc("POST /v1/announce/minion", s.bounded(s.serveAnnouncement))
+	mux.HandleFunc("POST /v1/workers/heartbeat", s.bounded(s.serveHeartbeat))
 	mux.HandleFunc("/", s.serveNotFound)
 	return mux
 }
 
+// bounded limits the targets served at once. They are served during a drain,
+// because the work on them goes on.
+func (s *Server) bounded(fn http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if err := s.targets.enter(); err != nil {
+			s.writeError(w, "", err)
+			return
+		}
+		defer s.targets.leave()
+		fn(w, r)
+	}
+}
+
 // HTTPServer returns a server for one of the handlers with the limits for
 // slow and oversized input set.
 func (s *Server) HTTPServer(h http.Handler) *http.Server {
