--- a/test/process/cluster_test.go
+++ b/test/process/cluster_test.go
@@ -101,6 +101,9 @@
 	for _, p := range c.processes() {
 		p.start()
 	}
+	for _, p := range c.processes() {
+		Eventually(p.ready).Should(Succeed())
+	}
 	return c
 }
 
