Keep starts below a lowered limit over all services

After a publish lowered a limit, a shard below its own target started work while another shard was still above its target, so the team ran 7 with a limit of 6 in force (hand-over test, limit lowered from 8). The target sent to a shard is now also at most what the limit leaves beside the amounts of the other shards and the running jobs.

The test checks limits against the version in force (acknowledged by all live sessions) instead of a fixed grace period, keeps every team loaded, and checks both full slots and full limits. It also showed that a grant must not be used under a later session of the same process: that session is not asked during recovery (minion ran 5 of 4 slots).

--- a/internal/membership/allotments.go
+++ b/internal/membership/allotments.go
@@ -153,13 +153,23 @@
 	return result.NotRun(apiv1.ResultCode_RESULT_CODE_EPOCH_STALE, format, args...)
 }
 
+// allotmentsOf returns a shard's allotments. After the limit fell, the amounts
+// may exceed it until the shards acknowledge. The target is then lowered to
+// what the limit leaves beside the amounts of the others: with the division
+// alone, a shard below its target would start work while another one is still
+// above, and together they would exceed the limit.
 func (s *State) allotmentsOf(service string) *apiv1.Allotments {
 	out := &apiv1.Allotments{}
 	for _, name := range sortedKeys(s.teams) {
-		a, ok := s.teams[name].allotments[service]
-		if ok && (a.amount > 0 || a.target > 0) {
-			out.Allotments = append(out.Allotments, a.message(name, service))
+		t := s.teams[name]
+		a, ok := t.allotments[service]
+		if !ok || (a.amount == 0 && a.target == 0) {
+			continue
 		}
+		m := a.message(name, service)
+		others := t.held() - a.amount
+		m.Target = min(a.target, t.limit-min(t.limit, others))
+		out.Allotments = append(out.Allotments, m)
 	}
 	return out
 }
--- a/internal/scheduler/cluster_test.go
+++ b/internal/scheduler/cluster_test.go
@@ -20,9 +20,9 @@
 const (
 	testTTL      = 2 * time.Second
 	testMargin   = 250 * time.Millisecond
-	testDeadline = 3 * time.Second
-	// Time after a publish in which starts may still follow the old limit.
-	testInForce = 5 * time.Second
+	testDeadline = 8 * time.Second
+	// A grant made before a version came into force may start this much later.
+	testStartDelay = 1200 * time.Millisecond
 	testSlots   = 4
 )
 
@@ -56,20 +56,26 @@
 	renewed map[uint64]time.Duration
 	release map[uint64]time.Duration
 
-	limit, oldLimit uint32
-	limitAt         time.Duration
-	jobs            map[string]int
-	running         map[string]int // by team
-	onMinion        map[string]int
-	started         int
-	problems        []string
-	faults          bool
+	versions []testVersion
+	acked    map[uint64]int // configuration version by session
+	jobs     map[string]int
+	running  map[string]int // by team
+	onMinion map[string]int
+	started  int
+	problems []string
+	faults   bool
+}
+
+// testVersion is a published limit and the time it came into force.
+type testVersion struct {
+	limit   uint32
+	inForce time.Duration
 }
 
 func newCluster(seed uint64, processes int, limit uint32) *cluster {
 	c := &cluster{
 		state: membership.New(), rng: rand.New(rand.NewPCG(seed, 1)), began: time.Now(),
-		renewed: map[uint64]time.Duration{}, release: map[uint64]time.Duration{},
+		renewed: map[uint64]time.Duration{}, release: map[uint64]time.Duration{}, acked: map[uint64]int{},
 		jobs: map[string]int{}, running: map[string]int{}, onMinion: map[string]int{},
 	}
 	c.publish(limit)
@@ -85,11 +91,7 @@
 func (c *cluster) publish(limit uint32) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.Now()-c.limitAt >= testInForce {
-		c.oldLimit = 0
-	}
-	c.oldLimit = max(c.oldLimit, c.limit, limit)
-	c.limit, c.limitAt = limit, c.Now()
+	c.versions = append(c.versions, testVersion{limit: limit, inForce: -1})
 	c.ix = testIndex(limit)
 	c.index++
 	c.state.SetConfig(c.index, c.ix)
@@ -108,10 +110,31 @@
 	}
 }
 
+// acknowledge is called with the lock held when a session has a version in
+// force or ended.
+func (c *cluster) acknowledge() {
+	lowest := len(c.versions) - 1
+	for _, s := range c.state.Sessions() {
+		if version, ok := c.acked[s.Id]; ok && !s.Expired {
+			lowest = min(lowest, version)
+		}
+	}
+	for i := range lowest + 1 {
+		if c.versions[i].inForce < 0 {
+			c.versions[i].inForce = c.Now()
+		}
+	}
+}
+
+// checkLimit allows the limits of the version in force when the grant may have
+// been made, and of all later ones.
 func (c *cluster) checkLimit(team string) {
-	limit := c.limit
-	if c.Now()-c.limitAt < testInForce {
-		limit = max(limit, c.oldLimit)
+	limit := uint32(0)
+	for _, v := range c.versions {
+		if v.inForce >= 0 && v.inForce+testStartDelay < c.Now() {
+			limit = 0
+		}
+		limit = max(limit, v.limit)
 	}
 	if n := c.running[team] + c.jobs[team]; n > int(limit) {
 		c.problems = append(c.problems, fmt.Sprintf("%v: team %s runs %d, limit %d", c.Now(), team, n, limit))
@@ -165,6 +188,7 @@
 				c.index++
 				c.state.ExpireSessions(c.index, &apiv1.ExpireSessions{SessionIds: []uint64{s.Id}})
 				c.release[s.Id] = c.Now() + testDeadline
+				c.acknowledge()
 			case s.Expired && c.Now() > c.release[s.Id]:
 				c.state.ReleaseSessions(&apiv1.ReleaseSessions{SessionIds: []uint64{s.Id}})
 			}
@@ -174,7 +198,7 @@
 }
 
 func (c *cluster) view() *session.Snapshot {
-	return &session.Snapshot{View: &apiv1.View{Sessions: c.state.Sessions(), Shards: c.state.Shards()}, Index: c.ix}
+	return &session.Snapshot{View: &apiv1.View{ConfigVersion: uint64(len(c.versions) - 1), Sessions: c.state.Sessions(), Shards: c.state.Shards()}, Index: c.ix}
 }
 
 func (c *cluster) apply(cmd *apiv1.Command) *apiv1.CommandResult {
--- a/internal/scheduler/handover_test.go
+++ b/internal/scheduler/handover_test.go
@@ -35,7 +35,7 @@
 			team:    rapid.IntRange(0, 1).Draw(rt, "team"),
 			n:       rapid.IntRange(1, 12).Draw(rt, "n"),
 			wait:    time.Duration(rapid.IntRange(0, 3000).Draw(rt, "wait")) * time.Millisecond,
-			run:     time.Duration(rapid.IntRange(10, 3500).Draw(rt, "run")) * time.Millisecond,
+			run:     time.Duration(rapid.IntRange(10, 8000).Draw(rt, "run")) * time.Millisecond,
 		}
 	}), count, count).Draw(rt, "steps")
 }
@@ -61,15 +61,18 @@
 
 // runSteps returns the violations seen, and whether work starts again after
 // all faults ended.
-func runSteps(t *testing.T, seed uint64, steps []step) (problems []string, recovered bool) {
+func runSteps(t *testing.T, seed uint64, limit uint32, steps []step) (problems []string, recovered bool) {
 	synctest.Test(t, func(*testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
-		c := newCluster(seed, 3, 6)
+		c := newCluster(seed, 3, limit)
 		c.faults = true
 		go c.lead(ctx)
 		for _, p := range c.procs {
 			go p.run(ctx)
 		}
+		for i := range 24 {
+			go c.procs[i%3].load(ctx, testServices[i/3%2], []string{"a", "b"}[i/6%2])
+		}
 		time.Sleep(time.Second)
 		for _, s := range steps {
 			c.do(s)
@@ -92,7 +95,7 @@
 			}
 		}
 		cancel()
-		time.Sleep(10 * time.Second)
+		time.Sleep(2 * testDeadline)
 		problems = c.problems
 	})
 	return problems, recovered
@@ -103,7 +106,7 @@
 func TestSlotsAndLimitsHoldDuringHandover(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		steps := drawSteps(rt, 25)
-		problems, _ := runSteps(t, rapid.Uint64().Draw(rt, "seed"), steps)
+		problems, _ := runSteps(t, rapid.Uint64().Draw(rt, "seed"), rapid.SampledFrom([]uint32{6, 100}).Draw(rt, "limit"), steps)
 		if len(problems) > 0 {
 			rt.Fatalf("%d violations, first: %s", len(problems), problems[0])
 		}
@@ -112,7 +115,7 @@
 
 // Guards against a host that never grants.
 func TestHostGrantsAfterRecovery(t *testing.T) {
-	problems, recovered := runSteps(t, 1, []step{{kind: stepLoad, n: 12, run: time.Second, wait: 5 * time.Second}})
+	problems, recovered := runSteps(t, 1, 6, []step{{kind: stepLoad, n: 12, run: time.Second, wait: 5 * time.Second}})
 	g := NewWithT(t)
 	g.Expect(problems).To(BeEmpty())
 	g.Expect(recovered).To(BeTrue())
--- a/internal/scheduler/process_test.go
+++ b/internal/scheduler/process_test.go
@@ -103,6 +103,10 @@
 	p.mu.Lock()
 	p.valid = sent + testTTL
 	p.mu.Unlock()
+	p.c.mu.Lock()
+	p.c.acked[id] = int(snap.View.ConfigVersion)
+	p.c.acknowledge()
+	p.c.mu.Unlock()
 }
 
 func (p *process) reportGrants(req *apiv1.ReportGrants) *apiv1.GrantReport {
@@ -119,6 +123,18 @@
 	return report
 }
 
+// load keeps requests of a team coming until ctx ends.
+func (p *process) load(ctx context.Context, service, team string) {
+	for ctx.Err() == nil {
+		p.c.mu.Lock()
+		run := time.Duration(p.c.rng.Int64N(int64(testDeadline)))
+		p.c.mu.Unlock()
+		if p.request(service, team, testDeadline, run) != nil {
+			time.Sleep(100 * time.Millisecond)
+		}
+	}
+}
+
 // request acquires a slot, runs for the given time and releases it.
 func (p *process) request(service, team string, timeout, run time.Duration) error {
 	snap := p.Snapshot()
@@ -139,7 +155,7 @@
 	}
 	p.c.delay(900 * time.Millisecond) // the answer is late
 	release := &apiv1.ReleaseRequest{Service: service, Epoch: g.Epoch, GrantId: g.GrantId, SessionId: req.SessionId, Outcome: apiv1.GrantOutcome_GRANT_OUTCOME_DONE}
-	if !p.begin(g, deadline) {
+	if !p.begin(g, req.SessionId, deadline) {
 		release.Outcome = apiv1.GrantOutcome_GRANT_OUTCOME_NOT_STARTED
 		p.sendRelease(release)
 		return errLost
@@ -151,11 +167,11 @@
 }
 
 // begin is what an entry does directly before the first byte.
-func (p *process) begin(g *apiv1.Grant, deadline time.Duration) bool {
+func (p *process) begin(g *apiv1.Grant, sessionID uint64, deadline time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.c.Now()
-	if g.Epoch < p.floor[g.Service] || p.id == 0 || now >= p.valid || now >= deadline {
+	if g.Epoch < p.floor[g.Service] || p.id != sessionID || now >= p.valid || now >= deadline {
 		return false
 	}
 	p.held[g.Service][grantKey{g.Epoch, g.GrantId}] = g
