--- a/internal/fairshare/fairshare.go
+++ b/internal/fairshare/fairshare.go
@@ -37,7 +37,7 @@
 	// that its share would have given it in this time.
 	IdleCredit = time.Second
 	// NormalTurn is the number of grants of which waiting normal work gets one.
-	NormalTurn    = 10
+	NormalTurn = 10
 	// OvernightTurn is the number of grants of which waiting overnight work gets
 	// one.
 	OvernightTurn = 50
--- a/internal/scheduler/cluster_test.go
+++ b/internal/scheduler/cluster_test.go
@@ -23,7 +23,7 @@
 	testDeadline = 8 * time.Second
 	// A grant made before a version came into force may start this much later.
 	testStartDelay = 1200 * time.Millisecond
-	testSlots   = 4
+	testSlots      = 4
 )
 
 var testServices = []string{"alerts", "models"}
