--- /dev/null
+++ b/internal/command/control.go
@@ -0,0 +1,87 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+)
+
+type controlCommands struct {
+	Members controlMembersCommand `cmd:"" help:"List the control replicas."`
+	Replace controlReplaceCommand `cmd:"" help:"Replace a lost control replica by a new one."`
+}
+
+type controlMembersCommand struct{}
+
+func (controlMembersCommand) Help() string {
+	return `Example:
+  bergamotctl control members`
+}
+
+// Run implements the command.
+func (controlMembersCommand) Run(ctx context.Context, a *app) error {
+	client, err := a.client()
+	if err != nil {
+		return err
+	}
+	status, err := client.Status(ctx)
+	if err != nil {
+		return err
+	}
+	a.printMembers(&apiv1.ControlMembers{Replicas: status.ControlReplicas})
+	return nil
+}
+
+func (a *app) printMembers(m *apiv1.ControlMembers) {
+	a.print(m, func() { printTable(a.stdout, "", m.Replicas) })
+}
+
+type controlReplaceCommand struct {
+	OldID   uint64        `arg:"" help:"Replica id of the lost replica, as control members lists it."`
+	NewID   uint64        `arg:"" help:"Replica id of the new replica, from its log."`
+	Address string        `arg:"" help:"RPC address (ip:port) of the new replica."`
+	Wait    time.Duration `help:"How long to wait until the change is finished." default:"5m"`
+}
+
+func (controlReplaceCommand) Help() string {
+	return `Start bergamot-control with an empty data folder on the new VM first. The new replica joins as a
+learner, becomes a voter once it has synced the log, and then the old one is removed. Run the
+command again with the same arguments when it ended before that.
+
+Example:
+  bergamotctl control replace 11 27 10.0.1.9:7001`
+}
+
+// Run implements the command.
+func (c *controlReplaceCommand) Run(ctx context.Context, a *app) error {
+	client, err := a.client()
+	if err != nil {
+		return err
+	}
+	cmd := &apiv1.ReplaceReplica{OldReplicaId: c.OldID, NewReplicaId: c.NewID, NewRpcAddress: c.Address}
+	deadline := time.NewTimer(c.Wait)
+	defer deadline.Stop()
+	for {
+		reply, err := client.ReplaceReplica(ctx, cmd)
+		if err != nil {
+			return err
+		}
+		if !reply.Pending {
+			a.printMembers(reply)
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return c.pending()
+		case <-deadline.C:
+			return c.pending()
+		case <-time.After(a.pollInterval):
+		}
+	}
+}
+
+func (c *controlReplaceCommand) pending() error {
+	return &pendingError{fmt.Sprintf("replica %d has not replaced replica %d yet; run the command again", c.NewID, c.OldID)}
+}
--- a/internal/objects/check_test.go
+++ b/internal/objects/check_test.go
@@ -136,7 +136,7 @@
 func formatAll(set *apiv1.ObjectSet) []byte {
 	var text []byte
 	files := Format(set)
-	for _, kind := range kindNames() {
+	for _, kind := range Kinds() {
 		text = append(text, files[kind+".ini"]...)
 	}
 	return text
--- a/internal/objects/parse.go
+++ b/internal/objects/parse.go
@@ -86,7 +86,7 @@
 	case fd == nil:
 		f.add(Problem{
 			Kind: settings.UnknownSection, File: s.File, Section: s.Title, Message: "the kind of object is not known",
-			Fix: "use one of: " + strings.Join(kindNames(), ", "),
+			Fix: "use one of: " + strings.Join(Kinds(), ", "),
 		})
 		return
 	case !ok:
@@ -123,7 +123,8 @@
 	return kind, name, !strings.Contains(name, `"`)
 }
 
-func kindNames() []string {
+// Kinds lists the kinds of objects in the order of the schema.
+func Kinds() []string {
 	var names []string
 	for i := range kinds().Len() {
 		names = append(names, string(kinds().Get(i).Name()))
--- a/internal/objects/write.go
+++ b/internal/objects/write.go
@@ -74,7 +74,7 @@
 		return fmt.Errorf("create the folder: %w", err)
 	}
 	files := Format(set)
-	for _, kind := range kindNames() {
+	for _, kind := range Kinds() {
 		path := filepath.Join(folder, kind+".ini")
 		data, ok := files[kind+".ini"]
 		if !ok {
