--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -3,12 +3,16 @@
 import (
 	"flag"
 	"fmt"
+	"io/fs"
 	"os"
+	"path/filepath"
 	"regexp"
 	"strconv"
 	"strings"
 	"testing"
 
+	"github.com/alecthomas/kong"
+
 	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
 	"bergamotdrum.example/bergamotdrum/internal/command"
 	"bergamotdrum.example/bergamotdrum/internal/reference"
@@ -98,3 +102,61 @@
 	}
 	return "not run, may have run, ran or see header"
 }
+
+var (
+	shownCommand = regexp.MustCompile("(?m)^    bergamotctl (.*)$|`bergamotctl ([^`]+)`")
+	helpExample  = regexp.MustCompile("(?m)^  bergamotctl (.*)$")
+	placeholder  = strings.NewReplacer("OLD_ID", "1", "NEW_ID", "2", "--version N", "--version 3")
+	quoted       = regexp.MustCompile(`"[^"]*"`)
+)
+
+// Guards against a page that tells operators a command or a flag that does not
+// exist.
+func TestCommandsInPagesParse(t *testing.T) {
+	checked := 0
+	for _, folder := range []string{".", "../examples"} {
+		err := filepath.WalkDir(folder, func(path string, _ fs.DirEntry, err error) error {
+			if err != nil || filepath.Ext(path) != ".md" || path == "design.md" {
+				return err
+			}
+			data, err := os.ReadFile(path)
+			for _, m := range shownCommand.FindAllStringSubmatch(string(data), -1) {
+				checked++
+				parseCommand(t, path, m[1]+m[2])
+			}
+			return err
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	parser, err := kong.New(&command.CLI{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, leaf := range parser.Model.Leaves(false) {
+		for _, m := range helpExample.FindAllStringSubmatch(leaf.Detail, -1) {
+			checked++
+			parseCommand(t, leaf.Path(), m[1])
+		}
+	}
+	if checked < 60 {
+		t.Fatalf("only %d commands found", checked)
+	}
+}
+
+// parseCommand accepts a command group without its subcommand, which a page
+// may name as a whole.
+func parseCommand(t *testing.T, path, text string) {
+	parser, err := kong.New(&command.CLI{}, kong.Exit(func(int) {}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, _, _ = strings.Cut(text, " > ")
+	text = strings.TrimRight(quoted.ReplaceAllString(placeholder.Replace(text), "text"), "\\ ")
+	_, err = parser.Parse(strings.Fields(text))
+	incomplete := err != nil && strings.HasPrefix(err.Error(), "expected ") && !strings.Contains(text, "--")
+	if err != nil && !incomplete {
+		t.Errorf("%s: bergamotctl %s: %v", path, text, err)
+	}
+}
