Give each listener of the process tests its own loopback address

Cause: ports found by listening on port 0 and closing again were taken by outgoing connections of other processes before the program under test bound them ("address already in use" in the log of entry-3). Ruled out: a listener left over from an earlier process. Now ports lie below the ephemeral range and each listener has its own 127.x.y.z address.

--- a/test/process/cluster_test.go
+++ b/test/process/cluster_test.go
@@ -4,12 +4,12 @@
 	"bytes"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -78,11 +78,17 @@
 	minions                   []*fakes.Minion
 }
 
+// listenPort lies below the ports that the kernel gives to outgoing
+// connections, which took over listeners' ports in an earlier version.
+const listenPort = 17001
+
+var lastHost atomic.Uint32
+
+// freeAddress returns a loopback address of its own for each listener, so that
+// test runs side by side do not meet.
 func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	defer l.Close()
-	return l.Addr().String()
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d:%d", 1+pid%250, 1+pid/250%250, 1+lastHost.Add(1)%250, listenPort)
 }
 
 func newCluster(controls, entries int) *cluster {
