--- /dev/null
+++ b/internal/fleet/budget_test.go
@@ -0,0 +1,194 @@
+package fleet
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+	"bergamotdrum.example/bergamotdrum/internal/objects"
+)
+
+// model drives one State with commands in any order, among them plans made on
+// older states, and follows which pool each VM has to be in.
+type model struct {
+	s     *State
+	ix    *objects.Index
+	now   int64
+	pools map[string]string
+	plans []*apiv1.CreateIntents
+	next  int
+}
+
+// create commits one intent and compares the verdict with the obvious rules.
+func (m *model) create(t *rapid.T, it *apiv1.Intent) {
+	m.s.prune(m.now)
+	vm, known := m.s.VM(it.Vm)
+	resent := slices.ContainsFunc(m.s.Intents(), func(o *apiv1.Intent) bool { return o.OperationId == it.OperationId })
+	before := m.down()
+	want := known && vm.OperationId == "" && (it.FromPool == "" || it.FromPool == vm.Pool)
+	if want && it.Kind == apiv1.IntentKind_INTENT_KIND_MOVE {
+		want = it.ToPool != vm.Pool && !before[vm.Id] && m.staying(vm.Pool) > int(m.ix.Pools[vm.Pool].MinVms)
+	}
+	if want && !before[vm.Id] {
+		want = withinBudget(m.s, m.ix, vm, map[string]bool{vm.Id: true})
+	}
+	rejected := m.s.CreateIntents(m.now, &apiv1.CreateIntents{Intents: []*apiv1.Intent{it}}, m.ix)
+	if accepted := len(rejected) == 0; accepted != (want || resent) {
+		t.Fatalf("intent %v accepted: %v, want %v (%v)", it, accepted, want || resent, rejected)
+	}
+	m.checkTaken(t, before)
+}
+
+func (m *model) staying(pool string) int {
+	n := 0
+	for _, vm := range m.s.VMs() {
+		moving := slices.ContainsFunc(m.s.Intents(), func(it *apiv1.Intent) bool {
+			return it.Vm == vm.Id && it.Kind == apiv1.IntentKind_INTENT_KIND_MOVE && it.Phase <= apiv1.IntentPhase_INTENT_PHASE_OPERATING
+		})
+		if vm.Pool == pool && !moving {
+			n++
+		}
+	}
+	return n
+}
+
+func (m *model) down() map[string]bool {
+	down := map[string]bool{}
+	for _, vm := range m.s.VMs() {
+		down[vm.Id] = isDown(m.s, m.ix, vm)
+	}
+	return down
+}
+
+// checkTaken verifies that each VM a command took down is within the budget.
+func (m *model) checkTaken(t *rapid.T, before map[string]bool) {
+	for id, down := range m.down() {
+		vm, _ := m.s.VM(id)
+		if down && !before[id] && !withinBudget(m.s, m.ix, vm, nil) {
+			t.Fatalf("VM %s was taken down and exceeds the budget of pool %s", id, vm.Pool)
+		}
+	}
+}
+
+func (m *model) plan(t *rapid.T) {
+	in := CapacityInput{WaveInput: WaveInput{NowMS: m.now, VMs: m.s.VMs(), Intents: m.s.Intents(), Index: m.ix}, Demand: map[string]uint64{}}
+	for _, p := range []string{"p0", "p1"} {
+		in.Demand[p] = rapid.Uint64Range(0, 6000).Draw(t, "demand")
+	}
+	plan := slices.Concat(PlanWaves(in.WaveInput), PlanRepairs(in.WaveInput), PlanCapacity(in))
+	m.plans = append(m.plans, &apiv1.CreateIntents{Intents: plan})
+	m.s.AdvanceIntents(m.now, &apiv1.AdvanceIntents{Advances: PlanCancellations(in.WaveInput)}, m.ix)
+}
+
+func (m *model) commit(t *rapid.T) {
+	if len(m.plans) == 0 {
+		return
+	}
+	for _, it := range rapid.SampledFrom(m.plans).Draw(t, "plan").Intents {
+		m.create(t, it)
+	}
+}
+
+func (m *model) advance(t *rapid.T) {
+	list := m.s.Intents()
+	if len(list) == 0 {
+		return
+	}
+	it := list[rapid.IntRange(0, len(list)-1).Draw(t, "intent")]
+	phase := apiv1.IntentPhase(rapid.IntRange(1, 5).Draw(t, "phase"))
+	m.s.AdvanceIntents(m.now, &apiv1.AdvanceIntents{Advances: []*apiv1.IntentAdvance{{OperationId: it.OperationId, Phase: phase}}}, m.ix)
+	after, kept := m.s.intents[it.OperationId]
+	if !kept {
+		return
+	}
+	if Finished(it.Phase) && after.Phase != it.Phase {
+		t.Fatalf("finished operation went from %s to %s", it.Phase, after.Phase)
+	}
+	if it.Phase != after.Phase && after.Phase == apiv1.IntentPhase_INTENT_PHASE_DONE && it.Kind == apiv1.IntentKind_INTENT_KIND_MOVE {
+		m.pools[it.Vm] = it.ToPool
+	}
+}
+
+func (m *model) check(t *rapid.T) {
+	seen := map[string]string{}
+	for _, p := range m.ix.Set.Pool {
+		for _, vm := range m.s.InPool(p.Name) {
+			if other, twice := seen[vm.Id]; twice {
+				t.Fatalf("VM %s is in pools %s and %s", vm.Id, other, p.Name)
+			}
+			seen[vm.Id] = p.Name
+		}
+	}
+	for id, pool := range m.pools {
+		if vm, _ := m.s.VM(id); seen[id] != pool || vm.Pool != pool {
+			t.Fatalf("VM %s is listed in pool %q and says %q, want %q", id, seen[id], vm.Pool, pool)
+		}
+	}
+	open := map[string]string{}
+	for _, it := range m.s.Intents() {
+		if it.Phase <= apiv1.IntentPhase_INTENT_PHASE_OPERATING {
+			if open[it.Vm] != "" {
+				t.Fatalf("VM %s has operations %s and %s at once", it.Vm, open[it.Vm], it.OperationId)
+			}
+			open[it.Vm] = it.OperationId
+		}
+	}
+	for _, vm := range m.s.VMs() {
+		if vm.OperationId != open[vm.Id] {
+			t.Fatalf("VM %s holds operation %q, want %q", vm.Id, vm.OperationId, open[vm.Id])
+		}
+	}
+	snap := m.s.Snapshot()
+	m.s = New()
+	m.s.Restore(snap)
+	if !proto.Equal(snap, m.s.Snapshot()) {
+		t.Fatal("the restored state differs")
+	}
+}
+
+// Guards against a budget broken by drains, waves, moves and quarantines in any
+// order with failures of VMs, and against a VM in no pool or in two.
+func TestBudgetsHoldUnderAnyCommands(t *testing.T) {
+	checks(2000, 60)
+	rapid.Check(t, func(t *rapid.T) {
+		m := &model{s: New(), ix: drawIndex(t), now: 1, pools: map[string]string{}}
+		observe := func(t *rapid.T) {
+			n := rapid.IntRange(0, 9).Draw(t, "vm")
+			pool := rapid.SampledFrom([]string{"p0", "p0", "p1", "p2", "unknown"}).Draw(t, "announced")
+			o := observation(n, pool, rapid.IntRange(0, 3).Draw(t, "down") == 0)
+			rejected := m.s.Observe(m.now, &apiv1.ObserveVms{Observations: []*apiv1.VmObservation{o}}, m.ix)
+			if _, known := m.pools[o.Vm]; !known && len(rejected) == 0 {
+				m.pools[o.Vm] = map[string]string{"unknown": "p2"}[pool] + map[bool]string{true: pool}[pool != "unknown"]
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"":         m.check,
+			"observe":  observe,
+			"observe2": observe,
+			"intent": func(t *rapid.T) {
+				m.next++
+				m.create(t, &apiv1.Intent{
+					OperationId: fmt.Sprint("op", m.next), Vm: drawVM(t), Kind: apiv1.IntentKind(rapid.IntRange(1, 3).Draw(t, "kind")),
+					ToPool: fmt.Sprint("p", rapid.IntRange(0, 2).Draw(t, "to")), Phase: apiv1.IntentPhase_INTENT_PHASE_DONE,
+				})
+			},
+			"plan":    m.plan,
+			"commit":  m.commit,
+			"advance": m.advance,
+			"failures": func(t *rapid.T) {
+				id, before := drawVM(t), m.down()
+				for i := range 5 {
+					m.s.RecordFailure(id, fmt.Sprint("job", i%4), m.ix)
+				}
+				m.checkTaken(t, before)
+			},
+			"success": func(t *rapid.T) { m.s.RecordSuccess(drawVM(t)) },
+			"publish": func(t *rapid.T) { m.ix = drawIndex(t); m.s.SetConfig(m.ix) },
+			"time":    func(t *rapid.T) { m.now += rapid.SampledFrom([]int64{1000, 60_000, 90_000_000}).Draw(t, "by") },
+		})
+	})
+}
--- /dev/null
+++ b/internal/fleet/plan_test.go
@@ -0,0 +1,291 @@
+package fleet
+
+import (
+	"fmt"
+	"math/bits"
+	"slices"
+	"strings"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+)
+
+// largestWave tries every set of target VMs of the zone and returns the size of
+// the largest one within the budget and max_parallel.
+func largestWave(s *State, in WaveInput, m *apiv1.Maintenance, zone string) int {
+	var targets []*apiv1.Vm
+	active := 0
+	for _, vm := range s.InPool(m.Pool) {
+		if vm.OperationId == "" && vm.AvailabilityZone == zone && !slices.Contains(vm.MaintenancesDone, m.Name) {
+			targets = append(targets, vm)
+		}
+	}
+	for _, it := range in.Intents {
+		if it.Maintenance == m.Name && it.Phase <= apiv1.IntentPhase_INTENT_PHASE_OPERATING {
+			active++
+		}
+	}
+	best := 0
+	for set := range uint(1) << len(targets) {
+		extra := map[string]bool{}
+		for i, vm := range targets {
+			extra[vm.Id] = set>>i&1 == 1
+		}
+		ok := m.MaxParallel == 0 || active+bits.OnesCount(set) <= int(m.MaxParallel)
+		for _, vm := range targets {
+			// A VM that is down already needs no budget.
+			ok = ok && (!extra[vm.Id] || isDown(s, in.Index, vm) || withinBudget(s, in.Index, vm, extra))
+		}
+		if ok {
+			best = max(best, bits.OnesCount(set))
+		}
+	}
+	return best
+}
+
+// drawWave returns a state in which some operations of m0 are in progress or done.
+func drawWave(t *rapid.T) (*State, WaveInput) {
+	ix := drawIndex(t)
+	ix.Set.Maintenance = ix.Set.Maintenance[:1]
+	s := drawFleet(t, ix)
+	for n := range rapid.IntRange(0, 3).Draw(t, "intents") {
+		it := &apiv1.Intent{OperationId: fmt.Sprint("old", n), Vm: drawVM(t), Kind: apiv1.IntentKind_INTENT_KIND_DRAIN, Maintenance: rapid.SampledFrom([]string{"m0", ""}).Draw(t, "of")}
+		s.CreateIntents(1, &apiv1.CreateIntents{Intents: []*apiv1.Intent{it}}, ix)
+		if rapid.Bool().Draw(t, "done") {
+			for _, phase := range []apiv1.IntentPhase{apiv1.IntentPhase_INTENT_PHASE_OPERATING, apiv1.IntentPhase_INTENT_PHASE_DONE} {
+				s.AdvanceIntents(1, &apiv1.AdvanceIntents{Advances: []*apiv1.IntentAdvance{{OperationId: it.OperationId, Phase: phase}}}, ix)
+			}
+		}
+	}
+	return s, WaveInput{NowMS: 1, VMs: s.VMs(), Intents: s.Intents(), Index: ix}
+}
+
+// Guards against waves that spread over zones, take a VM twice, are refused at
+// the commit, or are smaller than the budget allows.
+func TestPlanWavesMatchesNaive(t *testing.T) {
+	checks(5000, 0)
+	rapid.Check(t, func(t *rapid.T) {
+		s, in := drawWave(t)
+		m := in.Index.Set.Maintenance[0]
+		plan := PlanWaves(in)
+		busy := ""
+		for _, it := range in.Intents {
+			if vm, _ := s.VM(it.Vm); it.Maintenance == "m0" && it.Phase <= apiv1.IntentPhase_INTENT_PHASE_OPERATING && (busy == "" || vm.AvailabilityZone < busy) {
+				busy = vm.AvailabilityZone
+			}
+		}
+		want, zone := 0, busy
+		for i := range 3 {
+			if z := fmt.Sprint("z", i); want == 0 && (busy == "" || busy == z) {
+				want, zone = largestWave(s, in, m, z), z
+			}
+		}
+		if m.State != apiv1.MaintenanceState_MAINTENANCE_STATE_RUNNING {
+			want = 0
+		}
+		for _, it := range plan {
+			if vm, _ := s.VM(it.Vm); vm.AvailabilityZone != zone {
+				t.Fatalf("VM %s of zone %s planned while zone %s is in turn", vm.Id, vm.AvailabilityZone, zone)
+			}
+		}
+		if rejected := s.CreateIntents(1, &apiv1.CreateIntents{Intents: plan}, in.Index); len(rejected) > 0 || len(plan) != want {
+			t.Fatalf("planned %d, want %d, rejected %v", len(plan), want, rejected)
+		}
+	})
+}
+
+// naiveMoves plans by looking at every possible move again after each one.
+type naiveMoves struct {
+	s    *State
+	in   CapacityInput
+	pool map[string]string // where each VM will be
+	out  []*apiv1.Intent
+}
+
+func (n *naiveMoves) zones(pool string) (up int, zones map[string]int) {
+	zones = map[string]int{}
+	for _, vm := range n.in.VMs {
+		if n.pool[vm.Id] == pool && !isDown(n.s, n.in.Index, vm) {
+			up++
+			zones[vm.AvailabilityZone]++
+		}
+	}
+	return up, zones
+}
+
+// lacks returns what the pool is short of under its policy, and for the loss of
+// its largest zone.
+func (n *naiveMoves) lacks(pool string) (use, reserve int) {
+	p := n.in.Index.Policies["policy"]
+	up, zones := n.zones(pool)
+	demand := int(n.in.Demand[pool])
+	if demand*100 > up*1000*85 {
+		use = max(0, demand*(100+int(p.BufferPercent))/100-up*1000, demand*100/85-up*1000)
+	}
+	largest := max(zones["z0"], zones["z1"], zones["z2"])
+	if p.ReserveZoneLoss {
+		reserve = max(0, demand-(up-largest)*1000)
+	}
+	return use, reserve
+}
+
+func (n *naiveMoves) try(vm *apiv1.Vm, from, to string) bool {
+	extra := map[string]bool{vm.Id: true}
+	left := 0
+	for _, o := range n.in.VMs {
+		if o.Pool == from && n.pool[o.Id] == from {
+			left++
+		}
+		if n.pool[o.Id] != o.Pool {
+			extra[o.Id] = true
+		}
+	}
+	return n.pool[vm.Id] == from && vm.Pool == from && !isDown(n.s, n.in.Index, vm) && left > int(n.in.Index.Pools[from].MinVms) &&
+		(vm.LastMovedUnixMs == 0 || n.in.NowMS-vm.LastMovedUnixMs >= 30_000) && withinBudget(n.s, n.in.Index, vm, extra)
+}
+
+func (n *naiveMoves) move(vm *apiv1.Vm, to string) {
+	n.pool[vm.Id] = to
+	n.out = append(n.out, &apiv1.Intent{
+		OperationId: fmt.Sprintf("move.%s.%d.0", vm.Id, n.in.NowMS), Vm: vm.Id, FromPool: vm.Pool, ToPool: to, Kind: apiv1.IntentKind_INTENT_KIND_MOVE,
+	})
+}
+
+// best returns the VM with the least load, then the zone with the least (sign
+// 1) or the most (sign -1) of pool, then the least id.
+func (n *naiveMoves) best(pool string, sign int, ok func(*apiv1.Vm) bool) *apiv1.Vm {
+	_, zones := n.zones(pool)
+	list := slices.DeleteFunc(slices.Clone(n.in.VMs), func(vm *apiv1.Vm) bool { return !ok(vm) })
+	slices.SortFunc(list, func(a, b *apiv1.Vm) int {
+		ka := []int{n.in.Load(a.Id), sign * zones[a.AvailabilityZone], strings.Compare(a.Id, b.Id)}
+		kb := []int{n.in.Load(b.Id), sign * zones[b.AvailabilityZone], 0}
+		return slices.Compare(ka, kb)
+	})
+	if len(list) == 0 {
+		return nil
+	}
+	return list[0]
+}
+
+func (n *naiveMoves) grow() {
+	for full := map[string]bool{}; ; {
+		to, most := "", 0
+		for _, p := range []string{"p0", "p1"} {
+			use, reserve := n.lacks(p)
+			need := 0
+			if demand := int(n.in.Demand[p]); use >= 100 {
+				need = 1_000_000 + use*1000/(demand+1)
+			} else if reserve >= 100 {
+				need = reserve * 1000 / (demand + 1)
+			}
+			if !full[p] && need > most {
+				to, most = p, need
+			}
+		}
+		if to == "" {
+			return
+		}
+		use, _ := n.lacks(to)
+		_, zones := n.zones(to)
+		largest := max(zones["z0"], zones["z1"], zones["z2"])
+		vm := n.best(to, 1, func(vm *apiv1.Vm) bool {
+			return n.try(vm, "p2", to) && (use >= 100 || zones[vm.AvailabilityZone] < largest || largest == 0)
+		})
+		if vm == nil {
+			full[to] = true
+		} else {
+			n.move(vm, to)
+		}
+	}
+}
+
+func (n *naiveMoves) shrink(pool string) {
+	for _, vm := range n.in.VMs {
+		if vm.Pool == pool && n.s.intents[vm.OperationId].GetKind() != apiv1.IntentKind_INTENT_KIND_MOVE && n.in.NowMS-vm.LastMovedUnixMs < 30_000 {
+			return // the pool has just changed
+		}
+	}
+	demand := int(n.in.Demand[pool])
+	buffer := int(n.in.Index.Policies["policy"].BufferPercent)
+	for up, _ := n.zones(pool); demand*100 < up*1000*50; up, _ = n.zones(pool) {
+		vm := n.best(pool, -1, func(vm *apiv1.Vm) bool {
+			if !n.try(vm, pool, "p2") {
+				return false
+			}
+			n.pool[vm.Id] = "p2"
+			use, reserve := n.lacks(pool)
+			n.pool[vm.Id] = pool
+			return use == 0 && reserve == 0 && (up-1)*1000 >= demand*(100+buffer)/100
+		})
+		if vm == nil {
+			return
+		}
+		n.move(vm, "p2")
+	}
+}
+
+// Guards against a capacity planner whose running counts choose otherwise than
+// the rules say, whose moves are refused at the commit, or that moves VMs back
+// and forth under the same demand.
+func TestPlanCapacityMatchesNaive(t *testing.T) {
+	checks(5000, 0)
+	rapid.Check(t, func(t *rapid.T) {
+		ix := drawIndex(t)
+		s := drawFleet(t, ix)
+		load := map[string]int{}
+		for _, vm := range s.VMs() {
+			load[vm.Id] = rapid.IntRange(0, 1).Draw(t, "load")
+			s.change(vm.Id, func(vm *apiv1.Vm) { vm.LastMovedUnixMs = rapid.SampledFrom([]int64{0, 0, 0, 80_000}).Draw(t, "moved") })
+		}
+		in := CapacityInput{
+			WaveInput: WaveInput{NowMS: 100_000, VMs: s.VMs(), Index: ix, Load: func(vm string) int { return load[vm] }},
+			Demand:    map[string]uint64{"p0": rapid.Uint64Range(0, 6000).Draw(t, "demand"), "p1": rapid.Uint64Range(0, 6000).Draw(t, "demand")},
+		}
+		n := &naiveMoves{s: s, in: in, pool: map[string]string{}}
+		for _, vm := range in.VMs {
+			n.pool[vm.Id] = vm.Pool
+		}
+		n.grow()
+		n.shrink("p0")
+		n.shrink("p1")
+		plan := PlanCapacity(in)
+		if !proto.Equal(&apiv1.CreateIntents{Intents: plan}, &apiv1.CreateIntents{Intents: n.out}) {
+			t.Fatalf("plan:\n%v\nwant:\n%v", plan, n.out)
+		}
+		if rejected := s.CreateIntents(in.NowMS, &apiv1.CreateIntents{Intents: plan}, ix); len(rejected) > 0 {
+			t.Fatalf("rejected: %v", rejected)
+		}
+		settle(t, s, in, plan)
+	})
+}
+
+// settle finishes moves and plans again until nothing is left to move. No VM
+// may return to a pool that it left, because the demand stays the same.
+func settle(t *rapid.T, s *State, in CapacityInput, plan []*apiv1.Intent) {
+	left := map[[2]string]bool{}
+	for range 30 {
+		for _, it := range plan {
+			left[[2]string{it.Vm, it.FromPool}] = true
+			if left[[2]string{it.Vm, it.ToPool}] {
+				t.Fatalf("VM %s returns to pool %s under the same demand", it.Vm, it.ToPool)
+			}
+		}
+		s.CreateIntents(in.NowMS, &apiv1.CreateIntents{Intents: plan}, in.Index)
+		var all apiv1.AdvanceIntents
+		for _, phase := range []apiv1.IntentPhase{apiv1.IntentPhase_INTENT_PHASE_OPERATING, apiv1.IntentPhase_INTENT_PHASE_DONE} {
+			for _, it := range s.Intents() {
+				all.Advances = append(all.Advances, &apiv1.IntentAdvance{OperationId: it.OperationId, Phase: phase})
+			}
+		}
+		s.AdvanceIntents(in.NowMS, &all, in.Index)
+		in.NowMS += 100_000
+		in.VMs, in.Intents = s.VMs(), s.Intents()
+		if plan = PlanCapacity(in); len(plan) == 0 {
+			return
+		}
+	}
+	t.Fatal("moves never end under the same demand")
+}
