Refuse unknown configuration fields in the client, and reread operator keys

An edit fetches, changes and publishes the whole set. A client that discards fields of a newer server would remove them for everyone, so a configuration with unknown fields is now refused and not retried. KeyFile reads the operators' keys at each call, so that a removed line needs no restart. Settings also check log levels and URLs when they are read.

--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -157,6 +158,9 @@
 	if op, ok := errors.AsType[*net.OpError](err); ok && op.Op == "dial" {
 		return result.NotRun(apiv1.ResultCode_RESULT_CODE_INCOMPLETE_ANSWER, "%s cannot be reached: %v", c.next, err)
 	}
+	if refused, ok := errors.AsType[*result.Error](err); ok {
+		return refused
+	}
 	if err != nil {
 		return result.New(apiv1.ResultCode_RESULT_CODE_INCOMPLETE_ANSWER, "no complete answer from %s: %v", c.next, err)
 	}
@@ -207,9 +211,23 @@
 			to.Reset()
 		}
 		return nil
+	case *apiv1.Config:
+		return decodeConfig(data, to)
 	case proto.Message:
 		// A newer server may send fields this client does not know.
 		return protojson.UnmarshalOptions{DiscardUnknown: true}.Unmarshal(data, to)
 	}
 	return fmt.Errorf("a reply cannot be decoded into %T", v)
 }
+
+// decodeConfig refuses fields it does not know: an edit publishes the objects
+// back, and would silently remove what a newer server keeps in them.
+func decodeConfig(data []byte, to *apiv1.Config) error {
+	if !json.Valid(data) {
+		return errors.New("the answer is not JSON")
+	}
+	if err := protojson.Unmarshal(data, to); err != nil {
+		return result.NotRun(apiv1.ResultCode_RESULT_CODE_INTERNAL, "the configuration cannot be read by this release of bergamotctl; use the release of the control VMs: %v", err)
+	}
+	return nil
+}
--- a/internal/operator/client_test.go
+++ b/internal/operator/client_test.go
@@ -18,6 +18,7 @@
 	"bergamotdrum.example/bergamotdrum/internal/operator/operatortest"
 	"bergamotdrum.example/bergamotdrum/internal/publish"
 	"bergamotdrum.example/bergamotdrum/internal/result"
+	"bergamotdrum.example/bergamotdrum/internal/settings"
 )
 
 func TestOperator(t *testing.T) {
@@ -91,6 +92,30 @@
 		Expect(result.CodeOf(err)).To(Equal(apiv1.ResultCode_RESULT_CODE_OUTCOME_UNKNOWN))
 	})
 
+	// Guards against a call that waits for ever on a connection that went silent.
+	It("asks the next replica when one accepts and never answers", func() {
+		control, credential := start()
+		silent, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(silent.Close)
+		c, err := operator.NewClient(operator.Options{
+			Addresses: []string{silent.Addr().String(), control.Address}, Credential: credential, Timeout: 2 * time.Second,
+		})
+		Expect(err).NotTo(HaveOccurred())
+		_, err = c.Publish(ctx, &apiv1.PublishConfig{RequestId: "r1", Objects: limit(1)})
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	// Guards against an edit by an older client that drops what it cannot read.
+	It("refuses a configuration with unknown fields", func() {
+		control, credential := start()
+		control.Replies["/v1/config"] = &apiv1.StatusReport{ConfigVersion: 1}
+		_, err := client(credential, control.Address).Config(ctx, 0)
+		Expect(result.CodeOf(err)).To(Equal(apiv1.ResultCode_RESULT_CODE_INTERNAL))
+		Expect(err.Error()).To(ContainSubstring("release"))
+		Expect(control.Requests).To(HaveLen(1))
+	})
+
 	It("returns a refusal at once with its code", func() {
 		control, credential := start()
 		_, err := client(credential, control.Address).Publish(ctx, &apiv1.PublishConfig{RequestId: "r1", Objects: limit(0)})
@@ -136,6 +161,28 @@
 		Expect(problems).To(HaveLen(1))
 	})
 
+	It("applies a changed file at once, and refuses everyone while it has a problem", func() {
+		line, secret := operator.NewKeyLine("ada")
+		path := write(line, 0o600)
+		var seen []settings.Problem
+		file, problems := operator.OpenKeyFile(path, func(p []settings.Problem) { seen = p })
+		Expect(problems).To(BeEmpty())
+		header := "Bearer ada." + secret
+		_, err := file.Authenticate(header)
+		Expect(err).To(BeNil())
+		other, _ := operator.NewKeyLine("bob")
+		Expect(os.WriteFile(path, []byte(other), 0o600)).To(Succeed())
+		_, err = file.Authenticate(header)
+		Expect(err).NotTo(BeNil())
+		Expect(seen).To(BeEmpty())
+		Expect(os.WriteFile(path, []byte(line+"\nbroken\n"), 0o600)).To(Succeed())
+		_, err = file.Authenticate(header)
+		Expect(err).NotTo(BeNil())
+		Expect(seen).To(HaveLen(1))
+		_, problems = operator.OpenKeyFile(path, nil)
+		Expect(problems).To(HaveLen(1))
+	})
+
 	It("reads the client's secret", func() {
 		credential, problems := operator.ReadCredential("ada", write("s3cr3t\n", 0o600))
 		Expect(problems).To(BeEmpty())
--- a/internal/operator/keys.go
+++ b/internal/operator/keys.go
@@ -122,6 +122,37 @@
 	return name, nil
 }
 
+// KeyFile authenticates against a key file that it reads at each call, so that
+// a removed line takes effect at once. Operators make few calls. It is safe for
+// concurrent use.
+type KeyFile struct {
+	path      string
+	onProblem func([]settings.Problem)
+}
+
+// OpenKeyFile reads the file once to report its problems at the start.
+// OnProblem is called when the file cannot be used later; it may be nil.
+func OpenKeyFile(path string, onProblem func([]settings.Problem)) (*KeyFile, []settings.Problem) {
+	if _, problems := ReadKeys(path); len(problems) > 0 {
+		return nil, problems
+	}
+	return &KeyFile{path: path, onProblem: onProblem}, nil
+}
+
+// Authenticate is Keys.Authenticate. While the file has a problem it refuses
+// every operator, because a line that cannot be read may be a changed key.
+func (f *KeyFile) Authenticate(header string) (string, *result.Error) {
+	keys, problems := ReadKeys(f.path)
+	if len(problems) == 0 {
+		return keys.Authenticate(header)
+	}
+	if f.onProblem != nil {
+		f.onProblem(problems)
+	}
+	return "", result.NotRun(apiv1.ResultCode_RESULT_CODE_UNAUTHENTICATED,
+		"the operator keys file of this control VM cannot be used; its log names the problem")
+}
+
 // ReadCredential builds a client's credential from the operator's name and the
 // file with the secret.
 func ReadCredential(name, secretFile string) (string, []settings.Problem) {
--- a/internal/settings/field.go
+++ b/internal/settings/field.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/netip"
+	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -25,6 +27,9 @@
 	byteUnits     = []unit{{"GiB", 1 << 30}, {"MiB", 1 << 20}, {"KiB", 1 << 10}, {"B", 1}}
 )
 
+// logLevels are the levels that processes accept.
+var logLevels = []string{"debug", "info", "warn", "error"}
+
 // RuleOf returns the rule option of a field; an empty rule when it has none.
 func RuleOf(fd protoreflect.FieldDescriptor) *apiv1.FieldRule {
 	opts, ok := fd.Options().(*descriptorpb.FieldOptions)
@@ -223,12 +228,17 @@
 	if text != strings.TrimSpace(text) || strings.ContainsFunc(text, bad) {
 		return &issue{WrongValue, "the value holds a character that is not allowed", "use printable ASCII without quotes, backslash, comma, ; # % and without outer spaces"}
 	}
-	name := string(fd.Name())
-	if !strings.HasSuffix(name, "_address") && !strings.HasSuffix(name, "_addresses") {
-		return nil
-	}
-	if _, err := netip.ParseAddrPort(text); err != nil {
-		return &issue{WrongValue, "the value is not an IP address with a port", "write ip:port, for example 10.0.0.7:7000"}
+	switch name := string(fd.Name()); {
+	case strings.HasSuffix(name, "_address") || strings.HasSuffix(name, "_addresses"):
+		if _, err := netip.ParseAddrPort(text); err != nil {
+			return &issue{WrongValue, "the value is not an IP address with a port", "write ip:port, for example 10.0.0.7:7000"}
+		}
+	case strings.HasSuffix(name, "_url"):
+		if u, err := url.Parse(text); err != nil || u.Host == "" || u.Scheme != "http" && u.Scheme != "https" {
+			return &issue{WrongValue, "the value is not a URL", "write http://host:port or https://host:port"}
+		}
+	case name == "log_level" && !slices.Contains(logLevels, text):
+		return &issue{WrongValue, "the value is not a log level", "write one of: " + strings.Join(logLevels, ", ")}
 	}
 	return nil
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -97,6 +97,9 @@
 		Expect(brief(loadText(entry+"max_body = 3072\n", "entry", &got))).To(Equal("x.ini|wrong value|entry|max_body"))
 		Expect(brief(loadText(strings.Replace(entry, "127.0.0.1:0", "localhost:1", 1), "entry", &got))).
 			To(Equal("x.ini|wrong value|entry|caller_address"))
+		Expect(brief(loadText(entry+"log_level = loud\n", "entry", &got))).To(Equal("x.ini|wrong value|entry|log_level"))
+		Expect(brief(loadText("[control]\nplatform_url = ftp://10.0.0.5:8000\n", "control", &apiv1.ControlSettings{}))).
+			To(ContainSubstring("wrong value|control|platform_url"))
 		Expect(brief(loadText("[control]\nbootstrap = yes\n", "control", &apiv1.ControlSettings{}))).
 			To(ContainSubstring("wrong value|control|bootstrap"))
 	})
