--- a/internal/objects/check.go
+++ b/internal/objects/check.go
@@ -21,7 +21,7 @@
 func Check(set *apiv1.ObjectSet) []Problem {
 	set = cloneSet(set)
 	SortSet(set)
-	c := &checker{ix: NewIndex(set), objects: each(set), used: map[string]bool{}}
+	c := &checker{ix: NewIndex(set), objects: each(set), used: map[ref]bool{}}
 	c.fields()
 	c.names()
 	c.references()
@@ -40,7 +40,7 @@
 type checker struct {
 	ix       *Index
 	objects  []object
-	used     map[string]bool // titles that another object names
+	used     map[ref]bool // objects that another object names
 	problems []Problem
 }
 
@@ -70,17 +70,17 @@
 }
 
 func (c *checker) names() {
-	count := map[string]int{}
+	count := map[ref]int{}
 	for _, o := range c.objects {
-		count[o.title()]++
+		count[o.ref]++
 		if !namePattern.MatchString(o.name) {
 			c.report(settings.WrongValue, o.title(), "", "use 1 to 63 letters, digits, - and _, a letter or digit first",
 				"the name of the object is not allowed")
 		}
 	}
-	for title, n := range count {
+	for r, n := range count {
 		if n > 1 {
-			c.report(settings.DuplicateName, title, "", "keep one of the objects, or rename one",
+			c.report(settings.DuplicateName, r.title(), "", "keep one of the objects, or rename one",
 				"the object is defined %d times", n)
 		}
 	}
@@ -89,9 +89,9 @@
 // references holds every field with a ref rule against the objects of that
 // kind, and marks those objects as used.
 func (c *checker) references() {
-	exists := map[string]bool{}
+	exists := map[ref]bool{}
 	for _, o := range c.objects {
-		exists[o.title()] = true
+		exists[o.ref] = true
 	}
 	for _, o := range c.objects {
 		m := o.msg.ProtoReflect()
@@ -105,17 +105,17 @@
 	}
 }
 
-func (c *checker) reference(o object, fd protoreflect.FieldDescriptor, kind string, exists map[string]bool) {
+func (c *checker) reference(o object, fd protoreflect.FieldDescriptor, kind string, exists map[ref]bool) {
 	seen := map[string]bool{}
 	for _, name := range textValues(o.msg.ProtoReflect(), fd) {
-		target := Title(kind, name)
+		target := ref{kind, name}
 		switch {
 		case name == "":
 		case seen[name]:
-			c.contradiction(o.title(), settings.KeyOf(fd), "name it once", "%s is named twice", target)
+			c.contradiction(o.title(), settings.KeyOf(fd), "name it once", "%s is named twice", target.title())
 		case !exists[target]:
 			c.report(settings.BrokenReference, o.title(), settings.KeyOf(fd),
-				fmt.Sprintf("correct the name, or add a section [%s]", target), "there is no %s", target)
+				fmt.Sprintf("correct the name, or add a section [%s]", target.title()), "there is no %s", target.title())
 		default:
 			c.used[target] = true
 		}
@@ -141,7 +141,7 @@
 func (c *checker) unused() {
 	const fix = "remove it, or name it where it is meant to apply"
 	for _, o := range c.objects {
-		if c.used[o.title()] {
+		if c.used[o.ref] {
 			continue
 		}
 		switch o.kind {
--- a/internal/objects/problem.go
+++ b/internal/objects/problem.go
@@ -1,7 +1,7 @@
 package objects
 
 import (
-	"fmt"
+	"strconv"
 
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/reflect/protoreflect"
@@ -17,17 +17,19 @@
 const nameField = "name"
 
 // Title returns the section title of an object, for example: pool "wards".
-func Title(kind, name string) string { return fmt.Sprintf("%s %q", kind, name) }
+func Title(kind, name string) string { return kind + " " + strconv.Quote(name) }
 
-// object is one object of a set with its kind.
+// ref identifies objects; a title is built only where it is shown.
+type ref struct{ kind, name string }
+
+func (r ref) title() string { return Title(r.kind, r.name) }
+
+// object is one object of a set.
 type object struct {
-	kind string
-	name string
-	msg  proto.Message
+	ref
+	msg proto.Message
 }
 
-func (o object) title() string { return Title(o.kind, o.name) }
-
 // place gives problems of the object their section.
 func (o object) place() settings.Section { return settings.Section{Title: o.title()} }
 
@@ -45,7 +47,7 @@
 		list := m.Get(fd).List()
 		for j := range list.Len() {
 			msg := list.Get(j).Message().Interface()
-			out = append(out, object{string(fd.Name()), nameOf(msg), msg})
+			out = append(out, object{ref{string(fd.Name()), nameOf(msg)}, msg})
 		}
 	}
 	return out
--- a/internal/settings/field.go
+++ b/internal/settings/field.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/reflect/protoreflect"
@@ -30,13 +31,21 @@
 // logLevels are the levels that processes accept.
 var logLevels = []string{"debug", "info", "warn", "error"}
 
+// rules caches the rule of each field by full name: finding an extension takes
+// a sixth of the time of checking an object set.
+var rules sync.Map
+
 // RuleOf returns the rule option of a field; an empty rule when it has none.
 func RuleOf(fd protoreflect.FieldDescriptor) *apiv1.FieldRule {
-	opts, ok := fd.Options().(*descriptorpb.FieldOptions)
-	if !ok || !proto.HasExtension(opts, apiv1.E_Rule) {
-		return &apiv1.FieldRule{}
+	if rule, ok := rules.Load(fd.FullName()); ok {
+		return rule.(*apiv1.FieldRule)
+	}
+	rule := &apiv1.FieldRule{}
+	if opts, ok := fd.Options().(*descriptorpb.FieldOptions); ok && proto.HasExtension(opts, apiv1.E_Rule) {
+		rule = proto.GetExtension(opts, apiv1.E_Rule).(*apiv1.FieldRule)
 	}
-	return proto.GetExtension(opts, apiv1.E_Rule).(*apiv1.FieldRule)
+	rules.Store(fd.FullName(), rule)
+	return rule
 }
 
 // KeyOf returns the INI key of a field: its name without the unit suffix.
