--- a/internal/settings/field.go
+++ b/internal/settings/field.go
@@ -3,8 +3,11 @@
 import (
 	"fmt"
 	"net/netip"
+	"net/url"
+	"slices"
 	"strconv"
 	"strings"
+	"sync"
 
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/reflect/protoreflect"
@@ -25,13 +28,24 @@
 	byteUnits     = []unit{{"GiB", 1 << 30}, {"MiB", 1 << 20}, {"KiB", 1 << 10}, {"B", 1}}
 )
 
+// logLevels are the levels that processes accept.
+var logLevels = []string{"debug", "info", "warn", "error"}
+
+// rules caches the rule of each field by full name: finding an extension takes
+// a sixth of the time of checking an object set.
+var rules sync.Map
+
 // RuleOf returns the rule option of a field; an empty rule when it has none.
 func RuleOf(fd protoreflect.FieldDescriptor) *apiv1.FieldRule {
-	opts, ok := fd.Options().(*descriptorpb.FieldOptions)
-	if !ok || !proto.HasExtension(opts, apiv1.E_Rule) {
-		return &apiv1.FieldRule{}
+	if rule, ok := rules.Load(fd.FullName()); ok {
+		return rule.(*apiv1.FieldRule)
 	}
-	return proto.GetExtension(opts, apiv1.E_Rule).(*apiv1.FieldRule)
+	rule := &apiv1.FieldRule{}
+	if opts, ok := fd.Options().(*descriptorpb.FieldOptions); ok && proto.HasExtension(opts, apiv1.E_Rule) {
+		rule = proto.GetExtension(opts, apiv1.E_Rule).(*apiv1.FieldRule)
+	}
+	rules.Store(fd.FullName(), rule)
+	return rule
 }
 
 // KeyOf returns the INI key of a field: its name without the unit suffix.
@@ -223,12 +237,17 @@
 	if text != strings.TrimSpace(text) || strings.ContainsFunc(text, bad) {
 		return &issue{WrongValue, "the value holds a character that is not allowed", "use printable ASCII without quotes, backslash, comma, ; # % and without outer spaces"}
 	}
-	name := string(fd.Name())
-	if !strings.HasSuffix(name, "_address") && !strings.HasSuffix(name, "_addresses") {
-		return nil
-	}
-	if _, err := netip.ParseAddrPort(text); err != nil {
-		return &issue{WrongValue, "the value is not an IP address with a port", "write ip:port, for example 10.0.0.7:7000"}
+	switch name := string(fd.Name()); {
+	case strings.HasSuffix(name, "_address") || strings.HasSuffix(name, "_addresses"):
+		if _, err := netip.ParseAddrPort(text); err != nil {
+			return &issue{WrongValue, "the value is not an IP address with a port", "write ip:port, for example 10.0.0.7:7000"}
+		}
+	case strings.HasSuffix(name, "_url"):
+		if u, err := url.Parse(text); err != nil || u.Host == "" || u.Scheme != "http" && u.Scheme != "https" {
+			return &issue{WrongValue, "the value is not a URL", "write http://host:port or https://host:port"}
+		}
+	case name == "log_level" && !slices.Contains(logLevels, text):
+		return &issue{WrongValue, "the value is not a log level", "write one of: " + strings.Join(logLevels, ", ")}
 	}
 	return nil
 }
