--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -207,3 +207,16 @@
 	c.t.Helper()
 	c.g.Eventually(m.machine.applied).Should(ContainElements(authors))
 }
+
+// voters returns the number of voters that a member knows, zero while a learner
+// is left.
+func voters(m *member) int {
+	n := 0
+	for _, r := range m.node.Status().Group.Replicas {
+		if r.Learner {
+			return 0
+		}
+		n++
+	}
+	return n
+}
