--- a/internal/control/explain.go
+++ b/internal/control/explain.go
@@ -6,6 +6,7 @@
 	"google.golang.org/protobuf/proto"
 
 	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+	"bergamotdrum.example/bergamotdrum/internal/fleet"
 	"bergamotdrum.example/bergamotdrum/internal/jobs"
 	"bergamotdrum.example/bergamotdrum/internal/result"
 	"bergamotdrum.example/bergamotdrum/internal/state"
@@ -23,7 +24,7 @@
 		case q.Get("request") != "":
 			report = explainRequest(st, q.Get("request"))
 		case q.Get("vm") != "":
-			report = explainVM(st, q.Get("vm"))
+			report = c.l.explainVM(st, q.Get("vm"))
 		}
 	})
 	if err != nil {
@@ -73,7 +74,7 @@
 	}
 }
 
-func explainVM(st *state.State, id string) *apiv1.ExplainReport {
+func (l *leadership) explainVM(st *state.State, id string) *apiv1.ExplainReport {
 	vm, ok := st.Fleet.VM(id)
 	if !ok {
 		return nil
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -17,6 +17,9 @@
 	jobPlanInterval   = 100 * time.Millisecond
 	fleetPlanInterval = time.Second
 	proposeTimeout    = 5 * time.Second
+	// defaultDrainTimeout bounds drains of moves, which no maintenance object
+	// belongs to.
+	defaultDrainTimeout = 60 * time.Second
 )
 
 // leadership is the soft state of one term as leader. A new leader starts with
@@ -26,11 +29,18 @@
 	ctx      context.Context
 	sessions *sessionTracker
 	workers  *workerTracker
-	wakeJobs chan struct{}
+	demand   demandEstimate
+	// leavingSince holds the view version in which a draining VM is leaving, by
+	// operation id. Only the executor's goroutine uses it.
+	leavingSince map[string]uint64
 }
 
 func newLeadership(s *Server, ctx context.Context) *leadership {
-	l := &leadership{s: s, ctx: ctx, wakeJobs: make(chan struct{}, 1)}
+	l := &leadership{
+		s: s, ctx: ctx,
+		demand:       demandEstimate{pools: map[string]float64{}},
+		leavingSince: map[string]uint64{},
+	}
 	now := s.o.Clock.Now()
 	l.sessions = newSessionTracker(s.o.SessionTTL + s.o.Margin)
 	l.workers = newWorkerTracker(s.o.LeaseTTL + s.o.Margin)
--- a/internal/control/planners.go
+++ b/internal/control/planners.go
@@ -8,22 +8,6 @@
 	"bergamotdrum.example/bergamotdrum/internal/state"
 )
 
-// ExecutorSource is what an Executor reads and commits.
-type ExecutorSource interface {
-	// Intents returns the committed intents that are not finished.
-	Intents() []*apiv1.Intent
-	// Drained reports whether nothing runs on the VM and nothing more will be
-	// sent to it.
-	Drained(vm string) bool
-	// Advance commits new phases.
-	Advance(ctx context.Context, advances []*apiv1.IntentAdvance) error
-}
-
-// Executor carries out intents against the platform until ctx ends.
-type Executor interface {
-	Run(ctx context.Context)
-}
-
 // planJobs places pending jobs on workers.
 func (l *leadership) planJobs(ctx context.Context) {
 	var plan *apiv1.PlaceJobs
@@ -35,13 +19,6 @@
 	l.commit(ctx, "jobs placed", &apiv1.Command{Body: &apiv1.Command_PlaceJobs{PlaceJobs: plan}})
 }
 
-// planFleet proposes maintenance and moves between pools.
-func (l *leadership) planFleet(ctx context.Context) {
-	_ = ctx
-}
-
-func (l *leadership) runExecutor() {}
-
 // planJobs returns nil when there is nothing to place.
 func planJobs(st *state.State) *apiv1.PlaceJobs {
 	in := planInput(st)
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -13,6 +13,7 @@
 
 	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
 	"bergamotdrum.example/bergamotdrum/internal/clock"
+	"bergamotdrum.example/bergamotdrum/internal/platform"
 	"bergamotdrum.example/bergamotdrum/internal/replica"
 	"bergamotdrum.example/bergamotdrum/internal/result"
 	"bergamotdrum.example/bergamotdrum/internal/rpc"
@@ -38,8 +39,8 @@
 	// covers the drift between two boot clocks over one TTL.
 	Margin   time.Duration
 	LeaseTTL time.Duration
-	// NewExecutor is nil when fleet operations are off.
-	NewExecutor func(ExecutorSource) Executor
+	// Platform is nil when fleet operations are off.
+	Platform platform.API
 	// OperatorKeys maps an operator's name to the key.
 	OperatorKeys OperatorKeys
 	// OperatorAddresses maps a replica's RPC address to its operator address;
--- a/internal/daemon/control/daemon.go
+++ b/internal/daemon/control/daemon.go
@@ -15,6 +15,7 @@
 	"bergamotdrum.example/bergamotdrum/internal/daemon"
 	"bergamotdrum.example/bergamotdrum/internal/observe"
 	"bergamotdrum.example/bergamotdrum/internal/operator"
+	"bergamotdrum.example/bergamotdrum/internal/platform"
 	"bergamotdrum.example/bergamotdrum/internal/replica"
 	"bergamotdrum.example/bergamotdrum/internal/rpc"
 	"bergamotdrum.example/bergamotdrum/internal/settings"
@@ -90,6 +91,10 @@
 
 func (d *Daemon) startReplica(set *apiv1.ControlSettings, keys control.OperatorKeys, addresses map[string]string) error {
 	machine := state.New()
+	var api platform.API
+	if set.PlatformUrl != "" {
+		api = platform.NewClient(set.PlatformUrl)
+	}
 	d.Control = control.New(control.Options{
 		Machine:           machine,
 		Clock:             clock.Boot{},
@@ -97,6 +102,7 @@
 		SessionTTL:        ms(set.SessionTtlMs),
 		Margin:            ms(set.SessionMarginMs),
 		LeaseTTL:          ms(set.LeaseTtlMs),
+		Platform:          api,
 		OperatorKeys:      keys,
 		OperatorAddresses: addresses,
 		Registry:          d.Process.Registry,
