--- a/internal/control/explain.go
+++ b/internal/control/explain.go
@@ -82,7 +82,7 @@
 	report := &apiv1.ExplainReport{
 		Kind:    "vm",
 		Id:      id,
-		Summary: "Phase of the operation: " + vm.OperationId,
+		Summary: fleet.Explain(l.capacityInput(st), id),
 		Facts: []*apiv1.ExplainFact{
 			fact("pool", vm.Pool), fact("availability zone", vm.AvailabilityZone), fact("rack", vm.Rack),
 			fact("operation", vm.OperationId), fact("worker", vm.WorkerId),
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
@@ -53,10 +54,15 @@
 }
 
 // demandEstimate smooths the work running and waiting per pool, in milli-VMs.
-type demandEstimate struct{ pools map[string]float64 }
+type demandEstimate struct {
+	mu    sync.Mutex
+	pools map[string]float64
+}
 
 func (d *demandEstimate) update(st *state.State) {
 	now := currentDemand(st)
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	for _, pool := range st.Index.Set.Pool {
 		old, known := d.pools[pool.Name]
 		if !known {
@@ -67,6 +73,8 @@
 }
 
 func (d *demandEstimate) perPool() map[string]uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	out := make(map[string]uint64, len(d.pools))
 	for pool, v := range d.pools {
 		out[pool] = uint64(v)
