Prove zones, keys, graceful stop, repair and restart on real processes

Failures found on the way: - A graceful stop cut requests (EOF seen by a caller): the shutdown closed a keep-alive connection as idle while a request was on its way. Ruled out: the drain, which waits for requests in flight.

--- a/internal/daemon/entry/daemon.go
+++ b/internal/daemon/entry/daemon.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
@@ -36,6 +37,7 @@
 	targets   *http.Server
 	admin     *http.Server
 
+	stopping    atomic.Bool
 	stopHost    context.CancelFunc
 	stopSession context.CancelFunc
 	stopEntry   context.CancelFunc
@@ -111,7 +113,7 @@
 }
 
 func (d *Daemon) serve(l []net.Listener) {
-	d.callers = d.Entry.HTTPServer(d.Entry.CallerHandler())
+	d.callers = d.Entry.HTTPServer(d.closeWhenStopping(d.Entry.CallerHandler()))
 	d.targets = d.Entry.HTTPServer(d.Entry.TargetHandler())
 	d.admin = d.Process.AdminServer()
 	hostCtx, stopHost := context.WithCancel(context.Background())
@@ -136,11 +138,24 @@
 	}
 }
 
+// closeWhenStopping ends connections with their next response once the process
+// is stopping. Otherwise a caller could send a request on a connection at the
+// moment in which the shutdown closes it as idle, and see it cut.
+func (d *Daemon) closeWhenStopping(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if d.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // Stop shuts down gracefully: it fails readiness, gives the balancer time to
 // notice, ends the requests in flight, hands over the shards and closes the
 // session. The shards serve other entry processes until the end, so that their
 // services stand still only for the hand-over.
 func (d *Daemon) Stop() error {
+	d.stopping.Store(true)
 	d.Process.SetReady(false)
 	time.Sleep(ms(d.set.ReadyDelayMs))
 	ctx, cancel := context.WithTimeout(context.Background(), ms(d.set.DrainTimeoutMs))
--- a/test/process/cluster_test.go
+++ b/test/process/cluster_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -31,6 +32,7 @@
 	rpc, operator, caller, target string
 	cmd                           *exec.Cmd
 	exited                        chan error
+	paused                        bool
 }
 
 func (p *proc) start() {
@@ -47,6 +49,13 @@
 }
 
 func (p *proc) signal(sig syscall.Signal) {
+	switch sig {
+	case syscall.SIGSTOP:
+		p.paused = true
+	case syscall.SIGCONT:
+		p.paused = false
+	default:
+	}
 	Expect(p.cmd.Process.Signal(sig)).To(Succeed())
 }
 
@@ -74,6 +83,7 @@
 	operatorCredential        string
 	callerCredential          string
 	controls, entries         []*proc
+	lastLeader                *proc
 	objects                   *apiv1.ObjectSet
 	minions                   []*fakes.Minion
 }
@@ -195,14 +205,21 @@
 	}
 }
 
-// operate calls the operators' API on whichever replica leads.
+// operateTimeout is above the time that a publish may wait for "in force". A
+// paused replica accepts connections and never answers.
+const operateTimeout = 12 * time.Second
+
+// operate calls the operators' API on whichever replica leads, first on the
+// one that led last.
 func (c *cluster) operate(method, path string, req, resp proto.Message) error {
 	err := fmt.Errorf("no control replica answers")
-	for _, p := range c.controls {
-		if p.cmd == nil {
+	order := append([]*proc{c.lastLeader}, c.controls...)
+	for i, p := range order {
+		if p == nil || p.cmd == nil || p.paused || (i > 0 && p == c.lastLeader) {
 			continue
 		}
 		if err = c.operateAt(p, method, path, req, resp); err == nil {
+			c.lastLeader = p
 			return nil
 		}
 	}
@@ -223,7 +240,7 @@
 		return err
 	}
 	r.Header.Set("Authorization", "Bearer "+c.operatorCredential)
-	client := &http.Client{Timeout: patience}
+	client := &http.Client{Timeout: operateTimeout}
 	answer, err := client.Do(r)
 	if err != nil {
 		return err
@@ -263,6 +280,23 @@
 	return found
 }
 
+// replicaID returns the identity under which the control process is a member.
+func (c *cluster) replicaID(p *proc) uint64 {
+	GinkgoHelper()
+	var id uint64
+	Eventually(func(g Gomega) {
+		report, err := c.status()
+		g.Expect(err).NotTo(HaveOccurred())
+		for _, r := range report.ControlReplicas {
+			if r.RpcAddress == p.rpc {
+				id = r.ReplicaId
+			}
+		}
+		g.Expect(id).NotTo(BeZero())
+	}).Should(Succeed())
+	return id
+}
+
 // shardHost returns the entry process that hosts the service's shard.
 func (c *cluster) shardHost(service string) *proc {
 	var found *proc
