Test the data folder against damage and power loss

Each byte of a log before its last record is damaged in turn, each cut of the last record is tried, and the syncs of files and folders are recorded in order.

A missing newest segment cannot be told from a log that ended before it, and a last record with a flipped bit not from a torn one.

--- a/internal/storage/files.go
+++ b/internal/storage/files.go
@@ -16,6 +16,13 @@
 	lockName   = "lock"
 )
 
+// syncFile makes a file or folder durable. Tests record the calls.
+var syncFile = func(f *os.File) error { return f.Sync() }
+
+// syncData makes the bytes of a file durable, and of its metadata only the
+// size, which reading them back needs.
+var syncData = func(f *os.File) error { return unix.Fdatasync(int(f.Fd())) }
+
 // syncFolder makes created, renamed and removed names durable.
 func syncFolder(path string) error {
 	d, err := os.Open(path)
@@ -23,7 +30,7 @@
 		return err
 	}
 	defer d.Close()
-	return d.Sync()
+	return syncFile(d)
 }
 
 // writeFile makes name hold data, either wholly or not at all after a crash.
@@ -37,7 +44,7 @@
 		f.Close()
 		return err
 	}
-	if err := f.Sync(); err != nil {
+	if err := syncFile(f); err != nil {
 		f.Close()
 		return err
 	}
--- /dev/null
+++ b/internal/storage/folder_test.go
@@ -0,0 +1,263 @@
+package storage
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+	"bergamotdrum.example/bergamotdrum/internal/result"
+)
+
+func entry(index, term uint64, data string) *apiv1.LogEntry {
+	return &apiv1.LogEntry{Index: index, Term: term, Kind: apiv1.EntryKind_ENTRY_KIND_COMMAND, Data: []byte(data)}
+}
+
+func texts(c *Contents) []string {
+	var out []string
+	for _, e := range c.Entries {
+		out = append(out, string(e.Data))
+	}
+	return out
+}
+
+// fill writes three batches and returns the folder's path and its only segment.
+func fill(t *testing.T) (path, segment string) {
+	g := NewWithT(t)
+	path = filepath.Join(t.TempDir(), "data")
+	f, _, err := Open(path)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer f.Close()
+	for i, text := range []string{"one", "two", "three"} {
+		index := uint64(i + 1)
+		g.Expect(f.Save(&apiv1.HardState{Term: 1, Commit: index}, []*apiv1.LogEntry{entry(index, 1, text)}, true)).To(Succeed())
+	}
+	return path, filepath.Join(path, segmentName(1))
+}
+
+func reopen(t *testing.T, path string) (*Contents, error) {
+	f, c, err := Open(path)
+	if err == nil {
+		t.Cleanup(f.Close)
+	}
+	return c, err
+}
+
+// Guards against a crash during a write making a replica unusable, and against
+// a new record after the cut-off one being unreadable.
+func TestTornTailIsTruncated(t *testing.T) {
+	path, segment := fill(t)
+	whole, err := os.ReadFile(segment)
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	third := int64(bytes.Index(whole, []byte("three")))
+	for cut := third - 9; cut < int64(len(whole)); cut++ {
+		g := NewWithT(t)
+		g.Expect(os.WriteFile(segment, whole[:cut], fileMode)).To(Succeed())
+		f, c, err := Open(path)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(texts(c)).To(Equal([]string{"one", "two"}))
+		g.Expect(f.Save(nil, []*apiv1.LogEntry{entry(3, 2, "new")}, true)).To(Succeed())
+		f.Close()
+		f, c, err = Open(path)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(texts(c)).To(Equal([]string{"one", "two", "new"}))
+		f.Close()
+	}
+}
+
+// Guards against damaged synced records being dropped in silence: one flipped
+// bit anywhere before the last record must keep the folder closed.
+func TestDamageBeforeTailIsRefused(t *testing.T) {
+	path, segment := fill(t)
+	whole, err := os.ReadFile(segment)
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	second, last := 0, 0
+	for record, offset := 0, int64(0); offset < int64(len(whole)); record++ {
+		if record == 2 {
+			second = int(offset)
+		}
+		last = int(offset)
+		_, _, offset, _ = decodeRecord(whole, offset)
+	}
+	for at := range last {
+		g := NewWithT(t)
+		damaged := bytes.Clone(whole)
+		damaged[at] ^= 4
+		g.Expect(os.WriteFile(segment, damaged, fileMode)).To(Succeed())
+		_, err := reopen(t, path)
+		g.Expect(result.CodeOf(err)).To(Equal(apiv1.ResultCode_RESULT_CODE_DATA_DAMAGED), "byte %d", at)
+		if at >= second && at < second+recordHeaderBytes {
+			g.Expect(err.Error()).To(And(ContainSubstring(segmentName(1)), ContainSubstring("record 2"), ContainSubstring("offset")))
+		}
+	}
+}
+
+// Guards against a log that loses entries, keeps overwritten ones or cannot be
+// opened after it was split, compacted and continued.
+func TestLogSurvivesSnapshotsAndSegments(t *testing.T) {
+	g := NewWithT(t)
+	path := filepath.Join(t.TempDir(), "data")
+	f, _, err := Open(path)
+	g.Expect(err).NotTo(HaveOccurred())
+	id := f.ReplicaID()
+	save := func(index, term uint64, text string) {
+		g.Expect(f.Save(&apiv1.HardState{Term: term}, []*apiv1.LogEntry{entry(index, term, text)}, true)).To(Succeed())
+	}
+	snapshot := func(index uint64, replaceLog bool) {
+		s := &apiv1.Snapshot{Meta: &apiv1.SnapshotMeta{Index: index, Term: 1}, Data: []byte("state")}
+		g.Expect(f.WriteSnapshot(s)).To(Succeed())
+		g.Expect(f.UseSnapshot(s.Meta, replaceLog)).To(Succeed())
+	}
+	again := func() *Contents {
+		f.Close()
+		var c *Contents
+		f, c, err = Open(path)
+		g.Expect(err).NotTo(HaveOccurred())
+		return c
+	}
+	save(1, 1, "a")
+	save(2, 1, "b")
+	save(3, 1, "old")
+	save(3, 2, "c")
+	snapshot(1, false)
+	g.Expect(texts(again())).To(Equal([]string{"b", "c"}))
+	g.Expect(f.wal.roll(false)).To(Succeed())
+	save(4, 2, "d")
+	snapshot(2, false)
+	save(5, 2, "e")
+	snapshot(3, false)
+	c := again()
+	g.Expect(texts(c)).To(Equal([]string{"d", "e"}))
+	g.Expect(c.Snapshot.Meta.Index).To(BeNumerically("==", 3))
+	g.Expect(c.HardState.Term).To(BeNumerically("==", 2))
+	g.Expect(listNames(path, snapshotSuffix)).To(HaveLen(1))
+	g.Expect(listNames(path, segmentSuffix)).NotTo(ContainElement(segmentName(1)))
+	snapshot(4, true)
+	g.Expect(texts(again())).To(BeEmpty())
+	save(5, 3, "f")
+	g.Expect(texts(again())).To(Equal([]string{"f"}))
+	g.Expect(f.ReplicaID()).To(Equal(id))
+	f.Close()
+}
+
+// Guards against a folder that lost a part of its memory passing for a new or
+// an intact one: the replica could vote twice in a term.
+func TestFolderWithMissingFilesIsRefused(t *testing.T) {
+	const identityOfOneSegment = "ident*"
+	for _, missing := range []string{identityName, "*1.wal", "*2.wal", "*.wal", "tail", identityOfOneSegment} {
+		g := NewWithT(t)
+		path, _ := fill(t)
+		f, _, err := Open(path)
+		g.Expect(err).NotTo(HaveOccurred())
+		for missing != identityOfOneSegment && len(f.wal.segments) < 3 {
+			g.Expect(f.wal.roll(false)).To(Succeed())
+			g.Expect(f.Save(nil, []*apiv1.LogEntry{entry(4, 1, "four")}, true)).To(Succeed())
+		}
+		f.Close()
+		if missing == "tail" {
+			g.Expect(os.Truncate(filepath.Join(path, segmentName(2)), 60)).To(Succeed())
+		}
+		names, err := filepath.Glob(filepath.Join(path, missing))
+		g.Expect(err).NotTo(HaveOccurred())
+		for _, name := range names {
+			g.Expect(os.Remove(name)).To(Succeed())
+		}
+		_, err = reopen(t, path)
+		g.Expect(result.CodeOf(err)).To(Equal(apiv1.ResultCode_RESULT_CODE_DATA_DAMAGED), missing)
+	}
+}
+
+// Guards against a crash between the first files of a new folder keeping it
+// from being used.
+func TestInterruptedCreationIsRepeated(t *testing.T) {
+	g := NewWithT(t)
+	path := filepath.Join(t.TempDir(), "data")
+	f, _, err := Open(path)
+	g.Expect(err).NotTo(HaveOccurred())
+	before := f.ReplicaID()
+	f.Close()
+	g.Expect(os.Remove(filepath.Join(path, identityName))).To(Succeed())
+	f, _, err = Open(path)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer f.Close()
+	g.Expect(f.ReplicaID()).NotTo(Equal(before))
+}
+
+// Guards against two processes writing one log, and against files that other
+// users can read.
+func TestFolderIsLockedAndPrivate(t *testing.T) {
+	g := NewWithT(t)
+	path := filepath.Join(t.TempDir(), "data")
+	f, _, err := Open(path)
+	g.Expect(err).NotTo(HaveOccurred())
+	_, _, err = Open(path)
+	g.Expect(err).To(MatchError(ContainSubstring("in use by another process")))
+	g.Expect(f.SetClusterID(7)).To(Succeed())
+	g.Expect(f.WriteSnapshot(&apiv1.Snapshot{Meta: &apiv1.SnapshotMeta{Index: 1}})).To(Succeed())
+	f.Close()
+	entries, err := os.ReadDir(path)
+	g.Expect(err).NotTo(HaveOccurred())
+	for _, e := range entries {
+		info, err := e.Info()
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(info.Mode().Perm()).To(BeNumerically("==", 0o600), e.Name())
+	}
+	info, err := os.Stat(path)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(info.Mode().Perm()).To(BeNumerically("==", 0o700))
+}
+
+// Guards against acknowledging what a power loss takes back: every write is
+// followed by a sync of the file, and a new name by a sync of the folder.
+func TestEverythingIsSyncedBeforeItIsAcknowledged(t *testing.T) {
+	g := NewWithT(t)
+	var synced []string
+	file, data := syncFile, syncData
+	defer func() { syncFile, syncData = file, data }()
+	syncFile = func(f *os.File) error { synced = append(synced, filepath.Base(f.Name())); return file(f) }
+	syncData = func(f *os.File) error { synced = append(synced, filepath.Base(f.Name())); return data(f) }
+	expect := func(names ...string) {
+		t.Helper()
+		g.Expect(synced).To(Equal(names))
+		synced = nil
+	}
+	parent := t.TempDir()
+	f, _, err := Open(filepath.Join(parent, "data"))
+	g.Expect(err).NotTo(HaveOccurred())
+	defer f.Close()
+	expect(segmentName(1)+tempSuffix, "data", identityName+tempSuffix, "data", filepath.Base(parent))
+	g.Expect(f.Save(&apiv1.HardState{Term: 1}, []*apiv1.LogEntry{entry(1, 1, "one")}, true)).To(Succeed())
+	expect(segmentName(1))
+	s := &apiv1.Snapshot{Meta: &apiv1.SnapshotMeta{Index: 1, Term: 1}}
+	g.Expect(f.WriteSnapshot(s)).To(Succeed())
+	expect(snapshotName(1)+tempSuffix, "data")
+	g.Expect(f.UseSnapshot(s.Meta, false)).To(Succeed())
+	expect(segmentName(1), segmentName(2)+tempSuffix, "data", "data")
+	syncData = func(*os.File) error { return os.ErrInvalid }
+	g.Expect(f.Save(nil, []*apiv1.LogEntry{entry(2, 1, "two")}, true)).To(MatchError(os.ErrInvalid))
+}
+
+// Guards against a record decoder that panics or accepts what was not written
+// as one record at that offset.
+func FuzzDecodeRecord(f *testing.F) {
+	f.Add(appendRecord(nil, 0, kindBatch, []byte("payload")), uint16(0))
+	f.Add(appendRecord([]byte("head"), 4, kindHeader, nil), uint16(4))
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0, 0, 0, 0, 2, 1}, uint16(0))
+	f.Add(make([]byte, 64), uint16(3))
+	f.Fuzz(func(t *testing.T, data []byte, at uint16) {
+		offset := min(int64(at), int64(len(data)))
+		kind, payload, next, err := decodeRecord(data, offset)
+		if err != nil {
+			return
+		}
+		if again := appendRecord(nil, offset, kind, payload); !bytes.Equal(again, data[offset:next]) {
+			t.Fatalf("record at %d encodes to %x, was %x", offset, again, data[offset:next])
+		}
+		if _, _, _, err := decodeRecord(data[offset:], 0); offset > 0 && err == nil {
+			t.Fatalf("record of offset %d is accepted at offset 0", offset)
+		}
+	})
+}
--- a/internal/storage/replay.go
+++ b/internal/storage/replay.go
@@ -77,7 +77,7 @@
 	if err := r.wal.file.Truncate(offset); err != nil {
 		return fmt.Errorf("truncate segment %s: %w", name, err)
 	}
-	if err := r.wal.file.Sync(); err != nil {
+	if err := syncFile(r.wal.file); err != nil {
 		return fmt.Errorf("sync segment %s: %w", name, err)
 	}
 	return nil
--- a/internal/storage/wal.go
+++ b/internal/storage/wal.go
@@ -5,7 +5,6 @@
 	"os"
 	"path/filepath"
 
-	"golang.org/x/sys/unix"
 	"google.golang.org/protobuf/proto"
 
 	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
@@ -84,7 +83,7 @@
 	if !sync {
 		return nil
 	}
-	if err := unix.Fdatasync(int(w.file.Fd())); err != nil {
+	if err := syncData(w.file); err != nil {
 		return fmt.Errorf("sync log: %w", err)
 	}
 	return nil
@@ -131,7 +130,7 @@
 func (w *wal) roll(replaceLog bool) error {
 	next := segment{sequence: 1}
 	if w.file != nil {
-		if err := w.file.Sync(); err != nil {
+		if err := syncFile(w.file); err != nil {
 			return err
 		}
 		next.sequence = w.current().sequence + 1
