--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -55,11 +55,12 @@
 
 // fakeControl commits to a real ledger.
 type fakeControl struct {
-	mu      sync.Mutex
-	ledger  *ledger.State
-	onStart func() // runs at each StartRequest
-	jobs    []*apiv1.SubmitJob
-	batch   []*apiv1.WorkerBatch
+	mu       sync.Mutex
+	ledger   *ledger.State
+	onStart  func() // runs at each StartRequest
+	onFinish func()
+	jobs     []*apiv1.SubmitJob
+	batch    []*apiv1.WorkerBatch
 	// loseStart makes the answer of the next StartRequest get lost after the
 	// commit.
 	loseStart bool
@@ -82,6 +83,9 @@
 			return nil, &session.LostAnswer{Cause: result.New(apiv1.ResultCode_RESULT_CODE_OUTCOME_UNKNOWN, "lost")}
 		}
 	case *apiv1.Command_FinishRequest:
+		if c.onFinish != nil {
+			c.onFinish()
+		}
 		rec, err = c.ledger.Finish(now, b.FinishRequest)
 	case *apiv1.Command_SubmitJob:
 		c.jobs = append(c.jobs, b.SubmitJob)
--- a/internal/entry/proxy_test.go
+++ b/internal/entry/proxy_test.go
@@ -134,7 +134,8 @@
 func TestDrainCutsNoRequest(t *testing.T) {
 	g := NewWithT(t)
 	w := newWorld(t, 1, 1)
-	inside, release := make(chan struct{}), make(chan struct{})
+	inside, release, commit := make(chan struct{}), make(chan struct{}), make(chan struct{})
+	w.control.onFinish = func() { <-commit }
 	w.minions[0].SetResponder(func(*http.Request, []byte) (int, []byte) {
 		inside <- struct{}{}
 		<-release
@@ -153,6 +154,8 @@
 	close(release)
 	g.Expect((<-got).body).To(Equal("whole"))
 	g.Expect((<-got).body).To(Equal("whole"))
+	g.Consistently(drained, "50ms").ShouldNot(Receive())
+	close(commit)
 	g.Expect(<-drained).To(Succeed())
 	g.Expect(w.shard.count(apiv1.GrantOutcome_GRANT_OUTCOME_DONE)).To(Equal(2))
 	g.Expect(w.control.ledger.Snapshot().Records[0].State).To(Equal(apiv1.RequestState_REQUEST_STATE_DONE))
