--- a/internal/entry/announce.go
+++ b/internal/entry/announce.go
@@ -72,6 +72,7 @@
 		return
 	}
 	s.minions.add(m)
+	s.setCallerDeadline(w)
 	w.Header().Set(headerResult, resultOK)
 	w.WriteHeader(http.StatusNoContent)
 }
--- a/internal/entry/guard_test.go
+++ b/internal/entry/guard_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -48,7 +49,8 @@
 
 			w = newWorld(t, 1, 1)
 			w.shard.afterNext = change
-			r = w.send(0, "POST", "/v1/services/alerts/", "", headerIdempotencyKey, newAttemptID())
+			large := strings.Repeat("x", 2*maxInlineBodyBytes)
+			r = w.send(0, "POST", "/v1/services/alerts/", large, headerIdempotencyKey, newAttemptID())
 			g.Expect(r.notRun()).To(BeTrue())
 			arrived, _ := w.minions[0].Total()
 			g.Expect(arrived).To(BeZero())
--- a/internal/entry/proxy_test.go
+++ b/internal/entry/proxy_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -95,6 +97,31 @@
 	g.Eventually(func() int { return w.shard.count(apiv1.GrantOutcome_GRANT_OUTCOME_TARGET_FAILED) }).Should(Equal(1))
 }
 
+// Guards against large requests and responses that are mixed up or cut, and
+// against a response header without end.
+func TestLargeBodiesPassBothWays(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(t, 1, 1)
+	body := strings.Repeat("0123456789", 500_000)
+	g.Expect(w.send(0, "PUT", "/v1/services/alerts/", body).body).To(HaveSuffix(" " + body))
+	w.minions[0].SetFault(fakes.MinionLongHeader)
+	g.Expect(w.send(0, "GET", "/v1/services/alerts/", "").code()).To(Equal("3004"))
+}
+
+// Guards against a write deadline of one response that cuts the next one on
+// the same connection.
+func TestWriteDeadlineEndsWithTheResponse(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(t, 1, 1, func(o *Options) { o.WriteTimeout = 20 * time.Millisecond })
+	head := "GET /v1/services/alerts/ HTTP/1.1\r\nHost: a\r\nBergamot-Queue: heat\r\nAuthorization: Bearer "
+	c := w.dial(g, head+w.credential+"\r\n\r\n")
+	defer c.Close()
+	time.Sleep(60 * time.Millisecond)
+	c.Write([]byte(head + "wrong\r\nConnection: close\r\n\r\n"))
+	got, _ := io.ReadAll(c)
+	g.Expect(string(got)).To(ContainSubstring("Bergamot-Result: 1001"))
+}
+
 // Guards against retries that multiply an overload.
 func TestRetryBudget(t *testing.T) {
 	g := NewWithT(t)
