Evict jobs from leaving VMs and end throttling when nothing urgent waits

Long jobs held a drain until its timeout and then lost their work to the operation. The planner now asks repeatable jobs on a leaving VM that need more than 30 s, or that are past their declared time, to checkpoint and stop; they continue elsewhere. Stopping every job was ruled out, because a job near its end costs less when it finishes. A throttled job stayed slow until its end even after the urgent job had found room elsewhere; PlaceJobs.resume_job_ids undoes it. A worker throttles a task for as long as each answer says so, so resuming needs no action of its own.

The stateful test of leases now also drains VMs and cancels drains.

--- a/internal/fakes/worker_heartbeat.go
+++ b/internal/fakes/worker_heartbeat.go
@@ -99,6 +99,10 @@
 	for _, e := range ins.Acknowledged {
 		w.acknowledged(hb, e)
 	}
+	// A task is throttled for as long as each answer says so.
+	for _, t := range w.tasks {
+		t.throttled = false
+	}
 	for _, in := range ins.Instructions {
 		w.instruct(in, until)
 	}
--- a/internal/jobs/commands_test.go
+++ b/internal/jobs/commands_test.go
@@ -87,7 +87,7 @@
 func TestPreemptionIsVerified(t *testing.T) {
 	w := newWorld(t)
 	for n, prio := range []int{3, 1, 3, 2} {
-		w.submit(n, prio, n != 2, 1)
+		w.submit(n, prio, n%3 == 0, 1)
 		w.Expect(w.place(n, "w-vm"+fmt.Sprint(n/2), 0)).To(Equal(ok))
 	}
 	act := func(cmd *apiv1.PlaceJobs) apiv1.ResultCode {
@@ -112,6 +112,14 @@
 	w.Expect(w.job(0).State).To(Equal(apiv1.JobState_JOB_STATE_PENDING))
 	w.Expect(string(w.job(0).Checkpoint)).To(Equal("data"))
 	w.Expect(w.place(9, "w-vm0", 0)).To(Equal(ok))
+	w.Expect(act(&apiv1.PlaceJobs{ResumeJobIds: []string{jobID(startMS, 2)}})).To(Equal(ok))
+	w.Expect(w.job(2).Lease.Throttled).To(BeFalse())
+	evict := &apiv1.PlaceJobs{EvictJobIds: []string{jobID(startMS, 9)}}
+	w.Expect(act(evict)).To(Equal(refused), "its VM stays")
+	w.fleet.CreateIntents(startMS, &apiv1.CreateIntents{Intents: []*apiv1.Intent{{OperationId: "o", Vm: "vm0", Kind: apiv1.IntentKind_INTENT_KIND_DRAIN}}}, w.ix)
+	w.Expect(act(&apiv1.PlaceJobs{EvictJobIds: []string{jobID(startMS, 1)}})).To(Equal(refused), "not repeatable")
+	w.Expect(act(evict)).To(Equal(ok))
+	w.Expect(w.job(9).State).To(Equal(apiv1.JobState_JOB_STATE_STOPPING))
 }
 
 // Guards against work accepted that can never run, or that may have run before.
--- a/internal/jobs/lease_test.go
+++ b/internal/jobs/lease_test.go
@@ -164,7 +164,7 @@
 
 // compute makes a plan that may be committed later, or twice.
 func (c *cluster) compute() *apiv1.PlaceJobs {
-	cmd := jobs.Plan(jobs.PlanInput{Jobs: c.jobs.Live(), VMs: c.fleet.VMs(), Index: c.ix, FreeSlots: map[string]uint32{"t": uint32(maxRunning - c.limits["t"])}})
+	cmd := jobs.Plan(jobs.PlanInput{NowMS: c.now(), Jobs: c.jobs.Live(), VMs: c.fleet.VMs(), Index: c.ix, FreeSlots: map[string]uint32{"t": uint32(maxRunning - c.limits["t"])}})
 	c.plans = append(c.plans, cmd)
 	return cmd
 }
@@ -265,8 +265,17 @@
 	c.nested = false
 }
 
+func (c *cluster) undrain() {
+	cmd := &apiv1.AdvanceIntents{}
+	for _, in := range c.fleet.Intents() {
+		cmd.Advances = append(cmd.Advances, &apiv1.IntentAdvance{OperationId: in.OperationId, Phase: apiv1.IntentPhase_INTENT_PHASE_CANCELED})
+	}
+	c.fleet.AdvanceIntents(c.now(), cmd, c.ix)
+}
+
 // finish heals everything; then every job must end.
 func (c *cluster) finish() {
+	c.undrain()
 	for _, w := range c.workers {
 		w.Resume()
 		w.SetFailAll(false)
@@ -308,6 +317,12 @@
 				c.workers[i].Resume()
 				c.workers[i].Step()
 			},
+			"drain": func(t *rapid.T) {
+				c.fleet.CreateIntents(c.now(), &apiv1.CreateIntents{Intents: []*apiv1.Intent{{
+					OperationId: fmt.Sprint("d", len(c.fleet.Intents())), Vm: fmt.Sprint("vm", rapid.IntRange(0, 2).Draw(t, "vm")), Kind: apiv1.IntentKind_INTENT_KIND_DRAIN,
+				}}}, c.ix)
+			},
+			"undrain": func(*rapid.T) { c.undrain() },
 			"compute": func(*rapid.T) { c.submit(); c.compute() },
 			"old plan": func(t *rapid.T) {
 				if len(c.plans) > 0 {
--- a/internal/jobs/place.go
+++ b/internal/jobs/place.go
@@ -7,12 +7,18 @@
 )
 
 // Place commits the parts of a plan that still hold: a lease for each
-// placement, and requests to running overnight jobs to slow down or to stop.
+// placement, and requests to running jobs to slow down or to stop.
 func (s *State) Place(logTimeMS int64, cmd *apiv1.PlaceJobs, ix *objects.Index, w Workers, l Limits) []*apiv1.Rejection {
 	var out []*apiv1.Rejection
 	for _, p := range cmd.Placements {
 		out = reject(out, p.JobId, s.place(logTimeMS, p, ix, w, l))
 	}
+	for _, id := range cmd.ResumeJobIds {
+		out = reject(out, id, s.resume(logTimeMS, id))
+	}
+	for _, id := range cmd.EvictJobIds {
+		out = reject(out, id, s.evict(logTimeMS, id, w))
+	}
 	for _, id := range cmd.ThrottleJobIds {
 		out = reject(out, id, s.throttle(logTimeMS, id))
 	}
@@ -91,12 +97,54 @@
 	if err != nil || j.Lease.Throttled {
 		return err
 	}
+	s.setThrottled(logTimeMS, j, true)
+	return nil
+}
+
+// resume lets a throttled job run at full speed.
+func (s *State) resume(logTimeMS int64, id string) *result.Error {
+	j, ok := s.jobs[id]
+	if !ok {
+		return notFound(id)
+	}
+	if j.Lease.GetThrottled() {
+		s.setThrottled(logTimeMS, j, false)
+	}
+	return nil
+}
+
+func (s *State) setThrottled(logTimeMS int64, j *apiv1.Job, throttled bool) {
 	s.change(logTimeMS, j, func(j *apiv1.Job) {
-		j.Lease = &apiv1.JobLease{Epoch: j.Lease.Epoch, WorkerId: j.Lease.WorkerId, Vm: j.Lease.Vm, Throttled: true}
+		j.Lease = &apiv1.JobLease{Epoch: j.Lease.Epoch, WorkerId: j.Lease.WorkerId, Vm: j.Lease.Vm, Throttled: throttled}
 	})
+}
+
+// evict asks a job to checkpoint and stop because an operation waits for its VM
+// to be empty. A job that may not be repeated runs to its end.
+func (s *State) evict(logTimeMS int64, id string, w Workers) *result.Error {
+	j, ok := s.jobs[id]
+	if !ok {
+		return notFound(id)
+	}
+	if j.State == apiv1.JobState_JOB_STATE_STOPPING {
+		return nil
+	}
+	vm, ok := w.Worker(j.Lease.GetWorkerId())
+	if j.Lease == nil || !j.Repeatable || !ok || vm.OperationId == "" {
+		return noCapacity("job %s is not a repeatable job on a VM that is leaving", id)
+	}
+	s.askStop(logTimeMS, j)
 	return nil
 }
 
+// askStop asks for a checkpoint and a stop; the job then returns to the queue.
+func (s *State) askStop(logTimeMS int64, j *apiv1.Job) {
+	s.change(logTimeMS, j, func(j *apiv1.Job) {
+		j.State = apiv1.JobState_JOB_STATE_STOPPING
+		j.PreemptRequested = true
+	})
+}
+
 // preempt asks a throttled overnight job to checkpoint and stop. A job that may
 // not be repeated is never stopped, because it could not start again.
 func (s *State) preempt(logTimeMS int64, id string) *result.Error {
@@ -107,10 +155,7 @@
 	if !j.Repeatable || !j.Lease.Throttled {
 		return noCapacity("job %s is not repeatable or not throttled yet and cannot be preempted", id)
 	}
-	s.change(logTimeMS, j, func(j *apiv1.Job) {
-		j.State = apiv1.JobState_JOB_STATE_STOPPING
-		j.PreemptRequested = true
-	})
+	s.askStop(logTimeMS, j)
 	return nil
 }
 
--- a/internal/jobs/plan.go
+++ b/internal/jobs/plan.go
@@ -17,12 +17,17 @@
 	// maxPreemptingJobs bounds the urgent jobs per round that take room from
 	// overnight ones.
 	maxPreemptingJobs = 16
+	// evictAfterMS is the time that a job on a leaving VM may still need; a job
+	// that needs longer continues elsewhere from its checkpoint.
+	evictAfterMS = 30_000
 	// maxMisfits bounds the sizes remembered as not fitting, per pool.
 	maxMisfits = 32
 )
 
 // PlanInput is the state that a plan is made for. Plan changes none of it.
 type PlanInput struct {
+	// NowMS is the log time.
+	NowMS int64
 	// Jobs in the order of submission; ended ones are passed over.
 	Jobs []*apiv1.Job
 	// VMs sorted by id.
@@ -50,11 +55,13 @@
 type poolZone struct{ pool, zone string }
 
 type planner struct {
-	in          PlanInput
-	byPool      map[string][]*candidate
-	zones       map[poolZone]*int
-	teams       map[string]*teamState
-	misfits     map[string][]amount
+	in      PlanInput
+	byPool  map[string][]*candidate
+	zones   map[poolZone]*int
+	teams   map[string]*teamState
+	misfits map[string][]amount
+	// urgent holds the pools in which an urgent job waits for room.
+	urgent      map[string]bool
 	evaluations int
 	preempting  int
 	out         *apiv1.PlaceJobs
@@ -81,6 +88,8 @@
 	} {
 		p.planPriority(prio)
 	}
+	p.resume()
+	p.evict()
 	return p.out
 }
 
@@ -91,6 +100,7 @@
 		zones:   map[poolZone]*int{},
 		teams:   map[string]*teamState{},
 		misfits: map[string][]amount{},
+		urgent:  map[string]bool{},
 		out:     &apiv1.PlaceJobs{},
 	}
 	byID := make(map[string]*candidate, len(in.VMs))
@@ -205,6 +215,7 @@
 	c := p.target(j, need)
 	if c == nil {
 		if j.Priority == apiv1.Priority_PRIORITY_URGENT {
+			p.urgent[j.Pool] = true
 			p.takeRoom(t, j, need)
 		}
 		return
--- a/internal/jobs/plan_target.go
+++ b/internal/jobs/plan_target.go
@@ -144,3 +144,34 @@
 	}
 	return n
 }
+
+// resume ends the throttling in pools where no urgent job waits for room any
+// more. A round that ended early does not know that.
+func (p *planner) resume() {
+	if p.spent() {
+		return
+	}
+	for _, j := range p.in.Jobs {
+		if j.Lease.GetThrottled() && j.State != apiv1.JobState_JOB_STATE_STOPPING && !p.urgent[j.Pool] {
+			p.out.ResumeJobIds = append(p.out.ResumeJobIds, j.JobId)
+		}
+	}
+}
+
+// evict stops repeatable jobs that would hold up an operation on their VM.
+func (p *planner) evict() {
+	leaving := map[string]bool{}
+	for _, vm := range p.in.VMs {
+		leaving[vm.Id] = vm.OperationId != ""
+	}
+	for _, j := range p.in.Jobs {
+		if j.Lease == nil || !j.Repeatable || j.State == apiv1.JobState_JOB_STATE_STOPPING || !leaving[j.Lease.Vm] {
+			continue
+		}
+		// A job past its declared time has a wrong declaration.
+		left := j.ChangedUnixMs + int64(j.DeclaredRunMs) - p.in.NowMS
+		if left < 0 || left > evictAfterMS {
+			p.out.EvictJobIds = append(p.out.EvictJobIds, j.JobId)
+		}
+	}
+}
--- a/internal/jobs/plan_test.go
+++ b/internal/jobs/plan_test.go
@@ -20,7 +20,7 @@
 // pending and running jobs. Some leases overcommit their VM, as after a VM
 // announced less.
 func drawInput(t *rapid.T) PlanInput {
-	in := PlanInput{Index: testIndex(3), FreeSlots: map[string]uint32{}}
+	in := PlanInput{NowMS: 10, Index: testIndex(3), FreeSlots: map[string]uint32{}}
 	for i := range 3 {
 		in.FreeSlots[fmt.Sprint("t", i)] = rapid.Uint32Range(0, 4).Draw(t, "slots")
 	}
@@ -30,6 +30,7 @@
 			Id: id, WorkerId: "w-" + id, Pool: rapid.SampledFrom([]string{"p0", "p0", "p1"}).Draw(t, "pool"),
 			AvailabilityZone: rapid.SampledFrom([]string{"z0", "z0", "z1", "z1", "z2"}).Draw(t, "zone"),
 			Capacity:         drawResources(t, "capacity", 8), Down: rapid.IntRange(0, 9).Draw(t, "down") == 0,
+			OperationId: rapid.SampledFrom([]string{"", "", "", "operation"}).Draw(t, "operation"),
 		})
 	}
 	for i := range rapid.IntRange(0, 14).Draw(t, "jobs") {
@@ -37,7 +38,7 @@
 			JobId: jobID(startMS, i), Team: rapid.SampledFrom([]string{"t0", "t1", "t2"}).Draw(t, "team"), Pool: "p0",
 			Priority: apiv1.Priority(rapid.IntRange(1, 3).Draw(t, "priority")), Resources: drawResources(t, "need", 5),
 			Repeatable: rapid.Bool().Draw(t, "repeatable"), State: apiv1.JobState_JOB_STATE_PENDING,
-			Epoch: 1, ChangedUnixMs: rapid.Int64Range(0, 3).Draw(t, "changed"),
+			Epoch: 1, ChangedUnixMs: rapid.Int64Range(0, 3).Draw(t, "changed"), DeclaredRunMs: rapid.SampledFrom([]uint32{5, 30_010, 30_020}).Draw(t, "declared"),
 		}
 		if rapid.Bool().Draw(t, "leased") {
 			vm := rapid.SampledFrom(in.VMs).Draw(t, "on")
@@ -96,7 +97,7 @@
 }
 
 func (n *naive) usable(vm *apiv1.Vm) bool {
-	return vm.Pool == "p0" && !vm.Down && vm.AvailabilityZone != "z2"
+	return vm.Pool == "p0" && !vm.Down && vm.OperationId == "" && vm.AvailabilityZone != "z2"
 }
 
 // next returns the pending job that is due: priority, then share, then order.
@@ -192,6 +193,7 @@
 
 func naivePlan(in PlanInput) *apiv1.PlaceJobs {
 	n := &naive{in: in, out: &apiv1.PlaceJobs{}, tried: map[string]bool{}, kept: map[string]*apiv1.Resources{}}
+	waits := false
 	for prio := 1; prio <= 3; prio++ {
 		for j := n.next(prio); j != nil; j = n.next(prio) {
 			n.tried[j.JobId] = true
@@ -199,11 +201,25 @@
 			if vm != nil {
 				n.out.Placements = append(n.out.Placements, &apiv1.Placement{JobId: j.JobId, WorkerId: vm.WorkerId, ExpectedEpoch: j.Epoch})
 			}
+			waits = waits || (prio == 1 && vm == nil)
 			if vm != nil || (prio == 1 && n.takeRoom(j)) {
 				in.FreeSlots[j.Team]--
 			}
 		}
 	}
+	for _, j := range in.Jobs {
+		if j.Lease == nil || j.State == apiv1.JobState_JOB_STATE_STOPPING {
+			continue
+		}
+		if j.Lease.Throttled && !waits {
+			n.out.ResumeJobIds = append(n.out.ResumeJobIds, j.JobId)
+		}
+		for _, vm := range in.VMs {
+			if end := j.ChangedUnixMs + int64(j.DeclaredRunMs); vm.Id == j.Lease.Vm && vm.OperationId != "" && j.Repeatable && (end < 10 || end > 30_010) {
+				n.out.EvictJobIds = append(n.out.EvictJobIds, j.JobId)
+			}
+		}
+	}
 	return n.out
 }
 
