Refuse jobs without cpu and space out failed repairs

Any number of jobs that declare no cpu fits on one VM, so they are refused. A reboot that failed on a quarantined VM was planned again in each round, because only a reboot that succeeded counted for the wait of 10 minutes.

The lease test shares the fixtures of the package, and the naive planner is split into small functions; neither checks less.

--- a/internal/fleet/waves.go
+++ b/internal/fleet/waves.go
@@ -15,8 +15,8 @@
 	maxAttempts = 3
 	// retryWaitMS is the log time between two attempts.
 	retryWaitMS = 60 * 1000
-	// repairWaitMS is the log time between two reboots of a VM whose worker is
-	// quarantined again and again.
+	// repairWaitMS is the log time between two reboots of a VM whose reboot
+	// failed, or whose worker is quarantined again and again.
 	repairWaitMS = 10 * 60 * 1000
 )
 
@@ -159,8 +159,15 @@
 func PlanRepairs(in WaveInput) []*apiv1.Intent {
 	var out []*apiv1.Intent
 	ids := in.operationIDs()
+	failedMS := map[string]int64{}
+	for _, it := range in.Intents {
+		if it.Phase == apiv1.IntentPhase_INTENT_PHASE_FAILED {
+			failedMS[it.Vm] = max(failedMS[it.Vm], it.PhaseUnixMs)
+		}
+	}
 	for _, vm := range in.VMs {
-		if vm.Quarantined && vm.OperationId == "" && in.NowMS-vm.LastMaintainedUnixMs >= repairWaitMS {
+		last := max(vm.LastMaintainedUnixMs, failedMS[vm.Id])
+		if vm.Quarantined && vm.OperationId == "" && in.NowMS-last >= repairWaitMS {
 			out = append(out, &apiv1.Intent{
 				OperationId: ids.next("repair", vm.Id),
 				Vm:          vm.Id, FromPool: vm.Pool, Kind: apiv1.IntentKind_INTENT_KIND_REBOOT,
--- a/internal/jobs/lease_test.go
+++ b/internal/jobs/lease_test.go
@@ -1,4 +1,4 @@
-package jobs_test
+package jobs
 
 import (
 	"bytes"
@@ -16,12 +16,10 @@
 	"bergamotdrum.example/bergamotdrum/internal/clock"
 	"bergamotdrum.example/bergamotdrum/internal/fakes"
 	"bergamotdrum.example/bergamotdrum/internal/fleet"
-	"bergamotdrum.example/bergamotdrum/internal/jobs"
 	"bergamotdrum.example/bergamotdrum/internal/objects"
 )
 
 const (
-	baseMS = 1_800_000_000_000
 	ttl    = 10 * time.Second
 	margin = 250 * time.Millisecond
 	// maxRunning is above what the workers hold, so that room is the bound.
@@ -35,8 +33,8 @@
 	clock   clock.Fake
 	ix      *objects.Index
 	fleet   *fleet.State
-	jobs    *jobs.State
-	limits  limits
+	jobs    *State
+	limits  *teamLimits
 	workers []*fakes.Worker
 	log     fakes.RunLog
 	// renewed is the time of the last renewal by job id.
@@ -48,44 +46,20 @@
 	nested bool
 }
 
-type limits map[string]int
-
-func (l limits) AcquireJob(team string) bool {
-	if l[team] >= maxRunning {
-		return false
-	}
-	l[team]++
-	return true
-}
-
-func (l limits) ReleaseJob(team string) { l[team]-- }
-
 func newCluster(t *rapid.T) *cluster {
-	set := &apiv1.ObjectSet{
-		Pool:               []*apiv1.Pool{{Name: "p", AvailabilityBudget: "b"}},
-		AvailabilityBudget: []*apiv1.AvailabilityBudget{{Name: "b", MaxDown: 1}},
-		AvailabilityZone:   []*apiv1.AvailabilityZone{{Name: "z"}},
-		Team:               []*apiv1.Team{{Name: "t", Weight: 1}},
-	}
-	for prio := 1; prio <= 3; prio++ {
-		set.Queue = append(set.Queue, &apiv1.Queue{Name: fmt.Sprint("q", prio), Pool: "p", Open: true, Priority: apiv1.Priority(prio), MaxDepth: 100})
-	}
-	c := &cluster{t: t, ix: objects.NewIndex(set), fleet: fleet.New(), jobs: jobs.New(), limits: limits{}, renewed: map[string]time.Duration{}}
+	c := &cluster{t: t, ix: testIndex(1), fleet: fleet.New(), jobs: New(), limits: &teamLimits{max: maxRunning, running: map[string]uint32{}}, renewed: map[string]time.Duration{}}
 	capacity := &apiv1.Resources{CpuMillis: 2}
 	for i := range 3 {
-		w := fakes.NewWorker(fakes.WorkerOptions{
-			WorkerID: fmt.Sprint("w", i), VM: fmt.Sprint("vm", i), Pool: "p", Zone: "z", Capacity: capacity,
-			Entries: []string{"http://entry"}, Clock: &c.clock, Client: &http.Client{Transport: c}, Log: &c.log,
-		})
-		c.workers = append(c.workers, w)
-		c.fleet.Observe(baseMS, &apiv1.ObserveVms{Observations: []*apiv1.VmObservation{{
-			Vm: fmt.Sprint("vm", i), WorkerId: fmt.Sprint("w", i), Pool: "p", AvailabilityZone: "z", Capacity: capacity,
-		}}}, c.ix)
+		vm := fmt.Sprint("vm", i)
+		c.workers = append(c.workers, fakes.NewWorker(fakes.WorkerOptions{
+			WorkerID: "w-" + vm, VM: vm, Entries: []string{"http://entry"}, Clock: &c.clock, Client: &http.Client{Transport: c}, Log: &c.log,
+		}))
+		observe(c.fleet, c.ix, vm, "p0", "z0", capacity)
 	}
 	return c
 }
 
-func (c *cluster) now() int64 { return baseMS + c.clock.Now().Milliseconds() }
+func (c *cluster) now() int64 { return startMS + c.clock.Now().Milliseconds() }
 
 // RoundTrip is the network between workers and the leader.
 func (c *cluster) RoundTrip(req *http.Request) (*http.Response, error) {
@@ -164,7 +138,7 @@
 
 // compute makes a plan that may be committed later, or twice.
 func (c *cluster) compute() *apiv1.PlaceJobs {
-	cmd := jobs.Plan(jobs.PlanInput{NowMS: c.now(), Jobs: c.jobs.Live(), VMs: c.fleet.VMs(), Index: c.ix, FreeSlots: map[string]uint32{"t": uint32(maxRunning - c.limits["t"])}})
+	cmd := Plan(PlanInput{NowMS: c.now(), Jobs: c.jobs.Live(), VMs: c.fleet.VMs(), Index: c.ix, FreeSlots: map[string]uint32{"t0": maxRunning - c.limits.running["t0"]}})
 	c.plans = append(c.plans, cmd)
 	return cmd
 }
@@ -180,10 +154,10 @@
 
 func (c *cluster) submit() {
 	n := len(c.ids)
-	id := fmt.Sprintf("%08x-%04x-7000-8000-%012x", c.now()>>16, c.now()&0xffff, n)
+	id := jobID(c.now(), n)
 	payload := fmt.Sprintf(`{"run_ms":%d,"checkpoint_ms":500}`, rapid.SampledFrom([]int{0, 900, 15000, 40000}).Draw(c.t, "run"))
 	_, err := c.jobs.Submit(c.now(), &apiv1.SubmitJob{
-		JobId: id, Team: "t", Queue: fmt.Sprint("q", rapid.IntRange(1, 3).Draw(c.t, "priority")),
+		JobId: id, Team: "t0", Queue: fmt.Sprint("p0-", rapid.IntRange(1, 3).Draw(c.t, "priority")),
 		Resources: &apiv1.Resources{CpuMillis: 1}, Repeatable: rapid.Bool().Draw(c.t, "repeatable"), Payload: []byte(payload),
 	}, c.ix, c.fleet)
 	if err != nil {
@@ -198,7 +172,7 @@
 	if a, b, found := c.log.Overlapping(); found {
 		t.Fatalf("two runs at once: %+v and %+v", a, b)
 	}
-	held := limits{}
+	held := map[string]uint32{}
 	used := map[string]uint32{}
 	for _, id := range c.ids {
 		j, ok := c.jobs.Get(id)
@@ -208,7 +182,7 @@
 		if runs := c.log.Of(id); !j.Repeatable && len(runs) > 1 {
 			t.Fatalf("job that may not be repeated ran twice: %+v", runs)
 		}
-		if leased := !jobs.Ended(j.State) && j.State != apiv1.JobState_JOB_STATE_PENDING; leased != (j.Lease != nil) {
+		if leased := !Ended(j.State) && j.State != apiv1.JobState_JOB_STATE_PENDING; leased != (j.Lease != nil) {
 			t.Fatalf("job %s is %s with lease %v", id, j.State, j.Lease)
 		}
 		if j.Lease != nil {
@@ -216,8 +190,8 @@
 			used[j.Lease.Vm] += j.Resources.CpuMillis
 		}
 	}
-	if held["t"] != c.limits["t"] {
-		t.Fatalf("%d leases, but %d counted against the limit", held["t"], c.limits["t"])
+	if held["t0"] != c.limits.running["t0"] {
+		t.Fatalf("%d leases, but %d counted against the limit", held["t0"], c.limits.running["t0"])
 	}
 	for vm, cpu := range used {
 		if cpu > 2 {
@@ -230,7 +204,7 @@
 // restore goes on with a state restored from a snapshot, which must be the same.
 func (c *cluster) restore(t *rapid.T) {
 	snap := c.jobs.Snapshot()
-	other := jobs.New()
+	other := New()
 	other.Restore(snap)
 	if !proto.Equal(snap, other.Snapshot()) {
 		t.Fatal("the restored state differs")
@@ -256,7 +230,7 @@
 		c.expire()
 		c.plan()
 		for i, w := range c.workers {
-			if fmt.Sprint("w", i) != workerID {
+			if fmt.Sprint("w-vm", i) != workerID {
 				w.Step()
 				w.Beat(c.t.Context())
 			}
@@ -291,7 +265,7 @@
 // Guards against double runs, lost jobs and leaked capacity when workers freeze
 // past their lease, and when heartbeats are lost, repeated or late.
 func TestLeasesUnderFaults(t *testing.T) {
-	jobs.Checks(300, 60)
+	checks(300, 60)
 	rapid.Check(t, func(t *rapid.T) {
 		c := newCluster(t)
 		for range 8 {
@@ -313,7 +287,7 @@
 			"freeze": func(*rapid.T) {
 				i := rapid.IntRange(0, 2).Draw(t, "frozen")
 				c.workers[i].Pause()
-				c.outage(fmt.Sprint("w", i))
+				c.outage(fmt.Sprint("w-vm", i))
 				c.workers[i].Resume()
 				c.workers[i].Step()
 			},
--- a/internal/jobs/main_test.go
+++ b/internal/jobs/main_test.go
@@ -15,9 +15,6 @@
 
 const startMS = 1_800_000_000_000
 
-// Checks is checks for tests outside the package.
-var Checks = checks
-
 // TestMain fixes the seed of generated tests unless one is given.
 func TestMain(m *testing.M) {
 	flag.Parse()
--- a/internal/jobs/plan_test.go
+++ b/internal/jobs/plan_test.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"testing"
@@ -54,133 +55,117 @@
 
 // naive plans by recomputing everything from the plan so far at each step.
 type naive struct {
-	in    PlanInput
-	out   *apiv1.PlaceJobs
-	tried map[string]bool
-	kept  map[string]*apiv1.Resources // room kept for urgent jobs, per VM
+	in     PlanInput
+	out    *apiv1.PlaceJobs
+	placed map[string]string // VM by job
+	tried  map[string]bool
+	kept   map[string]amount // room kept for urgent jobs, by VM
 }
 
-func (n *naive) placedOn(j *apiv1.Job) string {
-	for _, p := range n.out.Placements {
-		if p.JobId == j.JobId {
-			return p.WorkerId[2:]
-		}
-	}
-	return j.GetLease().GetVm()
-}
+func (n *naive) on(j *apiv1.Job) string { return cmp.Or(n.placed[j.JobId], j.GetLease().GetVm()) }
 
-func (n *naive) room(vm *apiv1.Vm, withStopping bool) [3]int {
-	r := [3]int{int(vm.Capacity.CpuMillis), int(vm.Capacity.MemoryMb), int(vm.Capacity.Accelerators)}
-	sub := func(x *apiv1.Resources) {
-		r[0], r[1], r[2] = max(r[0]-int(x.GetCpuMillis()), 0), max(r[1]-int(x.GetMemoryMb()), 0), max(r[2]-int(x.GetAccelerators()), 0)
-	}
+func (n *naive) room(vm *apiv1.Vm, stopping bool) amount {
+	r, later := amountOf(vm.Capacity), amount{}
 	for _, j := range n.in.Jobs {
-		if n.placedOn(j) == vm.Id {
-			sub(j.Resources)
+		if n.on(j) == vm.Id {
+			r = r.minus(amountOf(j.Resources))
+			if stopping && j.State == apiv1.JobState_JOB_STATE_STOPPING {
+				later = later.plus(amountOf(j.Resources))
+			}
 		}
 	}
-	sub(n.kept[vm.Id])
+	return r.minus(n.kept[vm.Id]).plus(later)
+}
+
+func (n *naive) usable(vm *apiv1.Vm) bool {
+	return vm.Pool == "p0" && !vm.Down && vm.OperationId == "" && vm.AvailabilityZone != "z2"
+}
+
+func (n *naive) share(team string) float64 {
+	running := 0.0
 	for _, j := range n.in.Jobs {
-		if withStopping && j.GetLease().GetVm() == vm.Id && j.State == apiv1.JobState_JOB_STATE_STOPPING {
-			r = sum(r, j.Resources)
+		if j.Team == team && n.on(j) != "" {
+			running++
 		}
 	}
-	return r
+	return running / float64(n.in.Index.Teams[team].Weight)
 }
 
-func sum(r [3]int, x *apiv1.Resources) [3]int {
-	return [3]int{r[0] + int(x.CpuMillis), r[1] + int(x.MemoryMb), r[2] + int(x.Accelerators)}
-}
-
-func within(x *apiv1.Resources, r [3]int) bool {
-	return int(x.CpuMillis) <= r[0] && int(x.MemoryMb) <= r[1] && int(x.Accelerators) <= r[2]
+// next returns the pending job that is due: by share, team and submission.
+func (n *naive) next(prio int) *apiv1.Job {
+	due := slices.DeleteFunc(slices.Clone(n.in.Jobs), func(j *apiv1.Job) bool {
+		return j.State != apiv1.JobState_JOB_STATE_PENDING || int(j.Priority) != prio || n.tried[j.JobId] || n.in.FreeSlots[j.Team] == 0
+	})
+	return least(due, func(a, b *apiv1.Job) int {
+		return cmp.Or(cmp.Compare(n.share(a.Team), n.share(b.Team)), cmp.Compare(a.Team, b.Team))
+	})
 }
 
-func (n *naive) usable(vm *apiv1.Vm) bool {
-	return vm.Pool == "p0" && !vm.Down && vm.OperationId == "" && vm.AvailabilityZone != "z2"
+// least returns the first least element, nil when there is none.
+func least[T any](list []*T, order func(a, b *T) int) *T {
+	if len(list) == 0 {
+		return nil
+	}
+	return slices.MinFunc(list, order)
 }
 
-// next returns the pending job that is due: priority, then share, then order.
-func (n *naive) next(prio int) *apiv1.Job {
-	var best *apiv1.Job
-	share := func(team string) float64 {
-		running := 0
-		for _, j := range n.in.Jobs {
-			if j.Team == team && n.placedOn(j) != "" {
-				running++
-			}
-		}
-		return float64(running) / float64(n.in.Index.Teams[team].Weight)
+// key orders VMs: workers that failed the job last, then accelerators, then zones.
+func (n *naive) key(j *apiv1.Job, vm *apiv1.Vm) []int {
+	k := []int{0, int(n.room(vm, false).accelerators), 0}
+	if slices.Contains(j.FailedWorkers, vm.WorkerId) {
+		k[0] = 1
 	}
-	for _, j := range n.in.Jobs {
-		if j.State != apiv1.JobState_JOB_STATE_PENDING || int(j.Priority) != prio || n.tried[j.JobId] || n.in.FreeSlots[j.Team] == 0 {
-			continue
-		}
-		if best == nil || share(j.Team) < share(best.Team) || (share(j.Team) == share(best.Team) && j.Team < best.Team) {
-			best = j
+	if j.Resources.Accelerators == 0 && k[1] > 0 {
+		k[1] = 1
+	}
+	for _, o := range n.in.Jobs {
+		for _, v := range n.in.VMs {
+			if n.on(o) == v.Id && v.AvailabilityZone == vm.AvailabilityZone {
+				k[2]++
+			}
 		}
 	}
-	return best
+	return k
 }
 
 func (n *naive) target(j *apiv1.Job) *apiv1.Vm {
-	key := func(vm *apiv1.Vm) [3]int {
-		k := [3]int{0, n.room(vm, false)[2], 0}
-		if slices.Contains(j.FailedWorkers, vm.WorkerId) {
-			k[0] = 1
-		}
-		if j.Resources.Accelerators == 0 && k[1] > 0 {
-			k[1] = 1
-		}
-		for _, o := range n.in.Jobs {
-			for _, v := range n.in.VMs {
-				if n.placedOn(o) == v.Id && v.AvailabilityZone == vm.AvailabilityZone {
-					k[2]++
-				}
-			}
-		}
-		return k
-	}
-	var best *apiv1.Vm
-	for _, vm := range n.in.VMs {
-		k := key(vm)
-		if n.usable(vm) && within(j.Resources, n.room(vm, false)) && (best == nil || slices.Compare(k[:], slices.Clone(func() []int { b := key(best); return b[:] }())) < 0) {
-			best = vm
-		}
-	}
-	return best
+	fit := slices.DeleteFunc(slices.Clone(n.in.VMs), func(vm *apiv1.Vm) bool {
+		return !n.usable(vm) || !amountOf(j.Resources).fits(n.room(vm, false))
+	})
+	return least(fit, func(a, b *apiv1.Vm) int { return slices.Compare(n.key(j, a), n.key(j, b)) })
+}
+
+// victims returns the fewest jobs that make room for j on vm: throttled ones
+// first, then those that changed last.
+func (n *naive) victims(j *apiv1.Job, vm *apiv1.Vm) (chosen []*apiv1.Job, ok bool) {
+	list := slices.DeleteFunc(slices.Clone(n.in.Jobs), func(o *apiv1.Job) bool {
+		return o.GetLease().GetVm() != vm.Id || !o.Repeatable || o.Priority != 3 || o.State != apiv1.JobState_JOB_STATE_RUNNING
+	})
+	slices.SortStableFunc(list, func(a, b *apiv1.Job) int { return int(b.ChangedUnixMs - a.ChangedUnixMs) })
+	slices.SortStableFunc(list, func(a, b *apiv1.Job) int { return fullSpeed(a) - fullSpeed(b) })
+	room := n.room(vm, true)
+	for len(list) > 0 && !amountOf(j.Resources).fits(room) {
+		room = room.plus(amountOf(list[0].Resources))
+		chosen, list = append(chosen, list[0]), list[1:]
+	}
+	return chosen, amountOf(j.Resources).fits(room)
 }
 
 func (n *naive) takeRoom(j *apiv1.Job) bool {
 	var best *apiv1.Vm
 	var victims []*apiv1.Job
-	full := func(list []*apiv1.Job) int {
-		return len(slices.DeleteFunc(slices.Clone(list), func(v *apiv1.Job) bool { return v.Lease.Throttled }))
-	}
 	for _, vm := range n.in.VMs {
-		if !n.usable(vm) || n.kept[vm.Id] != nil {
-			continue
-		}
-		var chosen []*apiv1.Job
-		list := slices.DeleteFunc(slices.Clone(n.in.Jobs), func(o *apiv1.Job) bool {
-			return o.GetLease().GetVm() != vm.Id || !o.Repeatable || o.Priority != 3 || o.State != apiv1.JobState_JOB_STATE_RUNNING
-		})
-		slices.SortStableFunc(list, func(a, b *apiv1.Job) int { return int(b.ChangedUnixMs - a.ChangedUnixMs) })
-		slices.SortStableFunc(list, func(a, b *apiv1.Job) int { return full([]*apiv1.Job{a}) - full([]*apiv1.Job{b}) })
-		room := n.room(vm, true)
-		for len(list) > 0 && !within(j.Resources, room) {
-			room = sum(room, list[0].Resources)
-			chosen, list = append(chosen, list[0]), list[1:]
-		}
-		better := best == nil || len(chosen) < len(victims) || (len(chosen) == len(victims) && full(chosen) < full(victims))
-		if within(j.Resources, room) && better {
-			best, victims = vm, chosen
+		_, claimed := n.kept[vm.Id]
+		v, ok := n.victims(j, vm)
+		order := cmp.Or(cmp.Compare(len(v), len(victims)), cmp.Compare(fullSpeed(v...), fullSpeed(victims...)))
+		if ok && !claimed && n.usable(vm) && (best == nil || order < 0) {
+			best, victims = vm, v
 		}
 	}
 	if best == nil {
 		return false
 	}
-	n.kept[best.Id] = j.Resources
+	n.kept[best.Id] = amountOf(j.Resources)
 	for _, v := range victims {
 		if v.Lease.Throttled {
 			n.out.PreemptJobIds = append(n.out.PreemptJobIds, v.JobId)
@@ -192,13 +177,14 @@
 }
 
 func naivePlan(in PlanInput) *apiv1.PlaceJobs {
-	n := &naive{in: in, out: &apiv1.PlaceJobs{}, tried: map[string]bool{}, kept: map[string]*apiv1.Resources{}}
+	n := &naive{in: in, out: &apiv1.PlaceJobs{}, placed: map[string]string{}, tried: map[string]bool{}, kept: map[string]amount{}}
 	waits := false
 	for prio := 1; prio <= 3; prio++ {
 		for j := n.next(prio); j != nil; j = n.next(prio) {
 			n.tried[j.JobId] = true
 			vm := n.target(j)
 			if vm != nil {
+				n.placed[j.JobId] = vm.Id
 				n.out.Placements = append(n.out.Placements, &apiv1.Placement{JobId: j.JobId, WorkerId: vm.WorkerId, ExpectedEpoch: j.Epoch})
 			}
 			waits = waits || (prio == 1 && vm == nil)
--- a/internal/jobs/submit.go
+++ b/internal/jobs/submit.go
@@ -38,6 +38,10 @@
 		return nil, result.NotRun(apiv1.ResultCode_RESULT_CODE_TOO_LARGE,
 			"payload has %d bytes of at most %d", len(cmd.Payload), maxDataBytes)
 	}
+	if cmd.Resources.GetCpuMillis() == 0 {
+		// Any number of such jobs would fit on one VM.
+		return nil, result.NotRun(apiv1.ResultCode_RESULT_CODE_INVALID_ARGUMENT, "resources.cpu_millis must be at least 1")
+	}
 	if err := checkFits(cmd, q.Pool, w); err != nil {
 		return nil, err
 	}
