--- a/internal/fleet/plan_test.go
+++ b/internal/fleet/plan_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"fmt"
 	"math/bits"
 	"slices"
@@ -105,7 +106,8 @@
 	out  []*apiv1.Intent
 }
 
-func (n *naiveMoves) zones(pool string) (up int, zones map[string]int) {
+// zones counts the VMs up per zone, and returns their number and the most in one.
+func (n *naiveMoves) zones(pool string) (zones map[string]int, up, largest int) {
 	zones = map[string]int{}
 	for _, vm := range n.in.VMs {
 		if n.pool[vm.Id] == pool && !isDown(n.s, n.in.Index, vm) {
@@ -113,75 +115,73 @@
 			zones[vm.AvailabilityZone]++
 		}
 	}
-	return up, zones
+	return zones, up, max(zones["z0"], zones["z1"], zones["z2"])
 }
 
 // lacks returns what the pool is short of under its policy, and for the loss of
 // its largest zone.
 func (n *naiveMoves) lacks(pool string) (use, reserve int) {
 	p := n.in.Index.Policies["policy"]
-	up, zones := n.zones(pool)
+	_, up, largest := n.zones(pool)
 	demand := int(n.in.Demand[pool])
 	if demand*100 > up*1000*85 {
 		use = max(0, demand*(100+int(p.BufferPercent))/100-up*1000, demand*100/85-up*1000)
 	}
-	largest := max(zones["z0"], zones["z1"], zones["z2"])
 	if p.ReserveZoneLoss {
 		reserve = max(0, demand-(up-largest)*1000)
 	}
 	return use, reserve
 }
 
-func (n *naiveMoves) try(vm *apiv1.Vm, from, to string) bool {
+// may reports whether the commit and the cooldown let vm leave the pool.
+func (n *naiveMoves) may(vm *apiv1.Vm, from string) bool {
 	extra := map[string]bool{vm.Id: true}
 	left := 0
 	for _, o := range n.in.VMs {
 		if o.Pool == from && n.pool[o.Id] == from {
 			left++
 		}
-		if n.pool[o.Id] != o.Pool {
-			extra[o.Id] = true
-		}
+		extra[o.Id] = extra[o.Id] || n.pool[o.Id] != o.Pool
 	}
 	return n.pool[vm.Id] == from && vm.Pool == from && !isDown(n.s, n.in.Index, vm) && left > int(n.in.Index.Pools[from].MinVms) &&
 		(vm.LastMovedUnixMs == 0 || n.in.NowMS-vm.LastMovedUnixMs >= 30_000) && withinBudget(n.s, n.in.Index, vm, extra)
 }
 
-func (n *naiveMoves) move(vm *apiv1.Vm, to string) {
+// move moves the VM with the least load, then in the zone with the least (sign
+// 1) or the most (sign -1) of pool, then with the least id.
+func (n *naiveMoves) move(from, to, pool string, sign int, ok func(*apiv1.Vm) bool) bool {
+	zones, _, _ := n.zones(pool)
+	list := slices.DeleteFunc(slices.Clone(n.in.VMs), func(vm *apiv1.Vm) bool { return !n.may(vm, from) || !ok(vm) })
+	if len(list) == 0 {
+		return false
+	}
+	vm := slices.MinFunc(list, func(a, b *apiv1.Vm) int {
+		return cmp.Or(cmp.Compare(n.in.Load(a.Id), n.in.Load(b.Id)), sign*(zones[a.AvailabilityZone]-zones[b.AvailabilityZone]), strings.Compare(a.Id, b.Id))
+	})
 	n.pool[vm.Id] = to
 	n.out = append(n.out, &apiv1.Intent{
 		OperationId: fmt.Sprintf("move.%s.%d.0", vm.Id, n.in.NowMS), Vm: vm.Id, FromPool: vm.Pool, ToPool: to, Kind: apiv1.IntentKind_INTENT_KIND_MOVE,
 	})
+	return true
 }
 
-// best returns the VM with the least load, then the zone with the least (sign
-// 1) or the most (sign -1) of pool, then the least id.
-func (n *naiveMoves) best(pool string, sign int, ok func(*apiv1.Vm) bool) *apiv1.Vm {
-	_, zones := n.zones(pool)
-	list := slices.DeleteFunc(slices.Clone(n.in.VMs), func(vm *apiv1.Vm) bool { return !ok(vm) })
-	slices.SortFunc(list, func(a, b *apiv1.Vm) int {
-		ka := []int{n.in.Load(a.Id), sign * zones[a.AvailabilityZone], strings.Compare(a.Id, b.Id)}
-		kb := []int{n.in.Load(b.Id), sign * zones[b.AvailabilityZone], 0}
-		return slices.Compare(ka, kb)
-	})
-	if len(list) == 0 {
-		return nil
+func (n *naiveMoves) need(pool string) int {
+	use, reserve := n.lacks(pool)
+	demand := int(n.in.Demand[pool])
+	if use >= 100 {
+		return 1_000_000 + use*1000/(demand+1)
 	}
-	return list[0]
+	if reserve >= 100 {
+		return reserve * 1000 / (demand + 1)
+	}
+	return 0
 }
 
 func (n *naiveMoves) grow() {
 	for full := map[string]bool{}; ; {
 		to, most := "", 0
 		for _, p := range []string{"p0", "p1"} {
-			use, reserve := n.lacks(p)
-			need := 0
-			if demand := int(n.in.Demand[p]); use >= 100 {
-				need = 1_000_000 + use*1000/(demand+1)
-			} else if reserve >= 100 {
-				need = reserve * 1000 / (demand + 1)
-			}
-			if !full[p] && need > most {
+			if need := n.need(p); !full[p] && need > most {
 				to, most = p, need
 			}
 		}
@@ -189,41 +189,28 @@
 			return
 		}
 		use, _ := n.lacks(to)
-		_, zones := n.zones(to)
-		largest := max(zones["z0"], zones["z1"], zones["z2"])
-		vm := n.best(to, 1, func(vm *apiv1.Vm) bool {
-			return n.try(vm, "p2", to) && (use >= 100 || zones[vm.AvailabilityZone] < largest || largest == 0)
+		zones, _, largest := n.zones(to)
+		full[to] = !n.move("p2", to, to, 1, func(vm *apiv1.Vm) bool {
+			return use >= 100 || zones[vm.AvailabilityZone] < largest || largest == 0
 		})
-		if vm == nil {
-			full[to] = true
-		} else {
-			n.move(vm, to)
-		}
 	}
 }
 
 func (n *naiveMoves) shrink(pool string) {
+	demand, buffer := int(n.in.Demand[pool]), int(n.in.Index.Policies["policy"].BufferPercent)
 	for _, vm := range n.in.VMs {
-		if vm.Pool == pool && n.s.intents[vm.OperationId].GetKind() != apiv1.IntentKind_INTENT_KIND_MOVE && n.in.NowMS-vm.LastMovedUnixMs < 30_000 {
+		if vm.Pool == pool && n.in.NowMS-vm.LastMovedUnixMs < 30_000 {
 			return // the pool has just changed
 		}
 	}
-	demand := int(n.in.Demand[pool])
-	buffer := int(n.in.Index.Policies["policy"].BufferPercent)
-	for up, _ := n.zones(pool); demand*100 < up*1000*50; up, _ = n.zones(pool) {
-		vm := n.best(pool, -1, func(vm *apiv1.Vm) bool {
-			if !n.try(vm, pool, "p2") {
-				return false
-			}
+	for again := true; again; {
+		_, up, _ := n.zones(pool)
+		again = demand*100 < up*1000*50 && n.move(pool, "p2", pool, -1, func(vm *apiv1.Vm) bool {
 			n.pool[vm.Id] = "p2"
 			use, reserve := n.lacks(pool)
 			n.pool[vm.Id] = pool
 			return use == 0 && reserve == 0 && (up-1)*1000 >= demand*(100+buffer)/100
 		})
-		if vm == nil {
-			return
-		}
-		n.move(vm, "p2")
 	}
 }
 
--- a/internal/fleet/waves_test.go
+++ b/internal/fleet/waves_test.go
@@ -86,6 +86,28 @@
 	g.Expect(s.LeavingVMs()).To(BeEmpty())
 }
 
+// Guards against a quarantine that never ends, and against reboots in a row.
+func TestQuarantinedWorkerIsRepaired(t *testing.T) {
+	g := NewWithT(t)
+	s, ix := maintained(3)
+	now := int64(repairWaitMS)
+	for i := range 5 {
+		g.Expect(PlanRepairs(s.wave(now, ix))).To(BeEmpty())
+		s.RecordFailure("vm00001", fmt.Sprint("job", i%3), ix)
+	}
+	for _, phase := range []apiv1.IntentPhase{failed, done} {
+		plan := PlanRepairs(s.wave(now, ix))
+		g.Expect(plan).To(HaveLen(1))
+		g.Expect(s.CreateIntents(now, &apiv1.CreateIntents{Intents: plan}, ix)).To(BeEmpty())
+		for _, p := range []apiv1.IntentPhase{operating, phase} {
+			s.AdvanceIntents(now, &apiv1.AdvanceIntents{Advances: []*apiv1.IntentAdvance{{OperationId: plan[0].OperationId, Phase: p}}}, ix)
+		}
+		g.Expect(PlanRepairs(s.wave(now+repairWaitMS-1, ix))).To(BeEmpty())
+		now += repairWaitMS
+	}
+	g.Expect(s.LeavingVMs()).To(BeEmpty())
+}
+
 func BenchmarkPlans(b *testing.B) {
 	for _, vms := range []int{200, 3200} {
 		s, ix := maintained(vms)
