Fit the operators' client to the control leader's answers

The leader holds a publish that is not in force for 8 s; with the default timeout of 10 s an attempt got 5 s, so a slow entry would have ended as an unknown outcome (30) instead of not in force (3). A publish now has its own time. control replace adds the new replica, waits until it votes and only then removes the old one, since the leader takes these as two calls. A version that the leader did not send is refused: going back must never publish another version's objects. Job filters are applied in the client as well.

Seen to fail without: the filter, the compare of the version, waiting for the vote, the removal of the old replica.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -55,6 +55,8 @@
 	stdout, stderr io.Writer
 	// pollInterval is the time between two questions while waiting.
 	pollInterval time.Duration
+	// publishWait is operator.Options.PublishWait.
+	publishWait time.Duration
 }
 
 const defaultPollInterval = 500 * time.Millisecond
@@ -123,9 +125,10 @@
 		return nil, invalid("%v", err)
 	}
 	return operator.NewClient(operator.Options{
-		Addresses:  conf.OperatorAddresses,
-		Credential: credential,
-		Timeout:    time.Duration(conf.TimeoutMs) * time.Millisecond,
+		Addresses:   conf.OperatorAddresses,
+		Credential:  credential,
+		Timeout:     time.Duration(conf.TimeoutMs) * time.Millisecond,
+		PublishWait: a.publishWait,
 	})
 }
 
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -51,7 +51,7 @@
 
 func (s *shell) run(args ...string) int {
 	var out, errs bytes.Buffer
-	a := &app{stdout: &out, stderr: &errs, pollInterval: time.Millisecond}
+	a := &app{stdout: &out, stderr: &errs, pollInterval: time.Millisecond, publishWait: time.Second}
 	code := run(context.Background(), append([]string{"--settings", s.settings}, args...), a)
 	s.out, s.err = out.String(), errs.String()
 	return code
@@ -161,6 +161,9 @@
 		s.replace("limits.ini", "max_running = 240", "max_running = 250")
 		s.mustRun("publish", s.folder)
 		Expect(s.run("get", s.folder)).To(Equal(10))
+		s.control.Replies["/v1/config"] = s.control.Current() // a server that ignores the version
+		Expect(s.run("get", s.folder, "--version", "1", "--force")).To(Equal(90))
+		delete(s.control.Replies, "/v1/config")
 		s.mustRun("get", s.folder, "--version", "1", "--force")
 		set, problems := objects.ParseFolder(s.folder)
 		Expect(problems).To(BeEmpty())
@@ -263,15 +266,19 @@
 
 	It("lists, shows and cancels jobs", func() {
 		s := newShell()
+		other := &apiv1.Job{JobId: "j0", State: apiv1.JobState_JOB_STATE_RUNNING}
 		job := &apiv1.Job{JobId: "j1", State: apiv1.JobState_JOB_STATE_PARKED, Queue: "q", Reason: "failed", Lease: &apiv1.JobLease{Vm: "h-1"}}
-		s.control.Replies["/v1/jobs"] = &apiv1.JobList{Jobs: []*apiv1.Job{job}}
+		s.control.Replies["/v1/jobs"] = &apiv1.JobList{Jobs: []*apiv1.Job{other, job}} // a server without filters
 		s.mustRun("jobs", "list", "--state", "parked", "--limit", "5")
 		Expect(s.control.Requests).To(ContainElement("GET /v1/jobs?limit=5&state=parked"))
 		Expect(s.out).To(MatchRegexp(`j1 +parked +unspecified +q +- +- +failed`))
+		Expect(s.out).NotTo(ContainSubstring("j0"))
+		s.mustRun("jobs", "list", "--limit", "1")
+		Expect(s.err).To(ContainSubstring("--limit"))
+		s.control.Replies["/v1/jobs/j1"] = job
 		s.mustRun("jobs", "show", "j1")
 		Expect(s.out).To(ContainSubstring("h-1"))
-		s.control.Replies["/v1/jobs"] = &apiv1.JobList{}
-		Expect(s.run("jobs", "show", "j2")).To(Equal(63))
+		Expect(s.run("jobs", "show", "j2")).To(Equal(19))
 		s.control.Replies["/v1/jobs/cancel"] = &apiv1.Rejections{Rejections: []*apiv1.Rejection{{
 			Id: "j2", Status: result.NotRun(apiv1.ResultCode_RESULT_CODE_JOB_NOT_FOUND, "no job").Status(),
 		}}}
@@ -281,10 +288,12 @@
 
 	It("replaces a control replica, dumps, and creates an operator key", func() {
 		s := newShell()
-		s.control.Replies["/v1/control/members"] = &apiv1.ControlMembers{Pending: true}
-		Expect(s.run("control", "replace", "11", "27", "10.0.1.9:7001", "--wait", "10ms")).To(Equal(3))
-		s.control.Replies["/v1/control/members"] = &apiv1.ControlMembers{Replicas: []*apiv1.ControlReplicaStatus{{ReplicaId: 27}}}
+		s.control.Members = []*apiv1.ControlReplicaStatus{{ReplicaId: 11}, {ReplicaId: 12}}
+		Expect(s.run("control", "replace", "11", "27", "10.0.1.9:7001", "--wait", "0s")).To(Equal(3))
+		Expect(s.control.Members).To(HaveLen(3), "the old replica stays while the new one is a learner")
 		s.mustRun("control", "replace", "11", "27", "10.0.1.9:7001")
+		Expect(s.control.Members).To(HaveLen(2))
+		Expect(s.control.Members[1].Learner).To(BeFalse())
 		s.control.Replies["/v1/dump"] = &apiv1.StatusReport{ConfigVersion: 9}
 		path := filepath.Join(s.folder, "dump.json")
 		s.mustRun("dump", "--out", path)
--- a/internal/command/control.go
+++ b/internal/command/control.go
@@ -6,6 +6,8 @@
 	"time"
 
 	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+	"bergamotdrum.example/bergamotdrum/internal/operator"
+	"bergamotdrum.example/bergamotdrum/internal/result"
 )
 
 type controlCommands struct {
@@ -40,14 +42,14 @@
 
 type controlReplaceCommand struct {
 	OldID   uint64        `arg:"" help:"Replica id of the lost replica, as control members lists it."`
-	NewID   uint64        `arg:"" help:"Replica id of the new replica, from its log."`
+	NewID   uint64        `arg:"" help:"Replica id of the new replica, as control members or its log names it."`
 	Address string        `arg:"" help:"RPC address (ip:port) of the new replica."`
 	Wait    time.Duration `help:"How long to wait until the change is finished." default:"5m"`
 }
 
 func (controlReplaceCommand) Help() string {
 	return `Start bergamot-control with an empty data folder on the new VM first. The new replica joins as a
-learner, becomes a voter once it has synced the log, and then the old one is removed. Run the
+learner, becomes a voter once it has synced the log, and only then the old one is removed. Run the
 command again with the same arguments when it ended before that.
 
 Example:
@@ -64,7 +66,7 @@
 	deadline := time.NewTimer(c.Wait)
 	defer deadline.Stop()
 	for {
-		reply, err := client.ReplaceReplica(ctx, cmd)
+		reply, err := c.step(ctx, client, cmd)
 		if err != nil {
 			return err
 		}
@@ -82,6 +84,34 @@
 	}
 }
 
+// step adds the new replica or learns its progress, and removes the old one
+// once the new one votes: removing it earlier could cost the quorum.
+func (c *controlReplaceCommand) step(ctx context.Context, client *operator.Client, cmd *apiv1.ReplaceReplica) (*apiv1.ControlMembers, error) {
+	reply, err := client.ReplaceReplica(ctx, cmd)
+	if result.CodeOf(err) == apiv1.ResultCode_RESULT_CODE_MEMBERSHIP_CHANGE_PENDING {
+		return &apiv1.ControlMembers{Pending: true}, nil
+	}
+	if err != nil || !reply.Pending || !votes(reply.Replicas, c.NewID) {
+		return reply, err
+	}
+	reply, err = client.ReplaceReplica(ctx, &apiv1.ReplaceReplica{OldReplicaId: c.OldID})
+	switch result.CodeOf(err) {
+	case apiv1.ResultCode_RESULT_CODE_MEMBERSHIP_CHANGE_PENDING, apiv1.ResultCode_RESULT_CODE_NOT_FOUND:
+		// The next step learns whether the old one is gone.
+		return &apiv1.ControlMembers{Pending: true}, nil
+	}
+	return reply, err
+}
+
+func votes(replicas []*apiv1.ControlReplicaStatus, id uint64) bool {
+	for _, r := range replicas {
+		if r.ReplicaId == id {
+			return !r.Learner
+		}
+	}
+	return false
+}
+
 func (c *controlReplaceCommand) pending() error {
 	return &pendingError{fmt.Sprintf("replica %d has not replaced replica %d yet; run the command again", c.NewID, c.OldID)}
 }
--- a/internal/command/jobs.go
+++ b/internal/command/jobs.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 
-	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
 	"bergamotdrum.example/bergamotdrum/internal/operator"
 	"bergamotdrum.example/bergamotdrum/internal/result"
 )
@@ -63,14 +62,10 @@
 	if err != nil {
 		return err
 	}
-	list, err := client.Jobs(ctx, operator.JobsQuery{Job: c.JobID})
+	job, err := client.Job(ctx, c.JobID)
 	if err != nil {
 		return err
 	}
-	if len(list.Jobs) == 0 {
-		return result.NotRun(apiv1.ResultCode_RESULT_CODE_JOB_NOT_FOUND, "there is no job %q", c.JobID)
-	}
-	job := list.Jobs[0]
 	a.print(job, func() {
 		printFields(a.stdout, job)
 		if job.Lease != nil {
--- a/internal/operator/calls.go
+++ b/internal/operator/calls.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"net/http"
+	"net/url"
+	"slices"
+	"strings"
 
 	"github.com/google/uuid"
 
@@ -32,7 +35,7 @@
 	reply := &apiv1.PublishReply{}
 	return reply, c.do(ctx, call{
 		method: http.MethodPost, path: "/v1/config/publish",
-		body: cmd, reply: reply,
+		body: cmd, reply: reply, attempt: c.options.PublishWait,
 	})
 }
 
@@ -54,10 +57,15 @@
 // holds the hashes of keys.
 func (c *Client) Config(ctx context.Context, version uint64) (*apiv1.Config, error) {
 	reply := &apiv1.Config{}
-	return reply, c.do(ctx, call{
+	err := c.do(ctx, call{
 		method: http.MethodGet, path: "/v1/config",
 		query: versionQuery{version}, reply: reply,
 	})
+	if err == nil && version != 0 && reply.Version != version {
+		// Going back to a version must never publish another one's objects.
+		err = result.NotRun(apiv1.ResultCode_RESULT_CODE_INTERNAL, "asked for version %d, the control leader sent version %d", version, reply.Version)
+	}
+	return reply, err
 }
 
 // History lists the last versions, newest first.
@@ -87,7 +95,6 @@
 
 // JobsQuery filters jobs; empty fields match all.
 type JobsQuery struct {
-	Job   string `url:"job,omitempty"`
 	Queue string `url:"queue,omitempty"`
 	Team  string `url:"team,omitempty"`
 	// State is the short name, for example "pending".
@@ -96,10 +103,29 @@
 	Limit int `url:"limit,omitempty"`
 }
 
-// Jobs lists jobs in the order of their submission.
+// Jobs lists jobs in the order of their submission. The filter is applied here
+// too, so that a server that does not know a field of it changes nothing.
 func (c *Client) Jobs(ctx context.Context, q JobsQuery) (*apiv1.JobList, error) {
 	reply := &apiv1.JobList{}
-	return reply, c.do(ctx, call{method: http.MethodGet, path: "/v1/jobs", query: q, reply: reply})
+	if err := c.do(ctx, call{method: http.MethodGet, path: "/v1/jobs", query: q, reply: reply}); err != nil {
+		return nil, err
+	}
+	reply.Jobs = slices.DeleteFunc(reply.Jobs, func(j *apiv1.Job) bool { return !q.matches(j) })
+	if q.Limit > 0 && len(reply.Jobs) > q.Limit {
+		reply.Jobs, reply.Truncated = reply.Jobs[:q.Limit], true
+	}
+	return reply, nil
+}
+
+func (q JobsQuery) matches(j *apiv1.Job) bool {
+	state := strings.ToLower(strings.TrimPrefix(j.State.String(), "JOB_STATE_"))
+	return (q.Queue == "" || q.Queue == j.Queue) && (q.Team == "" || q.Team == j.Team) && (q.State == "" || q.State == state)
+}
+
+// Job returns one job; the code is JOB_NOT_FOUND when there is none.
+func (c *Client) Job(ctx context.Context, id string) (*apiv1.Job, error) {
+	reply := &apiv1.Job{}
+	return reply, c.do(ctx, call{method: http.MethodGet, path: "/v1/jobs/" + url.PathEscape(id), reply: reply})
 }
 
 // CancelJobs asks for the end of jobs and returns those that were refused.
@@ -111,8 +137,9 @@
 	})
 }
 
-// ReplaceReplica replaces a control replica. While the reply is pending, the
-// same call asks for the progress.
+// ReplaceReplica adds the new replica as a learner when it is not a member yet,
+// or removes the old one when no new one is given. While the reply is pending,
+// the same call asks for the progress.
 func (c *Client) ReplaceReplica(ctx context.Context, cmd *apiv1.ReplaceReplica) (*apiv1.ControlMembers, error) {
 	reply := &apiv1.ControlMembers{}
 	return reply, c.do(ctx, call{
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -26,6 +26,10 @@
 const (
 	// maxReplyBytes bounds a reply; a state dump is the largest.
 	maxReplyBytes = 256 << 20
+	// defaultPublishWait is longer than the 8 s for which the control leader holds
+	// the answer to a publish that is not yet in force; a shorter attempt would
+	// end as an unknown outcome.
+	defaultPublishWait = 10 * time.Second
 	// firstPause and maxPause bound the wait between two attempts. An election
 	// takes about a second.
 	firstPause = 50 * time.Millisecond
@@ -41,6 +45,9 @@
 	// Timeout bounds a whole call; one attempt gets half of it, so that a
 	// connection that went silent leaves time for another replica.
 	Timeout time.Duration
+	// PublishWait is the time for one attempt of a publish, which gets twice of
+	// it as a whole; zero means 10 s.
+	PublishWait time.Duration
 }
 
 // Client calls the control leader. Each attempt uses a fresh connection,
@@ -57,12 +64,14 @@
 	if len(o.Addresses) == 0 {
 		return nil, result.NotRun(apiv1.ResultCode_RESULT_CODE_INVALID_ARGUMENT, "no operator address is configured; set operator_addresses")
 	}
+	if o.PublishWait == 0 {
+		o.PublishWait = defaultPublishWait
+	}
 	transport := &http.Transport{DisableKeepAlives: true}
 	return &Client{
 		options: o,
 		http: &http.Client{
 			Transport: transport,
-			Timeout:   o.Timeout / 2,
 			// The API has no redirects; following one would send the credential on.
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
@@ -77,13 +86,18 @@
 	query        any           // struct with url tags, or nil
 	body         proto.Message // nil for none
 	reply        any           // proto.Message or *[]byte
+	// attempt bounds one attempt; the whole call gets twice of it.
+	attempt time.Duration
 }
 
 // do repeats the call until a replica gives a final reply or the timeout ends.
 // After a timeout the code is OUTCOME_UNKNOWN when some attempt may have
 // reached a replica, else NO_QUORUM.
 func (c *Client) do(ctx context.Context, k call) error {
-	ctx, cancel := context.WithTimeout(ctx, c.options.Timeout)
+	if k.attempt == 0 {
+		k.attempt = c.options.Timeout / 2
+	}
+	ctx, cancel := context.WithTimeout(ctx, 2*k.attempt)
 	defer cancel()
 	pause := firstPause
 	var sent bool
@@ -134,6 +148,8 @@
 }
 
 func (c *Client) attempt(ctx context.Context, k call) error {
+	ctx, cancel := context.WithTimeout(ctx, k.attempt)
+	defer cancel()
 	s := sling.New().Client(c.http).Base("http://"+c.next).
 		Set("Authorization", "Bearer "+c.options.Credential).
 		ResponseDecoder(decoder{})
--- a/internal/operator/client_test.go
+++ b/internal/operator/client_test.go
@@ -77,7 +77,7 @@
 		down := listener.Addr().String()
 		Expect(listener.Close()).To(Succeed())
 		short := func(addresses ...string) *operator.Client {
-			c, err := operator.NewClient(operator.Options{Addresses: addresses, Credential: credential, Timeout: 300 * time.Millisecond})
+			c, err := operator.NewClient(operator.Options{Addresses: addresses, Credential: credential, PublishWait: 150 * time.Millisecond})
 			Expect(err).NotTo(HaveOccurred())
 			return c
 		}
@@ -99,7 +99,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(silent.Close)
 		c, err := operator.NewClient(operator.Options{
-			Addresses: []string{silent.Addr().String(), control.Address}, Credential: credential, Timeout: 2 * time.Second,
+			Addresses: []string{silent.Addr().String(), control.Address}, Credential: credential, PublishWait: time.Second,
 		})
 		Expect(err).NotTo(HaveOccurred())
 		_, err = c.Publish(ctx, &apiv1.PublishConfig{RequestId: "r1", Objects: limit(1)})
--- a/internal/operator/operatortest/control.go
+++ b/internal/operator/operatortest/control.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -39,6 +40,9 @@
 	InForceAfter int
 	// Replies are fixed answers by path.
 	Replies map[string]proto.Message
+	// Members is the control group; a learner votes at the next request after
+	// the one that added it.
+	Members []*apiv1.ControlReplicaStatus
 	// Requests lists "METHOD path?query" of each request, in order.
 	Requests []string
 	// Bodies are the bodies of Requests.
@@ -124,6 +128,8 @@
 		return c.check(body)
 	case "POST /v1/config/publish":
 		return c.publish(name, body)
+	case "POST /v1/control/members":
+		return c.members(body)
 	case "GET /v1/config/in-force":
 		version, _ := strconv.ParseUint(r.URL.Query().Get("version"), 10, 64)
 		return c.inForce(version), nil
@@ -187,3 +193,24 @@
 		{SessionId: 7, ProcessId: "entry-1", AvailabilityZone: "az-a"},
 	}}
 }
+
+// members adds the new replica, or removes the old one when no new one is
+// named, as the control leader does.
+func (c *Control) members(body []byte) (proto.Message, *result.Error) {
+	var cmd apiv1.ReplaceReplica
+	if err := protojson.Unmarshal(body, &cmd); err != nil {
+		return nil, result.NotRun(apiv1.ResultCode_RESULT_CODE_INVALID_ARGUMENT, "%v", err)
+	}
+	is := func(id uint64) func(*apiv1.ControlReplicaStatus) bool {
+		return func(r *apiv1.ControlReplicaStatus) bool { return r.ReplicaId == id }
+	}
+	if cmd.NewReplicaId == 0 {
+		c.Members = slices.DeleteFunc(c.Members, is(cmd.OldReplicaId))
+	} else if i := slices.IndexFunc(c.Members, is(cmd.NewReplicaId)); i >= 0 {
+		c.Members[i].Learner = false
+	} else {
+		added := &apiv1.ControlReplicaStatus{ReplicaId: cmd.NewReplicaId, RpcAddress: cmd.NewRpcAddress, Learner: true}
+		c.Members = append(c.Members, added)
+	}
+	return &apiv1.ControlMembers{Replicas: c.Members, Pending: slices.ContainsFunc(c.Members, is(cmd.OldReplicaId))}, nil
+}
