--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -23,6 +23,7 @@
 
 func (n *Node) register() {
 	rpc.Register(n.o.Server, "Raft.Step", n.handleStep)
+	rpc.Register(n.o.Server, "Raft.SendSnapshot", n.handleChunk)
 	rpc.Register(n.o.Server, "Raft.Identify", n.handleIdentify)
 	rpc.Register(n.o.Server, "Raft.Form", n.handleForm)
 	rpc.Register(n.o.Server, "Raft.Join", n.handleJoin)
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -46,11 +46,14 @@
 	senders       map[string]*sender
 	learned       map[uint64]string
 	snapshotting  bool
+	lastSnapshot  uint64
 	leadTerm      uint64
 	cancelLeader  context.CancelFunc
 	leaderStopped chan struct{}
 	lastTick      time.Duration
 
+	incoming assembly
+
 	status  atomic.Pointer[Status]
 	metrics *metrics
 	ctx     context.Context
--- a/internal/replica/node_test.go
+++ b/internal/replica/node_test.go
@@ -16,7 +16,11 @@
 	"bergamotdrum.example/bergamotdrum/internal/rpc"
 )
 
-func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+// TestMain makes every snapshot take several chunks.
+func TestMain(m *testing.M) {
+	chunkBytes = 100
+	goleak.VerifyTestMain(m)
+}
 
 // Guards against acknowledged commands being lost with the leader, and against
 // refusals of followers that don't say who leads.
--- a/internal/replica/sender.go
+++ b/internal/replica/sender.go
@@ -14,8 +14,7 @@
 	senderQueue = 1024
 	// A batch ends at this size, which leaves room for the largest command
 	// within rpc.MaxFrameBytes.
-	batchBytes      = 4 << 20
-	snapshotTimeout = 30 * time.Second
+	batchBytes = 4 << 20
 	// maxLearned bounds the addresses kept for replicas outside the group.
 	maxLearned = 64
 )
@@ -26,7 +25,7 @@
 	n       *Node
 	address string
 	queue   chan *apiv1.RaftMessage
-	// snapshot has room for one: while one is on its way others are dropped.
+	// snapshot has no buffer: while one is on its way others are dropped.
 	snapshot chan *apiv1.RaftMessage
 }
 
@@ -70,7 +69,7 @@
 func (n *Node) senderFor(address string) *sender {
 	s, ok := n.senders[address]
 	if !ok {
-		s = &sender{n: n, address: address, queue: make(chan *apiv1.RaftMessage, senderQueue), snapshot: make(chan *apiv1.RaftMessage, 1)}
+		s = &sender{n: n, address: address, queue: make(chan *apiv1.RaftMessage, senderQueue), snapshot: make(chan *apiv1.RaftMessage)}
 		n.senders[address] = s
 		clusterID := n.clusterID
 		n.io.Go(func() { s.runMessages(clusterID) })
@@ -105,27 +104,6 @@
 	return batch
 }
 
-func (s *sender) runSnapshots(clusterID uint64) {
-	for {
-		select {
-		case <-s.n.ctx.Done():
-			return
-		case m := <-s.snapshot:
-			s.sendSnapshot(clusterID, m)
-		}
-	}
-}
-
-func (s *sender) sendSnapshot(clusterID uint64, m *apiv1.RaftMessage) {
-	snapshot, err := s.n.folder.ReadSnapshot()
-	if err != nil {
-		s.n.log.WithError(err).Error("snapshot for a follower cannot be read")
-		return
-	}
-	full := &apiv1.RaftMessage{Kind: m.Kind, From: m.From, To: m.To, Term: m.Term, Snapshot: snapshot}
-	s.deliver(clusterID, []*apiv1.RaftMessage{full}, snapshotTimeout)
-}
-
 // deliver makes one call. Failures are not reported: the core notices the
 // missing replies.
 func (s *sender) deliver(clusterID uint64, messages []*apiv1.RaftMessage, timeout time.Duration) {
--- a/internal/replica/snapshots.go
+++ b/internal/replica/snapshots.go
@@ -14,9 +14,10 @@
 // is marshalled here, since the state machine may change what Snapshot returned
 // with the next Apply; the file is written in the background.
 func (n *Node) maybeSnapshot() {
-	if n.snapshotting || n.applied < n.core.SnapshotIndex()+n.o.SnapshotEntries {
+	if n.snapshotting || n.applied < max(n.core.SnapshotIndex(), n.lastSnapshot)+n.o.SnapshotEntries {
 		return
 	}
+	n.lastSnapshot = n.applied
 	start := n.o.Clock.Now()
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(n.o.StateMachine.Snapshot())
 	if err != nil {
@@ -36,7 +37,8 @@
 func (n *Node) finishSnapshot(meta *apiv1.SnapshotMeta, err error) {
 	n.snapshotting = false
 	if err != nil {
-		n.err = err
+		// The log still holds everything; the next one is tried as usual.
+		n.log.WithError(err).Error("snapshot was not written")
 		return
 	}
 	if meta.Index <= n.core.SnapshotIndex() {
--- a/internal/storage/record.go
+++ b/internal/storage/record.go
@@ -18,9 +18,9 @@
 const (
 	// A record starts with its payload's length (4 bytes), CRC32C (4) and kind (1).
 	recordHeaderBytes = 9
-	// maxRecordBytes bounds a payload: a larger length is damage. It exceeds
-	// rpc.MaxFrameBytes, since a snapshot of that size must fit.
-	maxRecordBytes = 128 << 20
+	// maxRecordBytes bounds a payload, which for a snapshot is the whole state:
+	// a larger length is damage.
+	maxRecordBytes = 1 << 30
 )
 
 var (
