--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -67,11 +67,7 @@
 	machine         *machine
 	node            *Node
 	// leading counts running OnLeader calls, atLead what was applied when the
-<<<<<<< HEAD
-	// last one began.
-=======
 	// first one began.
->>>>>>> consensus
 	leading, atLead atomic.Int32
 	server          *rpc.Server
 	client          *rpc.Client
@@ -86,23 +82,17 @@
 }
 
 func newCluster(t testing.TB, size int) *cluster {
-<<<<<<< HEAD
-=======
 	return newClusterWith(t, size, func(*Options) {})
 }
 
 func newClusterWith(t testing.TB, size int, adjust func(*Options)) *cluster {
->>>>>>> consensus
 	c := &cluster{t: t, g: NewWithT(t), folder: t.TempDir()}
 	c.g.SetDefaultEventuallyTimeout(waitLimit)
 	c.options.Bootstrap = true
 	c.options.HeartbeatInterval = 20 * time.Millisecond
 	c.options.ElectionTimeout = 300 * time.Millisecond
 	c.options.SnapshotEntries = 50
-<<<<<<< HEAD
-=======
 	adjust(&c.options)
->>>>>>> consensus
 	c.add(size)
 	t.Cleanup(func() {
 		for _, m := range c.members {
@@ -148,11 +138,7 @@
 }
 
 func (m *member) onLeader(ctx context.Context) {
-<<<<<<< HEAD
-	m.atLead.Store(int32(len(m.machine.applied())))
-=======
 	m.atLead.CompareAndSwap(0, int32(len(m.machine.applied())))
->>>>>>> consensus
 	m.leading.Add(1)
 	<-ctx.Done()
 	m.leading.Add(-1)
--- a/internal/replica/node_test.go
+++ b/internal/replica/node_test.go
@@ -10,10 +10,7 @@
 	"go.uber.org/goleak"
 
 	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
-<<<<<<< HEAD
-=======
 	"bergamotdrum.example/bergamotdrum/internal/clock"
->>>>>>> consensus
 	"bergamotdrum.example/bergamotdrum/internal/consensus"
 	"bergamotdrum.example/bergamotdrum/internal/result"
 	"bergamotdrum.example/bergamotdrum/internal/rpc"
@@ -121,12 +118,7 @@
 	c.g.Expect(leader.node.Status().Role).NotTo(Equal(consensus.Leader))
 }
 
-<<<<<<< HEAD
-// Guards against the leader's duties running on a replica that does not lead,
-// or starting before it has applied what was committed.
-=======
 // Guards against the leader's duties running on a replica that does not lead.
->>>>>>> consensus
 func TestOnLeaderRunsWhileLeading(t *testing.T) {
 	c := newCluster(t, 3)
 	c.proposeMany("before", 20)
@@ -136,10 +128,6 @@
 	c.g.Expect(first.leading.Load()).To(BeNumerically("==", 0))
 	second := c.leader()
 	c.g.Eventually(second.leading.Load).Should(BeNumerically("==", 1))
-<<<<<<< HEAD
-	c.g.Expect(second.atLead.Load()).To(BeNumerically(">=", 20))
-=======
->>>>>>> consensus
 	for _, m := range c.members {
 		if m != second {
 			c.g.Expect(m.leading.Load()).To(BeNumerically("==", 0))
@@ -149,8 +137,6 @@
 	c.g.Eventually(second.leading.Load).Should(BeNumerically("==", 0))
 }
 
-<<<<<<< HEAD
-=======
 // Guards against the leader's duties starting before it has applied what was
 // committed: without its last record the log doesn't say that the last command
 // is.
@@ -180,7 +166,6 @@
 	c.g.Eventually(func() uint64 { return c.leader().node.Status().Term }).Should(BeNumerically(">", term))
 }
 
->>>>>>> consensus
 // Guards against a replica that starts on a damaged log.
 func TestDamagedLogIsRefused(t *testing.T) {
 	c := newCluster(t, 1)
--- a/internal/storage/folder_test.go
+++ b/internal/storage/folder_test.go
@@ -136,10 +136,7 @@
 	g.Expect(listNames(path, snapshotSuffix)).To(HaveLen(1))
 	g.Expect(listNames(path, segmentSuffix)).NotTo(ContainElement(segmentName(1)))
 	snapshot(4, true)
-<<<<<<< HEAD
-=======
 	g.Expect(texts(again())).To(BeEmpty())
->>>>>>> consensus
 	save(5, 3, "f")
 	g.Expect(texts(again())).To(Equal([]string{"f"}))
 	g.Expect(f.ReplicaID()).To(Equal(id))
@@ -149,28 +146,17 @@
 // Guards against a folder that lost a part of its memory passing for a new or
 // an intact one: the replica could vote twice in a term.
 func TestFolderWithMissingFilesIsRefused(t *testing.T) {
-<<<<<<< HEAD
-	for _, missing := range []string{identityName, segmentName(1), segmentName(2)} {
-=======
 	const identityOfOneSegment = "ident*"
 	for _, missing := range []string{identityName, "*1.wal", "*2.wal", "*.wal", "tail", identityOfOneSegment} {
->>>>>>> consensus
 		g := NewWithT(t)
 		path, _ := fill(t)
 		f, _, err := Open(path)
 		g.Expect(err).NotTo(HaveOccurred())
-<<<<<<< HEAD
-		for range 2 {
-=======
 		for missing != identityOfOneSegment && len(f.wal.segments) < 3 {
->>>>>>> consensus
 			g.Expect(f.wal.roll(false)).To(Succeed())
 			g.Expect(f.Save(nil, []*apiv1.LogEntry{entry(4, 1, "four")}, true)).To(Succeed())
 		}
 		f.Close()
-<<<<<<< HEAD
-		g.Expect(os.Remove(filepath.Join(path, missing))).To(Succeed())
-=======
 		if missing == "tail" {
 			g.Expect(os.Truncate(filepath.Join(path, segmentName(2)), 60)).To(Succeed())
 		}
@@ -179,7 +165,6 @@
 		for _, name := range names {
 			g.Expect(os.Remove(name)).To(Succeed())
 		}
->>>>>>> consensus
 		_, err = reopen(t, path)
 		g.Expect(result.CodeOf(err)).To(Equal(apiv1.ResultCode_RESULT_CODE_DATA_DAMAGED), missing)
 	}
@@ -218,13 +203,6 @@
 	for _, e := range entries {
 		info, err := e.Info()
 		g.Expect(err).NotTo(HaveOccurred())
-<<<<<<< HEAD
-		g.Expect(info.Mode().Perm()).To(BeNumerically("==", fileMode), e.Name())
-	}
-	info, err := os.Stat(path)
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(info.Mode().Perm()).To(BeNumerically("==", folderMode))
-=======
 		g.Expect(info.Mode().Perm()).To(BeNumerically("==", 0o600), e.Name())
 	}
 	info, err := os.Stat(path)
@@ -260,7 +238,6 @@
 	expect(segmentName(1), segmentName(2)+tempSuffix, "data", "data")
 	syncData = func(*os.File) error { return os.ErrInvalid }
 	g.Expect(f.Save(nil, []*apiv1.LogEntry{entry(2, 1, "two")}, true)).To(MatchError(os.ErrInvalid))
->>>>>>> consensus
 }
 
 // Guards against a record decoder that panics or accepts what was not written
