--- /dev/null
+++ b/internal/measure/report.go
@@ -0,0 +1,70 @@
+package measure
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"bergamotdrum.example/bergamotdrum/internal/objects"
+)
+
+// Report writes the tables of one deployment as Markdown.
+func Report(w io.Writer, name string, ix *objects.Index, seed uint64) error {
+	fmt.Fprintf(w, "## %s\n\n", name)
+	shares, err := Share(ix, seed)
+	if err != nil {
+		return err
+	}
+	reportShare(w, shares)
+	reportZone(w, Zone(ix, seed))
+	reportBurst(w, Burst(ix, seed))
+	reportWave(w, Wave(ix, seed))
+	reportCapacity(w, Capacity(ix, seed))
+	return nil
+}
+
+func reportShare(w io.Writer, results []ShareResult) {
+	fmt.Fprintf(w, "### Closeness to share under full load, windows of 10 s\n\n")
+	fmt.Fprintf(w, "| policy | largest deviation | mean deviation | slot time used | violations |\n|---|---|---|---|---|\n")
+	for _, r := range results {
+		fmt.Fprintf(w, "| %s | %.2f %% | %.2f %% | %.1f %% | %d |\n", r.Policy, r.MaxPercent, r.MeanPercent, r.UsedPercent, r.Violations)
+	}
+	fmt.Fprintln(w)
+}
+
+func reportZone(w io.Writer, results []ZoneResult) {
+	fmt.Fprintf(w, "### An availability zone leaves for 60 s and returns, under full load\n\n")
+	fmt.Fprintf(w, "| case | work done, of what the remaining minions could do | starts in the zone while out | zone in full use again after | violations |\n|---|---|---|---|---|\n")
+	for _, r := range results {
+		fmt.Fprintf(w, "| %s | %.1f %% | %d | %v | %d |\n", r.Case, r.WorkPercent, r.StartsInZone, r.BackAfter, r.Violations)
+	}
+	fmt.Fprintln(w)
+}
+
+func reportBurst(w io.Writer, results []BurstResult) {
+	fmt.Fprintf(w, "### Time to start under demand by turns (5 times the mean for 5 s, a twentieth for 20 s)\n\n")
+	fmt.Fprintf(w, "| service | priority | timeout | requests | p50 | p99 | longest | answered \"not run\" | violations |\n|---|---|---|---|---|---|---|---|---|\n")
+	for _, r := range results {
+		fmt.Fprintf(w, "| %s | %s | %v | %d | %v | %v | %v | %.1f %% | %d |\n", r.Service, r.Priority, r.Timeout, r.Requests,
+			r.P50.Round(time.Millisecond), r.P99.Round(time.Millisecond), r.Longest.Round(time.Millisecond), r.NotRunPct, r.Violations)
+	}
+	fmt.Fprintln(w)
+}
+
+func reportWave(w io.Writer, results []WaveResult) {
+	fmt.Fprintf(w, "### One maintenance wave over a pool of 10 VMs, with VM failures\n\n")
+	fmt.Fprintf(w, "| policy | pool | roll-out | finished | budget violations |\n|---|---|---|---|---|\n")
+	for _, r := range results {
+		fmt.Fprintf(w, "| %s | %s | %v | %v | %d |\n", r.Policy, r.Pool, r.RollOut, r.Finished, r.Violations)
+	}
+	fmt.Fprintln(w)
+}
+
+func reportCapacity(w io.Writer, results []CapacityResult) {
+	fmt.Fprintf(w, "### Buffer cost over 4 h, one pool at a time asking for 14 VMs and the others for 1.5\n\n")
+	fmt.Fprintf(w, "| policy | idle VM-hours | unmet VM-hours | VM moves | budget violations |\n|---|---|---|---|---|\n")
+	for _, r := range results {
+		fmt.Fprintf(w, "| %s | %.1f | %.1f | %d | %d |\n", r.Policy, r.IdleVMHours, r.UnmetVMHours, r.Moves, r.Violations)
+	}
+	fmt.Fprintln(w)
+}
--- /dev/null
+++ b/internal/measure/share.go
@@ -0,0 +1,153 @@
+package measure
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+	"bergamotdrum.example/bergamotdrum/internal/objects"
+)
+
+const (
+	window      = 10 * time.Second
+	warmUp      = 10 * time.Second
+	shareLength = 130 * time.Second
+	// clients of one team keep this many requests waiting or running.
+	clientsPerTeam = 100
+	entryVMs       = 8
+)
+
+// meanTimes are the mean service times by team, which nobody declares.
+var meanTimes = []time.Duration{
+	100 * time.Millisecond, 200 * time.Millisecond, 50 * time.Millisecond,
+	300 * time.Millisecond, 100 * time.Millisecond, 30 * time.Millisecond,
+}
+
+// ShareResult is the closeness of teams to their shares under full load.
+type ShareResult struct {
+	Policy string
+	// Deviation of a team's part of the slot time from its share of the
+	// weights, in percent of all slot time, over windows of 10 s.
+	MaxPercent, MeanPercent float64
+	// UsedPercent is the part of the slot time in which work ran.
+	UsedPercent float64
+	Violations  int
+}
+
+// usage adds slot time up by window and team.
+type usage struct {
+	teams   []string
+	windows [][]float64
+}
+
+func newUsage(teams []string, length time.Duration) *usage {
+	u := &usage{teams: teams}
+	for range int((length - warmUp) / window) {
+		u.windows = append(u.windows, make([]float64, len(teams)))
+	}
+	return u
+}
+
+func (u *usage) add(team string, start, end time.Duration) {
+	i := slices.Index(u.teams, team)
+	for w := range u.windows {
+		from := warmUp + time.Duration(w)*window
+		overlap := min(end, from+window) - max(start, from)
+		if overlap > 0 {
+			u.windows[w][i] += overlap.Seconds()
+		}
+	}
+}
+
+func (u *usage) result(policy string, weights []uint32) ShareResult {
+	total := uint32(0)
+	for _, w := range weights {
+		total += w
+	}
+	out := ShareResult{Policy: policy}
+	n, used := 0, 0.0
+	for _, w := range u.windows {
+		sum := 0.0
+		for _, v := range w {
+			sum += v
+		}
+		used += sum
+		for i, v := range w {
+			d := 100 * math.Abs(v/sum-float64(weights[i])/float64(total))
+			out.MaxPercent = max(out.MaxPercent, d)
+			out.MeanPercent += d
+			n++
+		}
+	}
+	out.MeanPercent /= float64(n)
+	out.UsedPercent = 100 * used / (float64(len(u.windows)) * window.Seconds() * slots)
+	return out
+}
+
+// sharers returns the teams of the queue with their weights.
+func sharers(ix *objects.Index, q *apiv1.Queue) ([]string, []uint32) {
+	var weights []uint32
+	for _, t := range q.Teams {
+		weights = append(weights, ix.Teams[t].Weight)
+	}
+	return q.Teams, weights
+}
+
+func requestQueue(ix *objects.Index) *apiv1.Queue {
+	for _, q := range ix.Set.Queue {
+		if q.Service != "" && !q.Open && len(q.Teams) >= 6 {
+			return q
+		}
+	}
+	return nil
+}
+
+// Share measures the closeness to share of the scheduler and of two baselines.
+func Share(ix *objects.Index, seed uint64) ([]ShareResult, error) {
+	q := requestQueue(ix)
+	if q == nil {
+		return nil, fmt.Errorf("the object set has no request queue with six teams")
+	}
+	return []ShareResult{
+		shareScheduler(ix, q, seed),
+		shareFIFO(ix, q, seed),
+		shareStatic(ix, q, seed),
+	}, nil
+}
+
+func shareScheduler(ix *objects.Index, q *apiv1.Queue, seed uint64) ShareResult {
+	s := newShardSim(seed, ix, q.Service)
+	teams, weights := sharers(ix, q)
+	u := newUsage(teams, shareLength)
+	s.onRun = func(r *request, _ string, start, end time.Duration) { u.add(r.team, start, end) }
+	timeout := time.Duration(ix.Services[q.Service].MaxDeadlineMs) * time.Millisecond
+	for i, team := range teams {
+		for range clientsPerTeam {
+			s.loop(team, q.Name, meanTimes[i%len(meanTimes)], timeout)
+		}
+	}
+	s.run(shareLength)
+	out := u.result("bergamotdrum", weights)
+	out.Violations = s.overLimit + s.overSlots
+	return out
+}
+
+// loop keeps one client sending: the next request follows the last one's end,
+// or a second after a refusal.
+func (s *shardSim) loop(team, queue string, mean, timeout time.Duration) {
+	var send func()
+	send = func() {
+		r := &request{team: team, queue: queue, length: s.serviceTime(mean), timeout: timeout}
+		r.done = func(started bool) {
+			if started {
+				s.after(0, send)
+				return
+			}
+			s.after(time.Second, send)
+		}
+		s.submit(r)
+	}
+	s.after(time.Duration(s.rng.IntN(100))*time.Millisecond, send)
+}
