Add the drain timeout of an intent

The executor needs it per intent; it is the maintenance object's, or 60 s for moves, repairs and objects removed meanwhile. Two assertions keep the fleet and the platform client in step with the interfaces that jobs and the executor use.

--- a/internal/fleet/waves.go
+++ b/internal/fleet/waves.go
@@ -4,12 +4,16 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"time"
 
 	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
 	"bergamotdrum.example/bergamotdrum/internal/objects"
 )
 
 const (
+	// defaultDrainTimeout is for moves, repairs and maintenance objects that
+	// were removed meanwhile.
+	defaultDrainTimeout = 60 * time.Second
 	// maxAttempts failed operations of one maintenance object on one VM end the
 	// attempts, so that one broken VM does not hold up its zone.
 	maxAttempts = 3
@@ -154,6 +158,17 @@
 	return out
 }
 
+// DrainTimeout returns the time after which the operation of the intent starts
+// although its VM is not empty.
+func DrainTimeout(in *apiv1.Intent, ix *objects.Index) time.Duration {
+	for _, m := range ix.Set.Maintenance {
+		if m.Name == in.Maintenance && m.DrainTimeoutMs > 0 {
+			return time.Duration(m.DrainTimeoutMs) * time.Millisecond
+		}
+	}
+	return defaultDrainTimeout
+}
+
 // PlanRepairs returns reboots of VMs whose worker is quarantined. They need no
 // budget, because such a VM counts as down already.
 func PlanRepairs(in WaveInput) []*apiv1.Intent {
--- a/internal/jobs/state.go
+++ b/internal/jobs/state.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/reflect/protoreflect"
 
 	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+	"bergamotdrum.example/bergamotdrum/internal/fleet"
 	"bergamotdrum.example/bergamotdrum/internal/objects"
 )
 
@@ -41,6 +42,8 @@
 	RecordFailure(vm, jobID string, ix *objects.Index)
 }
 
+var _ Workers = (*fleet.State)(nil)
+
 // State is every job as committed. Stored messages are never modified: a change
 // stores a changed copy, so results of Get and List stay valid as they were.
 // It is not safe for concurrent use.
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -44,6 +44,8 @@
 	base *sling.Sling
 }
 
+var _ API = (*Client)(nil)
+
 // NewClient returns a client for the API at baseURL, without a final slash.
 func NewClient(baseURL string) *Client {
 	return NewClientOver(baseURL, &http.Client{Timeout: callTimeout})
