--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -252,6 +252,7 @@
 	n.endLeadership()
 	n.failWaiting()
 	n.cancel()
+	n.publishStopped()
 	close(n.done)
 	<-n.leaderStopped
 	// Senders and the snapshot writer use the folder.
@@ -259,6 +260,14 @@
 	n.folder.Close()
 }
 
+// publishStopped keeps a stopped replica from passing for the leader.
+func (n *Node) publishStopped() {
+	st := n.Status()
+	st.Role, st.LeaderID, st.LeaderAddress = consensus.Follower, 0, ""
+	n.status.Store(&st)
+	n.metrics.observe(&st)
+}
+
 func (n *Node) publishStatus() {
 	leader := n.core.Leader()
 	st := &Status{
--- a/internal/replica/node_test.go
+++ b/internal/replica/node_test.go
@@ -124,7 +124,9 @@
 	c.proposeMany("before", 20)
 	first := c.leader()
 	c.g.Eventually(first.leading.Load).Should(BeNumerically("==", 1))
+	node := first.node
 	c.stop(first)
+	c.g.Expect(node.Status().Role).To(Equal(consensus.Follower))
 	c.g.Expect(first.leading.Load()).To(BeNumerically("==", 0))
 	second := c.leader()
 	c.g.Eventually(second.leading.Load).Should(BeNumerically("==", 1))
--- a/internal/storage/folder_test.go
+++ b/internal/storage/folder_test.go
@@ -141,6 +141,9 @@
 	g.Expect(texts(again())).To(Equal([]string{"f"}))
 	g.Expect(f.ReplicaID()).To(Equal(id))
 	f.Close()
+	g.Expect(os.Truncate(filepath.Join(path, snapshotName(4)), 12)).To(Succeed())
+	_, err = reopen(t, path)
+	g.Expect(result.CodeOf(err)).To(Equal(apiv1.ResultCode_RESULT_CODE_DATA_DAMAGED))
 }
 
 // Guards against a folder that lost a part of its memory passing for a new or
--- a/internal/storage/replay.go
+++ b/internal/storage/replay.go
@@ -97,7 +97,9 @@
 	for _, rec := range batch.Records {
 		switch body := rec.Body.(type) {
 		case *apiv1.LogRecord_Entry:
-			r.entry(body.Entry)
+			if err := r.entry(body.Entry); err != nil {
+				return err
+			}
 		case *apiv1.LogRecord_HardState:
 			r.wal.hard = body.HardState
 		case *apiv1.LogRecord_Snapshot:
@@ -129,21 +131,22 @@
 	return nil
 }
 
-// entry adds an entry and drops those it overwrites. After a gap the list
-// starts anew: entries before it were removed with their segment, and contents
-// checks that a snapshot covers them.
-func (r *replay) entry(e *apiv1.LogEntry) {
+// entry adds an entry and drops those it overwrites. An entry before the first
+// one overwrites what was removed with an earlier segment; contents checks that
+// a snapshot covers what is missing.
+func (r *replay) entry(e *apiv1.LogEntry) error {
 	current := r.wal.current()
 	current.lastIndex = max(current.lastIndex, e.Index)
 	if len(r.entries) > 0 {
 		first := r.entries[0].Index
-		if e.Index < first || e.Index > first+uint64(len(r.entries)) {
-			r.entries = nil
-		} else {
-			r.entries = r.entries[:e.Index-first]
+		next := first + uint64(len(r.entries))
+		if e.Index > next {
+			return fmt.Errorf("entry %d follows entry %d", e.Index, next-1)
 		}
+		r.entries = r.entries[:max(e.Index, first)-first]
 	}
 	r.entries = append(r.entries, e)
+	return nil
 }
 
 // snapshot drops the entries that a snapshot covers.
