--- a/internal/entry/response.go
+++ b/internal/entry/response.go
@@ -138,8 +138,8 @@
 	return nil
 }
 
-// setCallerDeadline runs before each write. A deadline stays on the connection
-// after the request, so one that was set once would cut later responses.
+// setCallerDeadline bounds the next write. The HTTP server lifts the deadline at
+// the end of the request.
 func (s *Server) setCallerDeadline(w http.ResponseWriter) {
 	// Recorders in tests have no deadline.
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(s.o.WriteTimeout))
