Replace a control replica only when the old one is a member

A trial against bergamot-dev replaced a replica that did not exist: the leader added the new one as a learner and reported nothing pending, and the command took that for success. It now asks for the members first and is done when the new replica votes and the old one is gone. Tables leave out fields that the leader does not fill in (reachable and match index of replicas, minions and slots of shards), which read as faults; error lines use the names of docs/result-codes.md.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/alecthomas/kong"
@@ -109,7 +110,8 @@
 	if a.cli.Output == "json" {
 		a.printJSON(a.stderr, e.Status())
 	} else {
-		_, _ = fmt.Fprintf(a.stderr, "bergamotctl: %s\n", e.Error())
+		name := strings.TrimPrefix(e.Code.String(), "RESULT_CODE_") // as docs/result-codes.md names it
+		_, _ = fmt.Fprintf(a.stderr, "bergamotctl: %s (%d): %s\n", name, int32(e.Code), e.Message)
 	}
 	return ExitCode(e.Code)
 }
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -289,6 +289,9 @@
 	It("replaces a control replica, dumps, and creates an operator key", func() {
 		s := newShell()
 		s.control.Members = []*apiv1.ControlReplicaStatus{{ReplicaId: 11}, {ReplicaId: 12}}
+		s.control.Replies["/v1/status"] = &apiv1.StatusReport{ControlReplicas: s.control.Members}
+		Expect(s.run("control", "replace", "10", "27", "10.0.1.9:7001")).To(Equal(19))
+		Expect(s.control.Members).To(HaveLen(2), "nothing is added for a replica that is not there")
 		Expect(s.run("control", "replace", "11", "27", "10.0.1.9:7001", "--wait", "0s")).To(Equal(3))
 		Expect(s.control.Members).To(HaveLen(3), "the old replica stays while the new one is a learner")
 		s.mustRun("control", "replace", "11", "27", "10.0.1.9:7001")
--- a/internal/command/control.go
+++ b/internal/command/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
@@ -15,6 +16,9 @@
 	Replace controlReplaceCommand `cmd:"" help:"Replace a lost control replica by a new one."`
 }
 
+// replicaColumns are the fields that the control leader fills in.
+var replicaColumns = []string{"replica_id", "rpc_address", "operator_address", "leader", "learner"}
+
 type controlMembersCommand struct{}
 
 func (controlMembersCommand) Help() string {
@@ -37,7 +41,7 @@
 }
 
 func (a *app) printMembers(m *apiv1.ControlMembers) {
-	a.print(m, func() { printTable(a.stdout, "", m.Replicas) })
+	a.print(m, func() { printTable(a.stdout, "", m.Replicas, replicaColumns...) })
 }
 
 type controlReplaceCommand struct {
@@ -62,16 +66,22 @@
 	if err != nil {
 		return err
 	}
-	cmd := &apiv1.ReplaceReplica{OldReplicaId: c.OldID, NewReplicaId: c.NewID, NewRpcAddress: c.Address}
+	status, err := client.Status(ctx)
+	if err != nil {
+		return err
+	}
+	if !member(status.ControlReplicas, c.OldID) && !member(status.ControlReplicas, c.NewID) {
+		return result.NotRun(apiv1.ResultCode_RESULT_CODE_NOT_FOUND, "replica %d is not in the control group; see bergamotctl control members", c.OldID)
+	}
 	deadline := time.NewTimer(c.Wait)
 	defer deadline.Stop()
 	for {
-		reply, err := c.step(ctx, client, cmd)
+		replicas, err := c.step(ctx, client)
 		if err != nil {
 			return err
 		}
-		if !reply.Pending {
-			a.printMembers(reply)
+		if votes(replicas, c.NewID) && !member(replicas, c.OldID) {
+			a.printMembers(&apiv1.ControlMembers{Replicas: replicas})
 			return nil
 		}
 		select {
@@ -85,31 +95,35 @@
 }
 
 // step adds the new replica or learns its progress, and removes the old one
-// once the new one votes: removing it earlier could cost the quorum.
-func (c *controlReplaceCommand) step(ctx context.Context, client *operator.Client, cmd *apiv1.ReplaceReplica) (*apiv1.ControlMembers, error) {
-	reply, err := client.ReplaceReplica(ctx, cmd)
-	if result.CodeOf(err) == apiv1.ResultCode_RESULT_CODE_MEMBERSHIP_CHANGE_PENDING {
-		return &apiv1.ControlMembers{Pending: true}, nil
-	}
-	if err != nil || !reply.Pending || !votes(reply.Replicas, c.NewID) {
-		return reply, err
+// once the new one votes: removing it earlier could cost the quorum. It returns
+// the members as last seen, none while another change is pending.
+func (c *controlReplaceCommand) step(ctx context.Context, client *operator.Client) ([]*apiv1.ControlReplicaStatus, error) {
+	replicas, err := change(ctx, client, &apiv1.ReplaceReplica{
+		OldReplicaId: c.OldID, NewReplicaId: c.NewID, NewRpcAddress: c.Address,
+	})
+	if err != nil || !votes(replicas, c.NewID) || !member(replicas, c.OldID) {
+		return replicas, err
 	}
-	reply, err = client.ReplaceReplica(ctx, &apiv1.ReplaceReplica{OldReplicaId: c.OldID})
+	return change(ctx, client, &apiv1.ReplaceReplica{OldReplicaId: c.OldID})
+}
+
+func change(ctx context.Context, client *operator.Client, cmd *apiv1.ReplaceReplica) ([]*apiv1.ControlReplicaStatus, error) {
+	reply, err := client.ReplaceReplica(ctx, cmd)
 	switch result.CodeOf(err) {
+	case apiv1.ResultCode_RESULT_CODE_OK:
+		return reply.Replicas, nil
 	case apiv1.ResultCode_RESULT_CODE_MEMBERSHIP_CHANGE_PENDING, apiv1.ResultCode_RESULT_CODE_NOT_FOUND:
-		// The next step learns whether the old one is gone.
-		return &apiv1.ControlMembers{Pending: true}, nil
+		return nil, nil // the next step learns what became of it
 	}
-	return reply, err
+	return nil, err
+}
+
+func member(replicas []*apiv1.ControlReplicaStatus, id uint64) bool {
+	return slices.ContainsFunc(replicas, func(r *apiv1.ControlReplicaStatus) bool { return r.ReplicaId == id })
 }
 
 func votes(replicas []*apiv1.ControlReplicaStatus, id uint64) bool {
-	for _, r := range replicas {
-		if r.ReplicaId == id {
-			return !r.Learner
-		}
-	}
-	return false
+	return slices.ContainsFunc(replicas, func(r *apiv1.ControlReplicaStatus) bool { return r.ReplicaId == id && !r.Learner })
 }
 
 func (c *controlReplaceCommand) pending() error {
--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -36,9 +36,9 @@
 	}
 	a.print(s, func() {
 		a.say("configuration version %d, in force: %s", s.ConfigVersion, yesNo(s.InForce))
-		printTable(a.stdout, "\ncontrol replicas", s.ControlReplicas)
+		printTable(a.stdout, "\ncontrol replicas", s.ControlReplicas, replicaColumns...)
 		printTable(a.stdout, "\nsessions", s.Sessions)
-		printTable(a.stdout, "\nshards", s.Shards)
+		printTable(a.stdout, "\nshards", s.Shards, "service", "epoch", "process_id", "recovering")
 		printTable(a.stdout, "\npools", s.Pools)
 		printTable(a.stdout, "\navailability zones", s.Zones)
 		printTable(a.stdout, "\nmaintenance", s.Waves)
