--- a/internal/storage/folder_test.go
+++ b/internal/storage/folder_test.go
@@ -136,6 +136,7 @@
 	g.Expect(listNames(path, snapshotSuffix)).To(HaveLen(1))
 	g.Expect(listNames(path, segmentSuffix)).NotTo(ContainElement(segmentName(1)))
 	snapshot(4, true)
+	g.Expect(texts(again())).To(BeEmpty())
 	save(5, 3, "f")
 	g.Expect(texts(again())).To(Equal([]string{"f"}))
 	g.Expect(f.ReplicaID()).To(Equal(id))
@@ -145,17 +146,25 @@
 // Guards against a folder that lost a part of its memory passing for a new or
 // an intact one: the replica could vote twice in a term.
 func TestFolderWithMissingFilesIsRefused(t *testing.T) {
-	for _, missing := range []string{identityName, segmentName(1), segmentName(2)} {
+	const identityOfOneSegment = "ident*"
+	for _, missing := range []string{identityName, "*1.wal", "*2.wal", "*.wal", "tail", identityOfOneSegment} {
 		g := NewWithT(t)
 		path, _ := fill(t)
 		f, _, err := Open(path)
 		g.Expect(err).NotTo(HaveOccurred())
-		for range 2 {
+		for missing != identityOfOneSegment && len(f.wal.segments) < 3 {
 			g.Expect(f.wal.roll(false)).To(Succeed())
 			g.Expect(f.Save(nil, []*apiv1.LogEntry{entry(4, 1, "four")}, true)).To(Succeed())
 		}
 		f.Close()
-		g.Expect(os.Remove(filepath.Join(path, missing))).To(Succeed())
+		if missing == "tail" {
+			g.Expect(os.Truncate(filepath.Join(path, segmentName(2)), 60)).To(Succeed())
+		}
+		names, err := filepath.Glob(filepath.Join(path, missing))
+		g.Expect(err).NotTo(HaveOccurred())
+		for _, name := range names {
+			g.Expect(os.Remove(name)).To(Succeed())
+		}
 		_, err = reopen(t, path)
 		g.Expect(result.CodeOf(err)).To(Equal(apiv1.ResultCode_RESULT_CODE_DATA_DAMAGED), missing)
 	}
@@ -194,11 +203,41 @@
 	for _, e := range entries {
 		info, err := e.Info()
 		g.Expect(err).NotTo(HaveOccurred())
-		g.Expect(info.Mode().Perm()).To(BeNumerically("==", fileMode), e.Name())
+		g.Expect(info.Mode().Perm()).To(BeNumerically("==", 0o600), e.Name())
 	}
 	info, err := os.Stat(path)
 	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(info.Mode().Perm()).To(BeNumerically("==", folderMode))
+	g.Expect(info.Mode().Perm()).To(BeNumerically("==", 0o700))
+}
+
+// Guards against acknowledging what a power loss takes back: every write is
+// followed by a sync of the file, and a new name by a sync of the folder.
+func TestEverythingIsSyncedBeforeItIsAcknowledged(t *testing.T) {
+	g := NewWithT(t)
+	var synced []string
+	file, data := syncFile, syncData
+	defer func() { syncFile, syncData = file, data }()
+	syncFile = func(f *os.File) error { synced = append(synced, filepath.Base(f.Name())); return file(f) }
+	syncData = func(f *os.File) error { synced = append(synced, filepath.Base(f.Name())); return data(f) }
+	expect := func(names ...string) {
+		t.Helper()
+		g.Expect(synced).To(Equal(names))
+		synced = nil
+	}
+	parent := t.TempDir()
+	f, _, err := Open(filepath.Join(parent, "data"))
+	g.Expect(err).NotTo(HaveOccurred())
+	defer f.Close()
+	expect(segmentName(1)+tempSuffix, "data", identityName+tempSuffix, "data", filepath.Base(parent))
+	g.Expect(f.Save(&apiv1.HardState{Term: 1}, []*apiv1.LogEntry{entry(1, 1, "one")}, true)).To(Succeed())
+	expect(segmentName(1))
+	s := &apiv1.Snapshot{Meta: &apiv1.SnapshotMeta{Index: 1, Term: 1}}
+	g.Expect(f.WriteSnapshot(s)).To(Succeed())
+	expect(snapshotName(1)+tempSuffix, "data")
+	g.Expect(f.UseSnapshot(s.Meta, false)).To(Succeed())
+	expect(segmentName(1), segmentName(2)+tempSuffix, "data", "data")
+	syncData = func(*os.File) error { return os.ErrInvalid }
+	g.Expect(f.Save(nil, []*apiv1.LogEntry{entry(2, 1, "two")}, true)).To(MatchError(os.ErrInvalid))
 }
 
 // Guards against a record decoder that panics or accepts what was not written
