--- a/internal/command/control.go
+++ b/internal/command/control.go
@@ -52,9 +52,11 @@
 }
 
 func (controlReplaceCommand) Help() string {
-	return `Start bergamot-control with an empty data folder on the new VM first. The new replica joins as a
-learner, becomes a voter once it has synced the log, and only then the old one is removed. Run the
-command again with the same arguments when it ended before that.
+	return `For a new replica at another address than the lost one; at the same address it takes the place of
+the lost one by itself. Start bergamot-control with an empty data folder on the new VM first, and
+put its address into control_addresses of the other replicas. It joins as a learner, becomes a
+voter once it has synced the log, and only then the old one is removed. Run the command again with
+the same arguments when it ended before that. See docs/operators/control-vm.md.
 
 Example:
   bergamotctl control replace 11 27 10.0.1.9:7001`
