--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -35,6 +35,9 @@
 	if string(data) != reference.Page() {
 		t.Fatal("reference.md is not current; run go test ./docs -update")
 	}
+	if row := regexp.MustCompile(`(?m)^.*\| +\|$`).FindString(string(data)); row != "" {
+		t.Fatalf("a key has no meaning; set doc in its rule: %s", row)
+	}
 }
 
 // Guards against a code without a row, a row without a code, and a row whose
