--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -20,25 +20,42 @@
 	demandGain = 0.05
 )
 
-// planFleet proposes maintenance and moves between pools.
+// planFleet proposes maintenance, repairs and moves between pools. Each result
+// is committed before the next planner runs, so that plans do not overlap.
 func (l *leadership) planFleet(ctx context.Context) {
 	if l.s.o.Platform == nil {
 		return
 	}
+	l.s.o.Machine.Read(func(st *state.State) { l.demand.update(st) })
+	l.cancelDrains(ctx)
+	l.planIntents(ctx, "repairs", func(in fleet.CapacityInput) []*apiv1.Intent { return fleet.PlanRepairs(in.WaveInput) })
+	l.planIntents(ctx, "maintenance", func(in fleet.CapacityInput) []*apiv1.Intent { return fleet.PlanWaves(in.WaveInput) })
+	l.planIntents(ctx, "moves", fleet.PlanCapacity)
+}
+
+func (l *leadership) planIntents(ctx context.Context, what string, plan func(fleet.CapacityInput) []*apiv1.Intent) {
 	var intents []*apiv1.Intent
-	l.s.o.Machine.Read(func(st *state.State) {
-		l.demand.update(st)
-		in := l.capacityInput(st)
-		intents = append(fleet.PlanWaves(in.WaveInput), fleet.PlanCapacity(in)...)
-	})
+	l.s.o.Machine.Read(func(st *state.State) { intents = plan(l.capacityInput(st)) })
 	if len(intents) == 0 {
 		return
 	}
-	l.commit(ctx, "operations on VMs", &apiv1.Command{Body: &apiv1.Command_CreateIntents{
+	l.commit(ctx, what+" of VMs", &apiv1.Command{Body: &apiv1.Command_CreateIntents{
 		CreateIntents: &apiv1.CreateIntents{Intents: intents},
 	}})
 }
 
+// cancelDrains ends the drains of maintenance that operators paused or removed.
+func (l *leadership) cancelDrains(ctx context.Context) {
+	var advances []*apiv1.IntentAdvance
+	l.s.o.Machine.Read(func(st *state.State) { advances = fleet.PlanCancellations(l.capacityInput(st).WaveInput) })
+	if len(advances) == 0 {
+		return
+	}
+	l.commit(ctx, "drains canceled", &apiv1.Command{Body: &apiv1.Command_AdvanceIntents{
+		AdvanceIntents: &apiv1.AdvanceIntents{Advances: advances},
+	}})
+}
+
 func (l *leadership) capacityInput(st *state.State) fleet.CapacityInput {
 	return fleet.CapacityInput{
 		WaveInput: fleet.WaveInput{
@@ -182,13 +199,7 @@
 }
 
 func (l *leadership) drainTimeout(in *apiv1.Intent) time.Duration {
-	timeout := defaultDrainTimeout
-	l.s.o.Machine.Read(func(st *state.State) {
-		for _, m := range st.Index.Set.Maintenance {
-			if m.Name == in.Maintenance && m.DrainTimeoutMs > 0 {
-				timeout = time.Duration(m.DrainTimeoutMs) * time.Millisecond
-			}
-		}
-	})
+	var timeout time.Duration
+	l.s.o.Machine.Read(func(st *state.State) { timeout = fleet.DrainTimeout(in, st.Index) })
 	return timeout
 }
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -17,9 +17,6 @@
 	jobPlanInterval   = 100 * time.Millisecond
 	fleetPlanInterval = time.Second
 	proposeTimeout    = 5 * time.Second
-	// defaultDrainTimeout bounds drains of moves, which no maintenance object
-	// belongs to.
-	defaultDrainTimeout = 60 * time.Second
 )
 
 // leadership is the soft state of one term as leader. A new leader starts with
--- a/internal/control/planners.go
+++ b/internal/control/planners.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"google.golang.org/protobuf/proto"
+
 	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
 	"bergamotdrum.example/bergamotdrum/internal/jobs"
 	"bergamotdrum.example/bergamotdrum/internal/state"
@@ -26,7 +28,7 @@
 		return nil
 	}
 	plan := jobs.Plan(in)
-	if len(plan.Placements)+len(plan.PreemptJobIds)+len(plan.ThrottleJobIds) == 0 {
+	if proto.Size(plan) == 0 {
 		return nil
 	}
 	return plan
@@ -37,5 +39,7 @@
 	for _, t := range st.Index.Set.Team {
 		free[t.Name] = st.Membership.FreeJobs(t.Name)
 	}
-	return jobs.PlanInput{Jobs: st.Jobs.Live(), VMs: st.Fleet.VMs(), Index: st.Index, FreeSlots: free}
+	return jobs.PlanInput{
+		NowMS: st.LogTimeMS, Jobs: st.Jobs.Live(), VMs: st.Fleet.VMs(), Index: st.Index, FreeSlots: free,
+	}
 }
--- a/internal/measure/baseline.go
+++ b/internal/measure/baseline.go
@@ -14,6 +14,8 @@
 	queue []*request
 	pick  func(queue []*request) int
 	u     *usage
+	// onStart may be nil.
+	onStart func(r *request)
 }
 
 func (b *slotQueue) submit(r *request) {
@@ -28,9 +30,14 @@
 		b.queue = append(b.queue[:i], b.queue[i+1:]...)
 		b.free--
 		start := b.now
+		if b.onStart != nil {
+			b.onStart(r)
+		}
 		b.after(r.length, func() {
 			b.free++
-			b.u.add(r.team, start, b.now)
+			if r.team != "" {
+				b.u.add(r.team, start, b.now)
+			}
 			r.done(true)
 			b.serve()
 		})
--- a/internal/measure/report.go
+++ b/internal/measure/report.go
@@ -43,10 +43,10 @@
 
 func reportBurst(w io.Writer, results []BurstResult) {
 	fmt.Fprintf(w, "### Time to start under demand by turns (5 times the mean for 5 s, a twentieth for 20 s)\n\n")
-	fmt.Fprintf(w, "| service | priority | timeout | requests | p50 | p99 | longest | answered \"not run\" | violations |\n|---|---|---|---|---|---|---|---|---|\n")
+	fmt.Fprintf(w, "| service | priority | timeout | burst, of the pool | requests | p50 | p99 | p99 of one ideal queue | longest | answered \"not run\" | violations |\n|---|---|---|---|---|---|---|---|---|---|---|\n")
 	for _, r := range results {
-		fmt.Fprintf(w, "| %s | %s | %v | %d | %v | %v | %v | %.1f %% | %d |\n", r.Service, r.Priority, r.Timeout, r.Requests,
-			r.P50.Round(time.Millisecond), r.P99.Round(time.Millisecond), r.Longest.Round(time.Millisecond), r.NotRunPct, r.Violations)
+		fmt.Fprintf(w, "| %s | %s | %v | %.2f | %d | %v | %v | %v | %v | %.1f %% | %d |\n", r.Service, r.Priority, r.Timeout, r.Peak, r.Requests,
+			r.P50.Round(time.Millisecond), r.P99.Round(time.Millisecond), r.IdealP99.Round(time.Millisecond), r.Longest.Round(time.Millisecond), r.NotRunPct, r.Violations)
 	}
 	fmt.Fprintln(w)
 }
--- a/internal/measure/sim.go
+++ b/internal/measure/sim.go
@@ -254,7 +254,9 @@
 	if s.slotsUsed[g.MinionId] > slotsPerMinion {
 		s.overSlots++
 	}
-	s.after(r.length, func() {
+	// The entry cuts a request at its deadline.
+	length := min(r.length, r.enqueued+r.timeout-s.now)
+	s.after(length, func() {
 		s.running[r.team]--
 		s.slotsUsed[g.MinionId]--
 		outcome := apiv1.GrantOutcome_GRANT_OUTCOME_DONE
