Bound recovery by the service's own longest deadline

A lost session is released when no request of any service can run any more. A shard whose host was lost therefore paused for the longest deadline of all services (with one service of 10 minutes, an alert service of 5 seconds stood still for 10 minutes). The new host now counts a lost session's grants as over once the longest deadline ever published for its own service has passed since it saw the expiry; the release still ends the wait earlier. The longest deadline is kept in the shard (Shard.max_deadline_ms) and never falls, since grants made before a publish that lowers it may still run.

Seen to fail: without the bound, requests 20 s after the faults are refused (release after 40 s); without the wait, a minion runs 5 of 4 slots; with a bound that falls, its own test.

--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -75,6 +75,19 @@
 	}
 }
 
+// Guards against a recovery that waits too short for requests granted before a
+// publish lowered the longest deadline.
+func TestLongestDeadlineNeverFalls(t *testing.T) {
+	g := NewWithT(t)
+	s := New()
+	for i, ms := range []uint32{5000, 9000, 1000} {
+		ix := config(1, "s1")
+		ix.Services["s1"].MaxDeadlineMs = ms
+		s.SetConfig(uint64(i+1), ix)
+	}
+	g.Expect(s.Shards()[0].MaxDeadlineMs).To(BeEquivalentTo(9000))
+}
+
 // host is a shard host that keeps the rules; running is the truth that the
 // state must bound.
 type host struct {
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -50,6 +50,8 @@
 		if s.shards[name] == nil {
 			s.shards[name] = &shard{Shard: &apiv1.Shard{Service: name}}
 		}
+		sh := s.shards[name]
+		sh.MaxDeadlineMs = max(sh.MaxDeadlineMs, ix.Services[name].MaxDeadlineMs)
 	}
 	for _, name := range sortedKeys(ix.Teams) {
 		s.team(name)
--- a/internal/scheduler/cluster_test.go
+++ b/internal/scheduler/cluster_test.go
@@ -187,7 +187,7 @@
 			case !s.Expired && c.Now() > c.renewed[s.Id]+testTTL+testMargin:
 				c.index++
 				c.state.ExpireSessions(c.index, &apiv1.ExpireSessions{SessionIds: []uint64{s.Id}})
-				c.release[s.Id] = c.Now() + testDeadline
+				c.release[s.Id] = c.Now() + 5*testDeadline // other services have longer deadlines
 				c.acknowledge()
 			case s.Expired && c.Now() > c.release[s.Id]:
 				c.state.ReleaseSessions(&apiv1.ReleaseSessions{SessionIds: []uint64{s.Id}})
--- a/internal/scheduler/handover_test.go
+++ b/internal/scheduler/handover_test.go
@@ -120,9 +120,14 @@
 	})
 }
 
-// Guards against a host that never grants.
+// Guards against a host that never grants, and one that waits for the release
+// of lost sessions, which other services with longer deadlines delay.
 func TestHostGrantsAfterRecovery(t *testing.T) {
-	problems, recovered := runSteps(t, 1, 6, []step{{kind: stepLoad, n: 12, run: time.Second, wait: 5 * time.Second}})
+	problems, recovered := runSteps(t, 1, 6, []step{
+		{kind: stepLoad, n: 12, run: time.Second, wait: 5 * time.Second},
+		{kind: stepCut, process: 0},
+		{kind: stepCut, process: 1, wait: 3 * time.Second},
+	})
 	g := NewWithT(t)
 	g.Expect(problems).To(BeEmpty())
 	g.Expect(recovered).To(BeTrue())
--- a/internal/scheduler/recovery.go
+++ b/internal/scheduler/recovery.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"time"
 
 	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
@@ -16,9 +17,9 @@
 )
 
 // recover counts the grants of earlier epochs and then starts granting. It
-// needs the report of every session that was open at the assignment; of a
-// session that expires first, it waits for the release, after which none of
-// its requests can run.
+// needs the report of every session that was open at the assignment. For a
+// session that expires first, it waits until none of its requests for this
+// service can run.
 func (sh *hosted) recover(ctx context.Context) {
 	began := sh.now()
 	if !sh.collect(ctx) || !sh.finishRecovery(ctx) {
@@ -42,8 +43,9 @@
 	answers := make(chan *apiv1.GrantReport)
 	asked := map[uint64]bool{}
 	answered := map[uint64]bool{}
+	ended := map[uint64]time.Duration{}
 	for {
-		open := sh.unreported(answered)
+		open := sh.unreported(answered, ended)
 		if len(open) == 0 && sh.hasView() {
 			return true
 		}
@@ -57,6 +59,7 @@
 		case <-ctx.Done():
 			return false
 		case <-sh.views:
+		case <-time.After(retryInterval):
 		case report := <-answers:
 			answered[report.SessionId] = true
 			sh.count(report)
@@ -72,8 +75,12 @@
 
 // unreported lists the sessions of the newest view that may hold grants of
 // earlier epochs. A session opened since the assignment holds none: its first
-// view already names this epoch.
-func (sh *hosted) unreported(answered map[uint64]bool) []*apiv1.Session {
+// view already names this epoch. An expired session holds none after the
+// longest deadline of the service, counted from when the expiry was seen, or
+// once it is released. The release alone would make the service wait for the
+// longest deadline of all services. The first sight of expiries is kept in
+// ended.
+func (sh *hosted) unreported(answered map[uint64]bool, ended map[uint64]time.Duration) []*apiv1.Session {
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	var open []*apiv1.Session
@@ -85,16 +92,36 @@
 		if s.OpenedIndex >= sh.assigned.AssignedIndex || answered[s.Id] {
 			continue
 		}
-		open = append(open, s)
 		state := "report"
 		if s.Expired {
-			state = "release"
+			left := sh.grantsEnd(s.Id, ended) - sh.now()
+			if left <= 0 {
+				continue
+			}
+			state = fmt.Sprintf("release (at most %v)", left.Round(time.Millisecond))
 		}
+		open = append(open, s)
 		sh.pending = append(sh.pending, fmt.Sprintf("%s of session %d of %s", state, s.Id, s.ProcessId))
 	}
 	return open
 }
 
+// grantsEnd is the time after which no request of an expired session runs. An
+// entry starts nothing after its expiry, so the requests it had then end
+// within the longest deadline.
+func (sh *hosted) grantsEnd(session uint64, ended map[uint64]time.Duration) time.Duration {
+	seen, ok := ended[session]
+	if !ok {
+		seen = sh.now()
+		ended[session] = seen
+	}
+	longest := sh.snap.Shard(sh.assigned.Service).GetMaxDeadlineMs()
+	if longest == 0 {
+		return math.MaxInt64 // unknown: only the release ends the wait
+	}
+	return seen + time.Duration(longest)*time.Millisecond + grantExpiryMargin
+}
+
 func (sh *hosted) count(report *apiv1.GrantReport) {
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
