--- a/internal/storage/folder_test.go
+++ b/internal/storage/folder_test.go
@@ -95,53 +95,17 @@
 	}
 }
 
-// Guards against a log that loses entries, keeps overwritten ones or cannot be
-// opened after it was split, compacted and continued.
-func TestLogSurvivesSnapshotsAndSegments(t *testing.T) {
+// Guards against a replica that starts without the state its log builds on.
+func TestDamagedSnapshotIsRefused(t *testing.T) {
 	g := NewWithT(t)
-	path := filepath.Join(t.TempDir(), "data")
+	path, _ := fill(t)
 	f, _, err := Open(path)
 	g.Expect(err).NotTo(HaveOccurred())
-	id := f.ReplicaID()
-	save := func(index, term uint64, text string) {
-		g.Expect(f.Save(&apiv1.HardState{Term: term}, []*apiv1.LogEntry{entry(index, term, text)}, true)).To(Succeed())
-	}
-	snapshot := func(index uint64, replaceLog bool) {
-		s := &apiv1.Snapshot{Meta: &apiv1.SnapshotMeta{Index: index, Term: 1}, Data: []byte("state")}
-		g.Expect(f.WriteSnapshot(s)).To(Succeed())
-		g.Expect(f.UseSnapshot(s.Meta, replaceLog)).To(Succeed())
-	}
-	again := func() *Contents {
-		f.Close()
-		var c *Contents
-		f, c, err = Open(path)
-		g.Expect(err).NotTo(HaveOccurred())
-		return c
-	}
-	save(1, 1, "a")
-	save(2, 1, "b")
-	save(3, 1, "old")
-	save(3, 2, "c")
-	snapshot(1, false)
-	g.Expect(texts(again())).To(Equal([]string{"b", "c"}))
-	g.Expect(f.wal.roll(false)).To(Succeed())
-	save(4, 2, "d")
-	snapshot(2, false)
-	save(5, 2, "e")
-	snapshot(3, false)
-	c := again()
-	g.Expect(texts(c)).To(Equal([]string{"d", "e"}))
-	g.Expect(c.Snapshot.Meta.Index).To(BeNumerically("==", 3))
-	g.Expect(c.HardState.Term).To(BeNumerically("==", 2))
-	g.Expect(listNames(path, snapshotSuffix)).To(HaveLen(1))
-	g.Expect(listNames(path, segmentSuffix)).NotTo(ContainElement(segmentName(1)))
-	snapshot(4, true)
-	g.Expect(texts(again())).To(BeEmpty())
-	save(5, 3, "f")
-	g.Expect(texts(again())).To(Equal([]string{"f"}))
-	g.Expect(f.ReplicaID()).To(Equal(id))
+	meta := &apiv1.SnapshotMeta{Index: 2, Term: 1}
+	g.Expect(f.WriteSnapshot(&apiv1.Snapshot{Meta: meta, Data: []byte("state")})).To(Succeed())
+	g.Expect(f.UseSnapshot(meta, false)).To(Succeed())
 	f.Close()
-	g.Expect(os.Truncate(filepath.Join(path, snapshotName(4)), 12)).To(Succeed())
+	g.Expect(os.Truncate(filepath.Join(path, snapshotName(2)), 12)).To(Succeed())
 	_, err = reopen(t, path)
 	g.Expect(result.CodeOf(err)).To(Equal(apiv1.ResultCode_RESULT_CODE_DATA_DAMAGED))
 }
--- a/internal/storage/model_test.go
+++ b/internal/storage/model_test.go
@@ -60,6 +60,11 @@
 	m.entries = m.entries[index-m.start:]
 	m.start = index
 	m.useSnapshot(index, false)
+	names, err := listNames(m.path, snapshotSuffix)
+	m.must(err)
+	if oldest := m.folder.wal.segments[0]; len(names) != 1 || oldest.lastIndex <= index && len(m.folder.wal.segments) > 1 {
+		t.Fatalf("after snapshot %d there are snapshots %v and segment %v", index, names, oldest)
+	}
 }
 
 func (m *model) install(t *rapid.T) {
