Test that a gap in the log is damage

No test failed when replay accepted a gap between two entries. Seen to fail now with the check disabled. go test -p 4 ./... passes on this state.

--- a/internal/storage/folder_test.go
+++ b/internal/storage/folder_test.go
@@ -110,6 +110,18 @@
 	g.Expect(result.CodeOf(err)).To(Equal(apiv1.ResultCode_RESULT_CODE_DATA_DAMAGED))
 }
 
+// Guards against a log with a gap passing for a whole one.
+func TestGapBetweenEntriesIsRefused(t *testing.T) {
+	g := NewWithT(t)
+	path, _ := fill(t)
+	f, _, err := Open(path)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(f.Save(nil, []*apiv1.LogEntry{entry(5, 1, "five")}, true)).To(Succeed())
+	f.Close()
+	_, err = reopen(t, path)
+	g.Expect(err).To(MatchError(ContainSubstring("entry 5 follows entry 3")))
+}
+
 // Guards against a folder that lost a part of its memory passing for a new or
 // an intact one: the replica could vote twice in a term.
 func TestFolderWithMissingFilesIsRefused(t *testing.T) {
