--- a/internal/control/explain.go
+++ b/internal/control/explain.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 
 	"google.golang.org/protobuf/proto"
 
@@ -36,8 +38,15 @@
 	return report, nil
 }
 
-func fact(name, value string) *apiv1.ExplainFact {
-	return &apiv1.ExplainFact{Name: name, Value: value}
+// facts turns pairs of name and value into facts and leaves out empty ones.
+func facts(pairs ...string) []*apiv1.ExplainFact {
+	var out []*apiv1.ExplainFact
+	for pair := range slices.Chunk(pairs, 2) {
+		if pair[1] != "" {
+			out = append(out, &apiv1.ExplainFact{Name: pair[0], Value: pair[1]})
+		}
+	}
+	return out
 }
 
 func explainJob(st *state.State, id string) *apiv1.ExplainReport {
@@ -48,11 +57,9 @@
 	report := &apiv1.ExplainReport{
 		Kind:    "job",
 		Id:      id,
-		Summary: "The job is " + job.State.String() + ".",
-		Facts: []*apiv1.ExplainFact{
-			fact("team", job.Team), fact("queue", job.Queue), fact("pool", job.Pool),
-			fact("worker", job.Lease.GetWorkerId()), fact("reason", job.Reason),
-		},
+		Summary: "The job is " + stateName(job.State) + ".",
+		Facts: facts("team", job.Team, "queue", job.Queue, "pool", job.Pool,
+			"worker", job.Lease.GetWorkerId(), "reason", job.Reason),
 	}
 	if job.State == apiv1.JobState_JOB_STATE_PENDING {
 		why := jobs.Explain(planInput(st), id)
@@ -69,8 +76,8 @@
 	return &apiv1.ExplainReport{
 		Kind:    "request",
 		Id:      id,
-		Summary: "The request is " + record.State.String() + ".",
-		Facts:   []*apiv1.ExplainFact{fact("client account", record.ClientAccount)},
+		Summary: "The request is " + strings.ToLower(strings.TrimPrefix(record.State.String(), "REQUEST_STATE_")) + ".",
+		Facts:   facts("client account", record.ClientAccount),
 	}
 }
 
@@ -83,10 +90,8 @@
 		Kind:    "vm",
 		Id:      id,
 		Summary: fleet.Explain(l.capacityInput(st), id),
-		Facts: []*apiv1.ExplainFact{
-			fact("pool", vm.Pool), fact("availability zone", vm.AvailabilityZone), fact("rack", vm.Rack),
-			fact("operation", vm.OperationId), fact("worker", vm.WorkerId),
-		},
+		Facts: facts("pool", vm.Pool, "availability zone", vm.AvailabilityZone, "rack", vm.Rack,
+			"operation", vm.OperationId, "worker", vm.WorkerId),
 	}
 	return report
 }
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -10,56 +10,62 @@
 	"bergamotdrum.example/bergamotdrum/internal/result"
 )
 
-// replaceReplica removes a lost replica. A replica that starts with an empty
-// data folder adds itself as a learner, so that operators need only name the
-// old one.
+// replaceReplica replaces a lost replica by one at another address, or only
+// removes it when no new one is named. A replica that comes back at its old
+// address with an empty data folder joins by itself. Operators resend the call
+// until it is no longer pending.
 func (s *Server) replaceReplica(ctx context.Context, c *operatorCall) (proto.Message, error) {
 	req := &apiv1.ReplaceReplica{}
 	if err := c.decode(req); err != nil {
 		return nil, err
 	}
-	if req.NewReplicaId != 0 {
-		return c.addLearner(ctx, req)
-	}
-	if !isMember(s.node.Status().Group, req.OldReplicaId) {
-		return nil, result.NotRun(apiv1.ResultCode_RESULT_CODE_NOT_FOUND, "replica %d is not in the control group", req.OldReplicaId)
+	group := s.node.Status().Group
+	if req.NewReplicaId == 0 {
+		if find(group, req.OldReplicaId) == nil {
+			return nil, unknownReplica(req.OldReplicaId)
+		}
+		return c.changeMember(ctx, apiv1.ConfChangeKind_CONF_CHANGE_KIND_REMOVE, &apiv1.Replica{Id: req.OldReplicaId})
 	}
-	err := s.node.ChangeMembership(ctx, &apiv1.ConfChange{
-		Kind:    apiv1.ConfChangeKind_CONF_CHANGE_KIND_REMOVE,
-		Replica: &apiv1.Replica{Id: req.OldReplicaId},
-	})
-	if err != nil {
-		return nil, err
+	added := find(group, req.NewReplicaId)
+	old := find(group, req.OldReplicaId)
+	switch {
+	case added == nil && old == nil:
+		return nil, unknownReplica(req.OldReplicaId)
+	case added == nil:
+		return c.changeMember(ctx, apiv1.ConfChangeKind_CONF_CHANGE_KIND_ADD_LEARNER, &apiv1.Replica{
+			Id: req.NewReplicaId, RpcAddress: req.NewRpcAddress, Learner: true,
+		})
+	case added.Learner:
+		// Refused as pending until the learner holds the synced log.
+		return c.changeMember(ctx, apiv1.ConfChangeKind_CONF_CHANGE_KIND_PROMOTE, added)
+	case old != nil:
+		return c.changeMember(ctx, apiv1.ConfChangeKind_CONF_CHANGE_KIND_REMOVE, old)
 	}
 	return &apiv1.ControlMembers{Replicas: s.replicaStatus()}, nil
 }
 
-// addLearner adds the new replica; the leader promotes it once it has the
-// synced log.
-func (c *operatorCall) addLearner(ctx context.Context, req *apiv1.ReplaceReplica) (proto.Message, error) {
-	s := c.l.s
-	if !isMember(s.node.Status().Group, req.NewReplicaId) {
-		err := s.node.ChangeMembership(ctx, &apiv1.ConfChange{
-			Kind:    apiv1.ConfChangeKind_CONF_CHANGE_KIND_ADD_LEARNER,
-			Replica: &apiv1.Replica{Id: req.NewReplicaId, RpcAddress: req.NewRpcAddress, Learner: true},
-		})
-		if err != nil {
-			return nil, err
-		}
+func unknownReplica(id uint64) error {
+	return result.NotRun(apiv1.ResultCode_RESULT_CODE_NOT_FOUND, "replica %d is not in the control group; see the replica ids in the status", id)
+}
+
+// changeMember makes one step of a replacement. A step that must wait is
+// pending and no error.
+func (c *operatorCall) changeMember(ctx context.Context, kind apiv1.ConfChangeKind, r *apiv1.Replica) (proto.Message, error) {
+	err := c.l.s.node.ChangeMembership(ctx, &apiv1.ConfChange{Kind: kind, Replica: r})
+	if err != nil && result.CodeOf(err) != apiv1.ResultCode_RESULT_CODE_MEMBERSHIP_CHANGE_PENDING {
+		return nil, err
 	}
-	return &apiv1.ControlMembers{
-		Replicas: s.replicaStatus(),
-		Pending:  isMember(s.node.Status().Group, req.OldReplicaId),
-	}, nil
+	last := err == nil && kind == apiv1.ConfChangeKind_CONF_CHANGE_KIND_REMOVE
+	return &apiv1.ControlMembers{Replicas: c.l.s.replicaStatus(), Pending: !last}, nil
 }
 
-func isMember(group *apiv1.GroupConfig, id uint64) bool {
+func find(group *apiv1.GroupConfig, id uint64) *apiv1.Replica {
 	for _, r := range group.GetReplicas() {
 		if r.Id == id {
-			return true
+			return r
 		}
 	}
-	return false
+	return nil
 }
 
 // dump returns the state dump of the leader's process.
--- a/internal/control/operator.go
+++ b/internal/control/operator.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"google.golang.org/protobuf/encoding/protojson"
@@ -177,9 +178,9 @@
 }
 
 func (s *Server) configInForce(ctx context.Context, c *operatorCall) (proto.Message, error) {
-	version, err := strconv.ParseUint(c.r.URL.Query().Get("version"), 10, 64)
+	version, err := c.version()
 	if err != nil {
-		return nil, result.NotRun(apiv1.ResultCode_RESULT_CODE_INVALID_ARGUMENT, "version must be a number")
+		return nil, err
 	}
 	var current uint64
 	if err := c.read(ctx, func(st *state.State) { current = st.Publish.Current().Version }); err != nil {
@@ -191,12 +192,43 @@
 	return c.awaitInForce(ctx, version, time.Second), nil
 }
 
+// currentConfig returns the version asked for, or the current one.
 func (s *Server) currentConfig(ctx context.Context, c *operatorCall) (proto.Message, error) {
+	want, err := c.version()
+	if err != nil {
+		return nil, err
+	}
 	var config *apiv1.Config
-	err := c.read(ctx, func(st *state.State) { config = st.Publish.Current() })
+	err = c.read(ctx, func(st *state.State) {
+		if want == 0 {
+			config = st.Publish.Current()
+			return
+		}
+		for _, v := range st.Publish.History() {
+			if v.Version == want {
+				config = v
+			}
+		}
+	})
+	if err == nil && config == nil {
+		err = result.NotRun(apiv1.ResultCode_RESULT_CODE_NOT_FOUND, "version %d is not in the history", want)
+	}
 	return config, err
 }
 
+// version reads the query parameter; 0 when it is absent.
+func (c *operatorCall) version() (uint64, error) {
+	text := c.r.URL.Query().Get("version")
+	if text == "" {
+		return 0, nil
+	}
+	v, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return 0, result.NotRun(apiv1.ResultCode_RESULT_CODE_INVALID_ARGUMENT, "version must be a number")
+	}
+	return v, nil
+}
+
 func (s *Server) configHistory(ctx context.Context, c *operatorCall) (proto.Message, error) {
 	reply := &apiv1.ConfigHistory{}
 	err := c.read(ctx, func(st *state.State) {
@@ -210,11 +242,22 @@
 	return reply, err
 }
 
+// listJobs lists the newest jobs that match the filters queue, team, state and
+// limit, in the order of their submission.
 func (s *Server) listJobs(ctx context.Context, c *operatorCall) (proto.Message, error) {
+	q := c.r.URL.Query()
+	limit, err := strconv.Atoi(q.Get("limit"))
+	if err != nil || limit <= 0 || limit > maxListedJobs {
+		limit = maxListedJobs
+	}
 	reply := &apiv1.JobList{}
-	err := c.read(ctx, func(st *state.State) {
-		for _, job := range st.Jobs.List() {
-			if len(reply.Jobs) == maxListedJobs {
+	err = c.read(ctx, func(st *state.State) {
+		defer func() { slices.Reverse(reply.Jobs) }()
+		for _, job := range slices.Backward(st.Jobs.List()) {
+			if !matches(q.Get("queue"), job.Queue) || !matches(q.Get("team"), job.Team) || !matches(q.Get("state"), stateName(job.State)) {
+				continue
+			}
+			if len(reply.Jobs) == limit {
 				reply.Truncated = true
 				return
 			}
@@ -224,6 +267,13 @@
 	return reply, err
 }
 
+func matches(filter, value string) bool { return filter == "" || filter == value }
+
+// stateName is the short lower-case name of a job's state, such as "pending".
+func stateName(s apiv1.JobState) string {
+	return strings.ToLower(strings.TrimPrefix(s.String(), "JOB_STATE_"))
+}
+
 func (s *Server) showJob(ctx context.Context, c *operatorCall) (proto.Message, error) {
 	id := c.r.PathValue("id")
 	var found *apiv1.Job
--- a/internal/control/workers.go
+++ b/internal/control/workers.go
@@ -117,7 +117,7 @@
 	held := make(map[string]uint64, len(hb.Leases))
 	for _, lease := range hb.Leases {
 		held[lease.JobId] = lease.Epoch
-		if l.workers.renewable(st, hb.WorkerId, lease) {
+		if l.workers.renewable(now, st, hb.WorkerId, lease) {
 			out.Renewed = append(out.Renewed, lease)
 			continue
 		}
--- a/internal/control/workertracker.go
+++ b/internal/control/workertracker.go
@@ -16,6 +16,10 @@
 // Workers and minions announce every second.
 const vmSilence = 5 * time.Second
 
+// stopGrace is how long a worker may renew the lease of a task that it was
+// asked to stop. After that the lease runs out, which ends the task.
+const stopGrace = 30 * time.Second
+
 // workerTracker knows when each VM was last heard of and each job lease last
 // renewed.
 type workerTracker struct {
@@ -30,6 +34,8 @@
 	renewed time.Duration
 	// ending is set before the expiry is proposed; no renewal succeeds after.
 	ending bool
+	// stopping is when the job was first seen in state STOPPING; zero before.
+	stopping time.Duration
 	// startSent is set when a job that may not be repeated was handed out.
 	startSent bool
 }
@@ -59,7 +65,11 @@
 		current[job.JobId] = true
 		r := t.leases[job.JobId]
 		if r == nil || r.epoch != job.Lease.Epoch {
-			t.leases[job.JobId] = &leaseRenewal{epoch: job.Lease.Epoch, renewed: now}
+			r = &leaseRenewal{epoch: job.Lease.Epoch, renewed: now}
+			t.leases[job.JobId] = r
+		}
+		if job.State == apiv1.JobState_JOB_STATE_STOPPING && r.stopping == 0 {
+			r.stopping = now
 		}
 	}
 	for id := range t.leases {
@@ -112,7 +122,7 @@
 func (t *workerTracker) renew(now time.Duration, st *state.State, heartbeats []*apiv1.WorkerHeartbeat) {
 	for _, hb := range heartbeats {
 		for _, lease := range hb.Leases {
-			if !t.renewable(st, hb.WorkerId, lease) {
+			if !t.renewable(now, st, hb.WorkerId, lease) {
 				continue
 			}
 			t.mu.Lock()
@@ -127,9 +137,9 @@
 	}
 }
 
-// renewable reports whether the lease is committed for this worker and not
-// about to expire.
-func (t *workerTracker) renewable(st *state.State, workerID string, lease *apiv1.JobEpoch) bool {
+// renewable reports whether the lease is committed for this worker, not about
+// to expire and not of a task that ignores its stop.
+func (t *workerTracker) renewable(now time.Duration, st *state.State, workerID string, lease *apiv1.JobEpoch) bool {
 	job, ok := st.Jobs.Get(lease.JobId)
 	if !ok || job.Lease == nil || job.Lease.Epoch != lease.Epoch || job.Lease.WorkerId != workerID {
 		return false
@@ -137,7 +147,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.leases[lease.JobId]
-	return r == nil || r.epoch != lease.Epoch || !r.ending
+	if r == nil || r.epoch != lease.Epoch {
+		return true
+	}
+	return !r.ending && (r.stopping == 0 || now-r.stopping <= stopGrace)
 }
 
 // mayStart reports whether a placed job may be handed to its worker. A job
--- a/internal/daemon/control/daemon.go
+++ b/internal/daemon/control/daemon.go
@@ -43,14 +43,16 @@
 	if err != nil {
 		return nil, err
 	}
-	keys, problems := operator.ReadKeys(set.OperatorKeysFile)
-	if err := settings.Error(problems); err != nil {
-		return nil, err
-	}
 	process, err := observe.NewProcess("control", set.ProcessId, set.LogLevel)
 	if err != nil {
 		return nil, err
 	}
+	keys, problems := operator.OpenKeyFile(set.OperatorKeysFile, func(p []settings.Problem) {
+		process.Log.WithError(settings.Error(p)).Error("operators' key file is not usable; every operator is refused")
+	})
+	if err := settings.Error(problems); err != nil {
+		return nil, err
+	}
 	addresses, err := operatorAddresses(set)
 	if err != nil {
 		return nil, err
--- a/internal/daemon/dev/dev.go
+++ b/internal/daemon/dev/dev.go
@@ -17,6 +17,7 @@
 
 const (
 	startTimeout = 30 * time.Second
+	folderMode   = 0o700
 	minions      = 2
 	workers      = 2
 )
@@ -43,6 +44,9 @@
 		defer os.RemoveAll(dir)
 		folder = dir
 	}
+	if err := os.MkdirAll(folder, folderMode); err != nil {
+		return fmt.Errorf("create the data folder: %w", err)
+	}
 	level := "error"
 	if o.Verbose {
 		level = "info"
--- a/internal/rpc/rpc_test.go
+++ b/internal/rpc/rpc_test.go
@@ -5,10 +5,12 @@
 	"errors"
 	"net"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
 	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+	"bergamotdrum.example/bergamotdrum/internal/fakes"
 	"bergamotdrum.example/bergamotdrum/internal/result"
 )
 
@@ -74,3 +76,24 @@
 	defer s2.Close()
 	g.Eventually(call).Should(Succeed())
 }
+
+// Guards against a connection that something in between has forgotten: calls
+// over it never end by themselves, while new connections work.
+func TestClientReplacesSilentConnection(t *testing.T) {
+	g := NewWithT(t)
+	_, addr := startServer(t, "secret")
+	relay, err := fakes.StartRelay(addr)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer relay.Close()
+	c := NewClient([]byte("secret"))
+	defer c.Close()
+	call := func() error {
+		ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+		defer cancel()
+		return c.Call(ctx, relay.Address(), "Control.GetJob", &apiv1.GetJob{JobId: "a"}, &apiv1.Job{})
+	}
+	g.Expect(call()).To(Succeed())
+	relay.FreezeOpen()
+	g.Expect(call()).NotTo(Succeed())
+	g.Eventually(call).WithTimeout(20 * time.Second).Should(Succeed())
+}
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -17,9 +17,11 @@
 )
 
 const (
-	keepAliveInterval = time.Second
+	// A connection that went silent must be found and replaced within the
+	// session TTL of 2 s: one interval and one timeout together take 1.3 s.
+	keepAliveInterval = 300 * time.Millisecond
 	// A peer that acknowledges nothing for this long is given up.
-	writeTimeout = 3 * time.Second
+	writeTimeout = time.Second
 	// Bounds a call whose client states no timeout.
 	defaultCallTimeout = 30 * time.Second
 )
--- a/internal/state/apply.go
+++ b/internal/state/apply.go
@@ -139,7 +139,8 @@
 // applyStartRequest refuses sessions that have expired: their started requests
 // are already counted as unknown, so a later start would never be.
 func (s *State) applyStartRequest(cmd *apiv1.StartRequest, res *apiv1.CommandResult) {
-	if !s.Membership.LiveSession(cmd.SessionId) {
+	lookup := cmd.GrantId == 0
+	if !lookup && !s.Membership.LiveSession(cmd.SessionId) {
 		fail(res, result.NotRun(apiv1.ResultCode_RESULT_CODE_SESSION_EXPIRED, "session %d has expired; open a new one", cmd.SessionId))
 		return
 	}
