--- a/internal/control/trackers_test.go
+++ b/internal/control/trackers_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+	_ "bergamotdrum.example/bergamotdrum/internal/rapidseed"
 )
 
 const testTTL = 2 * time.Second
--- a/internal/fairshare/fairshare_test.go
+++ b/internal/fairshare/fairshare_test.go
@@ -8,6 +8,8 @@
 
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
+
+	_ "bergamotdrum.example/bergamotdrum/internal/rapidseed"
 )
 
 // naive computes every score from scratch at each choice.
