Stop starts under a ceiling from a limit the host never saw

Answers now carry the limit that they keep; a view with a lower one pauses the team until the next answer, and an answer to a report made before a new configuration can only lower ceilings.

The test also no longer counts a session without any view as acknowledged.

Sparse requests caused a report when they began and one when they ended, and each waited up to 100 ms for the next one: a service whose demand ends now keeps up to 2 of its amount while nobody needs it and gives it back after 30 s, and lower demand is reported once it lasted 500 ms. No test covers how much is kept while idle.

--- a/internal/membership/allotments.go
+++ b/internal/membership/allotments.go
@@ -74,9 +74,14 @@
 }
 
 // acknowledge lowers the amount to what the shard can still run: nothing above
-// both its ceiling and what runs now, and never below the target.
+// both its ceiling and what runs now, and never below the target. A shard
+// without use and ceiling for the team gives back everything.
 func (a *allotment) acknowledge(d *apiv1.TeamDemand) {
 	a.wanted = max(d.Wanted, d.Running)
+	if a.wanted == 0 && d.Ceiling == 0 {
+		a.amount = 0
+		return
+	}
 	a.amount = min(a.amount, max(a.target, d.Ceiling, d.Running))
 }
 
@@ -168,6 +173,7 @@
 		}
 		m := a.message(name, service)
 		others := t.held() - a.amount
+		m.Limit = t.limit
 		m.Target = min(a.target, t.limit-min(t.limit, others))
 		out.Allotments = append(out.Allotments, m)
 	}
--- a/internal/membership/divide.go
+++ b/internal/membership/divide.go
@@ -10,6 +10,9 @@
 	// demand, so that small changes of demand need no committed report.
 	headroomBase    = 2
 	headroomDivisor = 4
+	// A service whose demand ended keeps at most this much of its amount as
+	// headroom, so that sparse requests need no commit each.
+	idleHeadroom = 2
 	// Headroom takes at most this part of what no service asks for; the rest
 	// stays free for jobs, which have no demand report.
 	headroomPart = 2
@@ -42,16 +45,18 @@
 			continue
 		}
 		a.target = 0
-		if a.wanted > 0 && !s.shards[service].Retiring {
+		if !s.shards[service].Retiring {
 			services = append(services, service)
 		}
 	}
 	available := t.limit - min(t.limit, reserved)
 	wants := make([]uint32, len(services))
+	held := make([]uint32, len(services))
 	for i, service := range services {
 		wants[i] = t.allotments[service].wanted
+		held[i] = t.allotments[service].amount
 	}
-	for i, n := range divide(available, wants) {
+	for i, n := range divide(available, wants, held) {
 		t.allotments[services[i]].target = n
 	}
 }
@@ -77,17 +82,17 @@
 	}
 }
 
-// divide splits available among parties with positive wants. When it does not
-// suffice, each gets one (the first ones, if not even that is possible) and
-// the rest is proportional to the want; otherwise each gets its want and some
-// headroom.
-func divide(available uint32, wants []uint32) []uint32 {
+// divide splits available among services by what they want and hold now. When
+// it does not suffice, each that wants any gets one (the first ones, if not
+// even that is possible) and the rest is proportional to the want; otherwise
+// each gets its want and some headroom.
+func divide(available uint32, wants, held []uint32) []uint32 {
 	total := uint64(0)
 	for _, w := range wants {
 		total += uint64(w)
 	}
 	if total <= uint64(available) {
-		return withHeadroom(available-uint32(total), wants)
+		return withHeadroom(available-uint32(total), wants, held)
 	}
 	out := make([]uint32, len(wants))
 	rest := make([]uint32, len(wants))
@@ -95,6 +100,9 @@
 		if available == 0 {
 			return out
 		}
+		if w == 0 {
+			continue
+		}
 		out[i] = 1
 		rest[i] = w - 1
 		available--
@@ -105,11 +113,14 @@
 	return out
 }
 
-func withHeadroom(unused uint32, wants []uint32) []uint32 {
+func withHeadroom(unused uint32, wants, held []uint32) []uint32 {
 	extra := make([]uint32, len(wants))
 	total := uint32(0)
 	for i, w := range wants {
-		extra[i] = headroomBase + w/headroomDivisor
+		extra[i] = min(held[i], idleHeadroom)
+		if w > 0 {
+			extra[i] = headroomBase + w/headroomDivisor
+		}
 		total += extra[i]
 	}
 	if budget := unused / headroomPart; total > budget {
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -238,10 +238,12 @@
 func TestDivide(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		available := rapid.Uint32Range(0, 50).Draw(rt, "available")
-		wants := rapid.SliceOfN(rapid.Uint32Range(1, 30), 1, 6).Draw(rt, "wants")
-		out := divide(available, wants)
-		total, given := uint32(0), uint32(0)
+		wants := rapid.SliceOfN(rapid.Uint32Range(0, 30), 1, 6).Draw(rt, "wants")
+		held := rapid.SliceOfN(rapid.Uint32Range(0, 9), len(wants), len(wants)).Draw(rt, "held")
+		out := divide(available, wants, held)
+		total, given, users := uint32(0), uint32(0), uint32(0)
 		for i := range wants {
+			users += min(1, wants[i])
 			total += wants[i]
 			given += out[i]
 		}
@@ -254,10 +256,10 @@
 				rt.Fatalf("want %d got %d although all fits", w, out[i])
 			case total > available && out[i] > w:
 				rt.Fatalf("want %d got %d although not all fits", w, out[i])
-			case available >= uint32(len(wants)) && out[i] == 0:
+			case available >= users && w > 0 && out[i] == 0:
 				rt.Fatalf("want %d got none of %d", w, available)
-			case total > available && available >= uint32(len(wants)):
-				exact := 1 + float64(available-uint32(len(wants)))*float64(w-1)/float64(total-uint32(len(wants)))
+			case total > available && available >= users && w > 0:
+				exact := 1 + float64(available-users)*float64(w-1)/float64(total-users)
 				if d := float64(out[i]) - exact; d > 1 || d < -1 {
 					rt.Fatalf("want %d got %d, exact part %f", w, out[i], exact)
 				}
--- a/internal/scheduler/cluster_test.go
+++ b/internal/scheduler/cluster_test.go
@@ -115,7 +115,11 @@
 func (c *cluster) acknowledge() {
 	lowest := len(c.versions) - 1
 	for _, s := range c.state.Sessions() {
-		if version, ok := c.acked[s.Id]; ok && !s.Expired {
+		version, ok := c.acked[s.Id]
+		if !ok {
+			version = -1 // opened, no view in force yet
+		}
+		if !s.Expired {
 			lowest = min(lowest, version)
 		}
 	}
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -65,7 +65,9 @@
 
 	rate     serviceRate
 	sequence uint64
-	tidied   time.Duration
+	// Newest report made before the present configuration.
+	configSequence uint64
+	tidied         time.Duration
 }
 
 // teamState is what the shard knows of one team.
@@ -106,10 +108,13 @@
 // so that nothing starts above the new limit once the version is in force.
 func (c *Core) SetConfig(now time.Duration, ix *objects.Index, leavingVMs []string) {
 	for _, t := range c.teams {
-		if ix.MaxRunning(t.name) < c.index.MaxRunning(t.name) {
+		if ix.MaxRunning(t.name) < max(c.index.MaxRunning(t.name), t.report.limit) {
 			t.report.freeze(c.sequence)
 		}
 	}
+	if ix != c.index {
+		c.configSequence = c.sequence
+	}
 	c.index = ix
 	c.config = ix.Services[c.service]
 	c.leaving = make(map[string]struct{}, len(leavingVMs))
@@ -145,6 +150,7 @@
 // Tick does the periodic work and then a Step.
 func (c *Core) Tick(now time.Duration) []Outcome {
 	c.dropMinions(now)
+	c.giveBackIdle(now)
 	c.recountDomains(now)
 	if now-c.tidied >= maintainInterval {
 		c.tidied = now
--- a/internal/scheduler/core_test.go
+++ b/internal/scheduler/core_test.go
@@ -53,7 +53,7 @@
 	for i := range teams {
 		answer.Allotments = append(answer.Allotments, &apiv1.Allotment{Team: fmt.Sprint("t", i), Amount: ceiling, Target: ceiling})
 	}
-	c.ApplyAllotments(0, c.Report().Sequence, answer)
+	c.ApplyAllotments(0, c.Report(0).Sequence, answer)
 }
 
 func acquire(team int, timeout time.Duration) *apiv1.AcquireRequest {
@@ -256,7 +256,7 @@
 	c := newTestCore(coreIndex(1), 1)
 	c.Announce(0, minionMessage(0, 4))
 	grantOne(g, c, 0, acquire(0, time.Second))
-	underWay := c.Report().Sequence
+	underWay := c.Report(0).Sequence
 	lower := coreIndex(1)
 	lower.Set.Limit[0].MaxRunning = 500
 	c.SetConfig(0, objects.NewIndex(lower.Set), nil)
@@ -268,6 +268,34 @@
 	g.Expect(c.Step(0)).To(HaveLen(1))
 }
 
+// Guards against a ceiling given under a configuration that this process never
+// saw: limits 1, 7 and 2 were published, and the view went from 1 to 2.
+func TestCeilingOfUnseenLimitIsNotKept(t *testing.T) {
+	limit := func(n uint32) *objects.Index {
+		ix := coreIndex(1)
+		ix.Set.Limit[0].MaxRunning = n
+		return ix
+	}
+	answer := &apiv1.Allotments{Allotments: []*apiv1.Allotment{{Team: "t0", Amount: 3, Target: 3, Limit: 7}}}
+	for _, late := range []bool{false, true} {
+		g := NewWithT(t)
+		c := newTestCore(limit(1), 1)
+		setCeilings(c, 1, 0)
+		c.Announce(0, minionMessage(0, 4))
+		_, err := c.Enqueue(0, acquire(0, time.Second))
+		g.Expect(err).To(BeNil())
+		sequence := c.Report(0).Sequence
+		if late {
+			c.SetConfig(0, limit(2), nil)
+		}
+		c.ApplyAllotments(0, sequence, answer)
+		if !late {
+			c.SetConfig(0, limit(2), nil)
+		}
+		g.Expect(c.Step(0)).To(BeEmpty())
+	}
+}
+
 // Guards against refusals without cause and against queueing what cannot start.
 func TestAdmission(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/scheduler/demand.go
+++ b/internal/scheduler/demand.go
@@ -12,16 +12,30 @@
 // must change before it is reported; the headroom of allotments covers less.
 const demandChangePart = 4
 
+const (
+	// lowerDelay is how long demand must stay lower before it is reported, so
+	// that sparse requests don't cause two reports each.
+	lowerDelay = 500 * time.Millisecond
+	// idleRelease is how long a shard keeps its part of a limit without use.
+	idleRelease = 30 * time.Second
+)
+
 // reportState is what the control group knows of a team on this shard.
 type reportState struct {
 	// Demand in the last report that was answered, and in the one under way.
 	wanted, sent uint32
 	// Committed amount in the last answer; at least the ceiling.
 	amount uint32
+	// Limit that the ceiling keeps. The answer may follow a configuration that
+	// this process has not seen.
+	limit uint32
 	// While frozen the team starts nothing, until a report made after frozenAt
 	// is answered.
 	frozen   bool
 	frozenAt uint64
+	// When the demand was last at least the reported one, and when it was last
+	// not zero.
+	reachedAt, usedAt time.Duration
 }
 
 func (r *reportState) freeze(sequence uint64) {
@@ -33,29 +47,39 @@
 
 // changed reports whether the control group should hear of the team: it can
 // take back an amount, or the demand differs too much.
-func (t *teamState) changed() bool {
+func (t *teamState) changed(now time.Duration) bool {
 	r := &t.report
 	if r.frozen || max(t.ceiling, t.running) < r.amount {
 		return true
 	}
-	wanted := t.wanted()
-	if (wanted == 0) != (r.wanted == 0) {
-		return true
-	}
-	if wanted > r.wanted && wanted > t.ceiling {
-		return true
+	wanted, margin := t.wanted(), max(1, r.wanted/demandChangePart)
+	if wanted >= r.wanted {
+		r.reachedAt = now
+		return wanted > r.wanted && (wanted > t.ceiling || wanted-r.wanted > margin)
 	}
-	return max(wanted, r.wanted)-min(wanted, r.wanted) > max(1, r.wanted/demandChangePart)
+	return now-r.reachedAt >= lowerDelay && (wanted == 0 || r.wanted-wanted > margin)
 }
 
 // DemandChanged reports whether Report would name a team.
-func (c *Core) DemandChanged() bool {
+func (c *Core) DemandChanged(now time.Duration) bool {
+	changed := false
 	for _, t := range c.teams {
-		if t.changed() {
-			return true
+		changed = t.changed(now) || changed
+	}
+	return changed
+}
+
+// giveBackIdle sets the ceiling of teams without use to zero, which the next
+// report acknowledges.
+func (c *Core) giveBackIdle(now time.Duration) {
+	for _, t := range c.teams {
+		if t.wanted() > 0 {
+			t.report.usedAt = now
+		} else if t.ceiling > 0 && now-t.report.usedAt >= idleRelease {
+			t.ceiling = 0
+			c.updateBlocked(now, t)
 		}
 	}
-	return false
 }
 
 // HoldsAllotments reports whether targets may change without a change here.
@@ -70,13 +94,13 @@
 
 // Report returns the next demand report. A report must be answered or have
 // failed before the next one is made.
-func (c *Core) Report() *apiv1.ReportDemand {
+func (c *Core) Report(now time.Duration) *apiv1.ReportDemand {
 	c.sequence++
 	cmd := &apiv1.ReportDemand{Service: c.service, Epoch: c.epoch, Sequence: c.sequence}
 	for _, name := range slices.Sorted(maps.Keys(c.teams)) {
 		t := c.teams[name]
 		t.report.sent = t.report.wanted
-		if t.changed() {
+		if t.changed(now) {
 			t.report.sent = t.wanted()
 			cmd.Demands = append(cmd.Demands, t.demand())
 		}
@@ -104,7 +128,12 @@
 		a := amounts[t.name]
 		t.report.wanted = t.report.sent
 		t.report.amount = a.GetAmount()
-		t.ceiling = min(a.GetAmount(), a.GetTarget())
+		t.report.limit = a.GetLimit()
+		ceiling := min(a.GetAmount(), a.GetTarget())
+		if sequence <= c.configSequence {
+			ceiling = min(ceiling, t.ceiling) // made before the newest view
+		}
+		t.ceiling = ceiling
 		if sequence > t.report.frozenAt {
 			t.report.frozen = false
 		}
--- a/internal/scheduler/reporting.go
+++ b/internal/scheduler/reporting.go
@@ -22,7 +22,7 @@
 	}
 	sh.reporting = true
 	sh.reported = sh.now()
-	cmd := sh.core.Report()
+	cmd := sh.core.Report(sh.now())
 	sh.host.wg.Go(func() { sh.commitDemand(cmd) })
 }
 
@@ -31,7 +31,7 @@
 	if sh.core.sequence > 0 && since < minReportInterval {
 		return false
 	}
-	if sh.core.DemandChanged() {
+	if sh.core.DemandChanged(sh.now()) {
 		return true
 	}
 	return since >= refreshInterval && sh.core.HoldsAllotments()
