--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -296,3 +296,26 @@
 	w.report("s2", true)
 	g.Expect(w.s.Shards()).To(HaveLen(1))
 }
+
+// Guards against an idle service keeping more than a little of the limit, and
+// that little when another service needs it.
+func TestIdleServiceKeepsLittle(t *testing.T) {
+	g := NewWithT(t)
+	w := &world{s: New(), limit: 20, hosts: map[string]*host{"s1": {queued: 10}, "s2": {}}}
+	w.s.SetConfig(1, config(20, "s1", "s2"))
+	w.s.OpenSession(2, open("p", 1))
+	w.sync()
+	w.recover("s1")
+	w.recover("s2")
+	w.report("s1", true)
+	w.hosts["s1"].queued = 0
+	w.report("s1", true)
+	g.Expect(w.hosts["s1"].ceiling).To(BeEquivalentTo(idleHeadroom))
+	w.hosts["s2"].queued = 40
+	w.report("s2", true)
+	w.report("s1", true)
+	w.report("s1", true)
+	w.report("s2", true)
+	g.Expect(w.hosts["s1"].ceiling).To(BeZero())
+	g.Expect(w.hosts["s2"].ceiling).To(BeEquivalentTo(20))
+}
