Measure the control path at two or more sizes

The benchmarks drive the leader's services over real rpc connections on loopback and count processor time and TCP payload, since wall time on a shared machine says little.

Ruled out: a replica group under the leader, because its syncs would hide the cost of the leader itself (internal/replica measures the group); heartbeats in a tight loop, because the leader's periodic loops would then be a smaller part than at one heartbeat per worker and second.

--- /dev/null
+++ b/internal/capacity/fixture_test.go
@@ -0,0 +1,245 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+	"bergamotdrum.example/bergamotdrum/internal/clock"
+	"bergamotdrum.example/bergamotdrum/internal/control"
+	"bergamotdrum.example/bergamotdrum/internal/replica"
+	"bergamotdrum.example/bergamotdrum/internal/rpc"
+	"bergamotdrum.example/bergamotdrum/internal/state"
+)
+
+const (
+	pools = 21
+	// longTTL keeps sessions and leases live while a benchmark runs slowly.
+	longTTL = 10 * time.Minute
+)
+
+// objectSet has 21 pools and services, 8 zones, and two accounts and four keys
+// a team.
+func objectSet(teams int) *apiv1.ObjectSet {
+	set := &apiv1.ObjectSet{
+		AvailabilityBudget: []*apiv1.AvailabilityBudget{{Name: "b", MaxDown: 2}},
+		Limit:              []*apiv1.Limit{{Name: "l", MaxRunning: 100_000}},
+	}
+	for i := range 8 {
+		set.AvailabilityZone = append(set.AvailabilityZone, &apiv1.AvailabilityZone{
+			Name: fmt.Sprint("zone-", i), Region: fmt.Sprint("region-", i/2), State: apiv1.ZoneState_ZONE_STATE_IN,
+		})
+	}
+	var names []string
+	for i := range teams {
+		team := fmt.Sprint("team-", i)
+		names = append(names, team)
+		set.Team = append(set.Team, &apiv1.Team{Name: team, Weight: 1, Limit: "l"})
+		for j := range 4 {
+			account := fmt.Sprintf("%s-%d", team, j/2)
+			if j%2 == 0 {
+				set.ClientAccount = append(set.ClientAccount, &apiv1.ClientAccount{Name: account, Team: team})
+			}
+			set.Key = append(set.Key, &apiv1.Key{
+				Name: fmt.Sprintf("%s-%d", account, j), ClientAccount: account,
+				Salt: strings.Repeat("0a", 16), Hash: strings.Repeat("0f", 32),
+			})
+		}
+	}
+	for i := range pools {
+		addPool(set, fmt.Sprint("pool-", i), i == 0, names)
+	}
+	return set
+}
+
+func addPool(set *apiv1.ObjectSet, pool string, spare bool, teams []string) {
+	set.Pool = append(set.Pool, &apiv1.Pool{Name: pool, AvailabilityBudget: "b", Spare: spare})
+	set.Service = append(set.Service, &apiv1.Service{
+		Name: pool, Pool: pool, SlotsPerMinion: 8, ConnectionsPerMinion: 64, EntryVms: 8, MaxDeadlineMs: 30_000,
+	})
+	set.Queue = append(set.Queue,
+		&apiv1.Queue{Name: pool, Service: pool, Teams: teams, Priority: apiv1.Priority_PRIORITY_NORMAL, MaxDepth: 1000},
+		&apiv1.Queue{Name: pool + "-jobs", Pool: pool, Teams: teams, Priority: apiv1.Priority_PRIORITY_NORMAL, MaxDepth: 100_000})
+}
+
+func heartbeat(i, leases int) *apiv1.WorkerHeartbeat {
+	hb := &apiv1.WorkerHeartbeat{
+		WorkerId: fmt.Sprintf("worker-%05d", i), Vm: fmt.Sprintf("vm-%05d", i), Pool: fmt.Sprint("pool-", i%pools),
+		AvailabilityZone: fmt.Sprint("zone-", i%8), Rack: fmt.Sprintf("rack-%04d", i/4),
+		Capacity: &apiv1.Resources{CpuMillis: 64_000, MemoryMb: 256_000, Accelerators: 1},
+		Used:     &apiv1.Resources{CpuMillis: 41_350, MemoryMb: 180_000, Accelerators: 1},
+	}
+	for j := range leases {
+		hb.Leases = append(hb.Leases, &apiv1.JobEpoch{JobId: jobID(i*leases + j), Epoch: 1})
+	}
+	return hb
+}
+
+// jobID returns a UUIDv7 of a fixed time with a number.
+func jobID(n int) string { return fmt.Sprintf("01a31b5c-5000-7000-8000-%012x", n) }
+
+const jobTimeMS = 0x01a31b5c5000
+
+// localNode applies commands without a log, so that replication and disk are
+// not part of the figures.
+type localNode struct {
+	mu      sync.Mutex
+	index   uint64
+	machine *state.Machine
+}
+
+func (n *localNode) Propose(_ context.Context, cmd *apiv1.Command) (*apiv1.CommandResult, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.index++
+	cmd.TimeUnixMs = jobTimeMS
+	return n.machine.Apply(n.index, cmd), nil
+}
+
+func (n *localNode) Barrier(context.Context) error { return nil }
+
+func (n *localNode) Status() replica.Status { return replica.Status{} }
+
+func (n *localNode) ChangeMembership(context.Context, *apiv1.ConfChange) error { return nil }
+
+func (n *localNode) apply(tb testing.TB, cmd *apiv1.Command) *apiv1.CommandResult {
+	tb.Helper()
+	res, _ := n.Propose(context.Background(), cmd)
+	if res.Status.GetCode() != apiv1.ResultCode_RESULT_CODE_OK {
+		tb.Fatal(res.Status)
+	}
+	if r := res.GetRejections().GetRejections(); len(r) > 0 {
+		tb.Fatal(r[0])
+	}
+	return res
+}
+
+// newNode returns a node with a published configuration.
+func newNode(tb testing.TB, teams int) *localNode {
+	n := &localNode{machine: state.New()}
+	n.apply(tb, &apiv1.Command{Body: &apiv1.Command_PublishConfig{
+		PublishConfig: &apiv1.PublishConfig{RequestId: "first", Objects: objectSet(teams)},
+	}})
+	return n
+}
+
+// publish replaces the given version.
+func (n *localNode) publish(tb testing.TB, version uint64, teams int) {
+	n.apply(tb, &apiv1.Command{Body: &apiv1.Command_PublishConfig{PublishConfig: &apiv1.PublishConfig{
+		RequestId: fmt.Sprint(version), ExpectedVersion: version, Objects: objectSet(teams),
+	}}})
+}
+
+func (n *localNode) view() (view *apiv1.View) {
+	n.machine.Read(func(s *state.State) { view = s.View(0) })
+	return view
+}
+
+func (n *localNode) observe(tb testing.TB, vms int) {
+	cmd := &apiv1.ObserveVms{}
+	for i := range vms {
+		hb := heartbeat(i, 0)
+		cmd.Observations = append(cmd.Observations, &apiv1.VmObservation{
+			Vm: hb.Vm, Pool: hb.Pool, AvailabilityZone: hb.AvailabilityZone, Rack: hb.Rack, Capacity: hb.Capacity, WorkerId: hb.WorkerId,
+		})
+	}
+	n.apply(tb, &apiv1.Command{Body: &apiv1.Command_ObserveVms{ObserveVms: cmd}})
+}
+
+// submit adds jobs, spread over the first vms workers' pools.
+func (n *localNode) submit(tb testing.TB, jobs, vms int) {
+	for i := range jobs {
+		n.apply(tb, &apiv1.Command{Body: &apiv1.Command_SubmitJob{SubmitJob: &apiv1.SubmitJob{
+			JobId: jobID(i), ClientAccount: "team-0-0", Team: fmt.Sprint("team-", i%46), Queue: fmt.Sprintf("pool-%d-jobs", i*vms/jobs%pools),
+			Resources: &apiv1.Resources{CpuMillis: 16_000, MemoryMb: 1000}, Repeatable: true, DeclaredRunMs: 60_000,
+		}}})
+	}
+}
+
+// place gives each worker the given number of submitted jobs.
+func (n *localNode) place(tb testing.TB, vms, leases int) {
+	cmd := &apiv1.PlaceJobs{}
+	for i := range vms * leases {
+		hb := heartbeat(i/leases, 0)
+		cmd.Placements = append(cmd.Placements, &apiv1.Placement{JobId: jobID(i), WorkerId: hb.WorkerId})
+	}
+	n.apply(tb, &apiv1.Command{Body: &apiv1.Command_PlaceJobs{PlaceJobs: cmd}})
+}
+
+// wire counts the bytes of accepted connections, both directions.
+type wire struct {
+	net.Listener
+	bytes atomic.Int64
+}
+
+type wireConn struct {
+	net.Conn
+	w *wire
+}
+
+func (w *wire) Accept() (net.Conn, error) {
+	c, err := w.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &wireConn{Conn: c, w: w}, nil
+}
+
+func (c *wireConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.w.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c *wireConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.w.bytes.Add(int64(n))
+	return n, err
+}
+
+func listen(tb testing.TB) *wire {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return &wire{Listener: l}
+}
+
+// serveLeader runs the leader's services on node and returns a client.
+func serveLeader(tb testing.TB, node *localNode) (*rpc.Client, *wire) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	srv := control.New(control.Options{
+		Machine: node.machine, Clock: clock.Boot{}, Log: logrus.NewEntry(log),
+		SessionTTL: longTTL, Margin: time.Second, LeaseTTL: longTTL, Registry: prometheus.NewRegistry(),
+	})
+	srv.SetNode(node)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { srv.OnLeader(ctx); close(done) }()
+	server, w := rpc.NewServer([]byte("secret")), listen(tb)
+	srv.Register(server)
+	go server.Serve(w)
+	client := rpc.NewClient([]byte("secret"))
+	tb.Cleanup(func() { client.Close(); server.Close(); cancel(); <-done })
+	time.Sleep(50 * time.Millisecond) // until the leadership is set
+	return client, w
+}
+
+// cpu returns the processor time that this process has used.
+func cpu() time.Duration {
+	var u syscall.Rusage
+	syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- /dev/null
+++ b/internal/capacity/state_test.go
@@ -0,0 +1,174 @@
+package capacity
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+	"bergamotdrum.example/bergamotdrum/internal/ledger"
+	"bergamotdrum.example/bergamotdrum/internal/objects"
+	"bergamotdrum.example/bergamotdrum/internal/scheduler"
+)
+
+// BenchmarkSnapshot measures a snapshot as a message, and the live heap that
+// the state machine takes. The state keeps the last 50 configurations.
+func BenchmarkSnapshot(b *testing.B) {
+	for _, size := range [][3]int{{200, 1000, 1}, {3200, 1000, 1}, {3200, 10_000, 1}, {3200, 10_000, 50}} {
+		b.Run(fmt.Sprintf("vms=%d/jobs=%d/versions=%d", size[0], size[1], size[2]), func(b *testing.B) {
+			snapshot(b, size[0], size[1], size[2])
+		})
+	}
+}
+
+func snapshot(b *testing.B, vms, jobs, versions int) {
+	empty := liveHeap()
+	node := newNode(b, 460)
+	for v := 1; v < versions; v++ {
+		node.publish(b, uint64(v), 460)
+	}
+	node.observe(b, vms)
+	node.submit(b, jobs, vms)
+	heap, length := liveHeap()-empty, 0
+	b.ReportAllocs()
+	for b.Loop() {
+		data, err := proto.Marshal(node.machine.Snapshot())
+		if err != nil {
+			b.Fatal(err)
+		}
+		length = len(data)
+	}
+	b.ReportMetric(float64(length), "snapshot-bytes")
+	b.ReportMetric(float64(heap)/(1<<20), "heap-MiB")
+}
+
+func liveHeap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// BenchmarkDemand measures one shard's demand report in which every team
+// changed: command and answer as messages, and the time of the commit's apply.
+func BenchmarkDemand(b *testing.B) {
+	for _, teams := range []int{46, 460} {
+		b.Run(fmt.Sprint("teams=", teams), func(b *testing.B) {
+			node := newNode(b, teams)
+			openSessions(b, node, 1)
+			finishRecovery(b, node)
+			epoch := shardEpoch(node)
+			var cmd *apiv1.Command
+			var res *apiv1.CommandResult
+			i := 0
+			for b.Loop() {
+				i++
+				cmd = demandCommand(epoch, teams, i)
+				res = node.apply(b, cmd)
+			}
+			b.ReportMetric(float64(proto.Size(cmd)), "command-bytes")
+			b.ReportMetric(float64(proto.Size(res)), "answer-bytes")
+		})
+	}
+}
+
+// shardEpoch returns the epoch of the shard of service pool-1.
+func shardEpoch(node *localNode) (epoch uint64) {
+	for _, sh := range node.view().Shards {
+		if sh.Service == "pool-1" {
+			epoch = sh.Epoch
+		}
+	}
+	return epoch
+}
+
+func finishRecovery(b *testing.B, node *localNode) {
+	node.apply(b, &apiv1.Command{Body: &apiv1.Command_FinishRecovery{
+		FinishRecovery: &apiv1.FinishRecovery{Service: "pool-1", Epoch: shardEpoch(node)},
+	}})
+}
+
+func demandCommand(epoch uint64, teams, i int) *apiv1.Command {
+	cmd := &apiv1.ReportDemand{Service: "pool-1", Epoch: epoch, Sequence: uint64(i)}
+	for t := range teams {
+		cmd.Demands = append(cmd.Demands, &apiv1.TeamDemand{
+			Team: fmt.Sprint("team-", t), Running: 2, Wanted: uint32(20 + i%2), Ceiling: 200,
+		})
+	}
+	return &apiv1.Command{Body: &apiv1.Command_ReportDemand{ReportDemand: cmd}}
+}
+
+// BenchmarkShard measures the live heap of one shard with its queue full; the
+// configuration is not counted. Its time is that of filling the queue and of
+// two collections, and says nothing about one request.
+func BenchmarkShard(b *testing.B) {
+	for _, size := range [][2]int{{10, 5}, {153, 460}} {
+		b.Run(fmt.Sprintf("minions=%d/teams=%d", size[0], size[1]), func(b *testing.B) {
+			ix := objects.NewIndex(objectSet(size[1]))
+			var heap uint64
+			for b.Loop() {
+				empty := liveHeap()
+				c := fullShard(ix, size[0], size[1])
+				heap = liveHeap() - empty
+				runtime.KeepAlive(c)
+			}
+			b.ReportMetric(float64(heap)/(1<<10), "heap-KiB")
+		})
+	}
+}
+
+func fullShard(ix *objects.Index, minions, teams int) *scheduler.Core {
+	c := scheduler.NewCore(0, "pool-1", 1)
+	c.SetConfig(0, ix, nil)
+	c.StartGranting()
+	for i := range minions {
+		c.Announce(0, &apiv1.MinionAnnouncement{
+			MinionId: fmt.Sprint("minion-", i), Service: "pool-1", Vm: fmt.Sprint("vm-", i), Slots: 8,
+			AvailabilityZone: fmt.Sprint("zone-", i%8), Rack: fmt.Sprint("rack-", i/4),
+		})
+	}
+	for i := range 1000 {
+		c.Enqueue(0, &apiv1.AcquireRequest{
+			Service: "pool-1", SessionId: 1, Team: fmt.Sprint("team-", i%teams), Queue: "pool-1",
+			TimeoutMs: uint32((20 * time.Second).Milliseconds()),
+		})
+	}
+	return c
+}
+
+// BenchmarkLedger measures the records of requests that ran at most once: the
+// live heap and the snapshot per record, without stored responses.
+func BenchmarkLedger(b *testing.B) {
+	for _, records := range []int{10_000, 100_000} {
+		b.Run(fmt.Sprint("records=", records), func(b *testing.B) {
+			var heap uint64
+			var length int
+			for b.Loop() {
+				empty := liveHeap()
+				s := fullLedger(b, records)
+				heap = liveHeap() - empty
+				length = proto.Size(s.Snapshot())
+				runtime.KeepAlive(s)
+			}
+			b.ReportMetric(float64(heap)/float64(records), "heap-bytes/record")
+			b.ReportMetric(float64(length)/float64(records), "snapshot-bytes/record")
+		})
+	}
+}
+
+func fullLedger(b *testing.B, records int) *ledger.State {
+	s := ledger.New()
+	for i := range records {
+		_, err := s.Start(jobTimeMS, &apiv1.StartRequest{
+			ClientAccount: fmt.Sprintf("team-%d-0", i%460), RequestId: jobID(i), SessionId: 7, Service: "pool-1",
+			Epoch: 1, GrantId: uint64(i + 1), MinionId: "minion-1", Fingerprint: make([]byte, 32),
+		})
+		if err != nil {
+			b.Fatal(err)
+		}
+	}
+	return s
+}
