Measure the apply of a lost availability zone

The capacity page had no figure for it. Ruled out: a loss under full load over processes, which needs a fleet of them; the page says that it was not run.

Run: go test ./docs ./internal/capacity, golangci-lint on internal/capacity.

--- a/internal/capacity/state_test.go
+++ b/internal/capacity/state_test.go
@@ -172,3 +172,41 @@
 	}
 	return s
 }
+
+// BenchmarkZoneLoss measures the apply of the two commands that follow the
+// silence of one of 8 availability zones: its VMs are down and their leases
+// end. Each worker holds two leases.
+func BenchmarkZoneLoss(b *testing.B) {
+	for _, vms := range []int{200, 3200} {
+		b.Run(fmt.Sprint("vms=", vms), func(b *testing.B) {
+			size := 0
+			for b.Loop() {
+				b.StopTimer()
+				node := newNode(b, 460)
+				node.observe(b, vms)
+				node.submit(b, 2*vms, vms)
+				node.place(b, vms, 2)
+				down, ended := zoneLoss(vms)
+				b.StartTimer()
+				node.apply(b, down)
+				node.apply(b, ended)
+				size = proto.Size(down) + proto.Size(ended)
+			}
+			b.ReportMetric(float64(size), "command-bytes")
+		})
+	}
+}
+
+func zoneLoss(vms int) (down, ended *apiv1.Command) {
+	observe, expire := &apiv1.ObserveVms{}, &apiv1.ExpireLeases{}
+	for i := 0; i < vms; i += 8 {
+		hb := heartbeat(i, 2)
+		observe.Observations = append(observe.Observations, &apiv1.VmObservation{
+			Vm: hb.Vm, Pool: hb.Pool, AvailabilityZone: hb.AvailabilityZone, Rack: hb.Rack,
+			Capacity: hb.Capacity, WorkerId: hb.WorkerId, Down: true,
+		})
+		expire.Leases = append(expire.Leases, hb.Leases...)
+	}
+	return &apiv1.Command{Body: &apiv1.Command_ObserveVms{ObserveVms: observe}},
+		&apiv1.Command{Body: &apiv1.Command_ExpireLeases{ExpireLeases: expire}}
+}
