--- a/internal/measure/sim.go
+++ b/internal/measure/sim.go
@@ -197,10 +197,10 @@
 }
 
 func (s *shardSim) report() {
-	if !s.hosted || !s.core.DemandChanged() {
+	if !s.hosted || !s.core.DemandChanged(s.now) {
 		return
 	}
-	cmd := s.core.Report()
+	cmd := s.core.Report(s.now)
 	out, err := s.members.ReportDemand(cmd)
 	if err == nil {
 		s.core.ApplyAllotments(s.now, cmd.Sequence, out)
