Try the replacement of a control replica at another address

No test ran bergamotctl control replace against processes, nor the steps of docs/operators/control-vm.md around it. The operator's process test now does: learner at a new address, remaining replicas restarted one at a time with the new addresses, control replace, and a publish after it.

Ruled out: the restart of two replicas as a cause of lost versions; the version is the same after it.

--- a/test/process/operator_site_test.go
+++ b/test/process/operator_site_test.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -239,3 +240,34 @@
 	defer resp.Body.Close()
 	return resp.Header.Get("Bergamot-Result"), nil
 }
+
+// startReplacement starts a control replica with an empty data folder and new
+// addresses in the place of the one at the index.
+func (s *site) startReplacement(index int) *proc {
+	lost := s.controls[index]
+	added := &proc{
+		name: fmt.Sprintf("control-%d", len(s.controls)+1), program: lost.program, dir: s.dir,
+		rpc: freeAddress(), operator: freeAddress(), admin: freeAddress(),
+	}
+	data, err := os.ReadFile(lost.settings)
+	Expect(err).NotTo(HaveOccurred())
+	added.settings = s.write(added.name, strings.NewReplacer(lost.name, added.name, lost.rpc, added.rpc,
+		lost.operator, added.operator, lost.admin, added.admin, "bootstrap = true", "bootstrap = false").Replace(string(data)))
+	s.controls[index] = added
+	s.lastLeader = nil
+	client, err := os.ReadFile(s.clientSettings)
+	Expect(err).NotTo(HaveOccurred())
+	s.write("client", strings.ReplaceAll(string(client), lost.operator, added.operator))
+	added.start()
+	return added
+}
+
+// readdress gives a control replica the new addresses and restarts it.
+func (s *site) readdress(p, lost, added *proc) {
+	s.rewrite(p, lost.rpc, added.rpc)
+	s.rewrite(p, lost.operator, added.operator)
+	p.signal(syscall.SIGTERM)
+	Eventually(p.exited).Should(Receive(BeNil()))
+	p.start()
+	Eventually(p.ready).Should(Succeed())
+}
--- a/test/process/operator_test.go
+++ b/test/process/operator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"path"
 	"path/filepath"
@@ -176,6 +177,31 @@
 		Eventually(lost.ready).Should(Succeed())
 	})
 
+	// Guards against the page's steps for a new address losing the group, and
+	// against a command that ends before the new replica votes.
+	It("replaces a lost control replica by one at another address", func() {
+		lost := s.controls[1]
+		oldID := s.replicaID(lost)
+		version := status(Default).ConfigVersion
+		lost.kill()
+		added := s.startReplacement(1)
+		newID := s.replicaID(added)
+		for _, p := range s.controls {
+			if p != added {
+				s.readdress(p, lost, added)
+			}
+		}
+		s.ctl(0, "control", "replace", fmt.Sprint(oldID), fmt.Sprint(newID), added.rpc)
+		report := status(Default)
+		Expect(report.ConfigVersion).To(Equal(version))
+		Expect(report.ControlReplicas).To(HaveLen(len(s.controls)))
+		for _, r := range report.ControlReplicas {
+			Expect(r.ReplicaId).NotTo(Equal(oldID))
+			Expect(r.Learner).To(BeFalse())
+		}
+		s.ctl(0, "maintenance", "pause", maintenanceName)
+	})
+
 	// Guards against a planned stop that ends with an error or hangs.
 	It("stops every process gracefully", func() {
 		for _, p := range append(append([]*proc{}, s.entries...), s.controls...) {
