--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -189,15 +189,30 @@
 	if !leaving {
 		return false
 	}
-	since, ok := l.leavingSince[in.OperationId]
-	if !ok {
-		since = view
-		l.leavingSince[in.OperationId] = view
-	}
+	since := l.leavingSince.first(in.OperationId, view)
 	l.syncSessions()
 	return leases == 0 && l.sessions.drained(in.Vm, since)
 }
 
+// firstViews remembers the view version at which this leader first saw each
+// draining operation. The executor asks for several operations at once.
+type firstViews struct {
+	mu       sync.Mutex
+	versions map[string]uint64
+}
+
+func (f *firstViews) first(operationID string, view uint64) uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.versions == nil {
+		f.versions = map[string]uint64{}
+	}
+	if _, ok := f.versions[operationID]; !ok {
+		f.versions[operationID] = view
+	}
+	return f.versions[operationID]
+}
+
 func (l *leadership) drainTimeout(in *apiv1.Intent) time.Duration {
 	var timeout time.Duration
 	l.s.o.Machine.Read(func(st *state.State) { timeout = fleet.DrainTimeout(in, st.Index) })
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -27,16 +27,14 @@
 	sessions *sessionTracker
 	workers  *workerTracker
 	demand   demandEstimate
-	// leavingSince holds the view version in which a draining VM is leaving, by
-	// operation id. Only the executor's goroutine uses it.
-	leavingSince map[string]uint64
+	// leavingSince holds the view version in which a draining VM is leaving.
+	leavingSince firstViews
 }
 
 func newLeadership(s *Server, ctx context.Context) *leadership {
 	l := &leadership{
 		s: s, ctx: ctx,
-		demand:       demandEstimate{pools: map[string]float64{}},
-		leavingSince: map[string]uint64{},
+		demand: demandEstimate{pools: map[string]float64{}},
 	}
 	now := s.o.Clock.Now()
 	l.sessions = newSessionTracker(s.o.SessionTTL + s.o.Margin)
--- a/internal/control/trackers_test.go
+++ b/internal/control/trackers_test.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -8,7 +10,9 @@
 	"pgregory.net/rapid"
 
 	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+	"bergamotdrum.example/bergamotdrum/internal/clock"
 	_ "bergamotdrum.example/bergamotdrum/internal/rapidseed"
+	"bergamotdrum.example/bergamotdrum/internal/state"
 )
 
 const testTTL = 2 * time.Second
@@ -135,3 +139,26 @@
 		}
 	})
 }
+
+// Guards against the crash of a leader whose executor asks for several drains
+// at once, which wrote one map from several goroutines.
+func TestIdleIsAskedForSeveralDrainsAtOnce(t *testing.T) {
+	s := New(Options{Machine: state.New(), Clock: &clock.Fake{}})
+	l := newLeadership(s, t.Context())
+	vms := &apiv1.ObserveVms{}
+	var wg sync.WaitGroup
+	for i := range 64 {
+		vms.Observations = append(vms.Observations, &apiv1.VmObservation{Vm: fmt.Sprint("vm-", i), Pool: "p", AvailabilityZone: "z"})
+	}
+	s.o.Machine.Apply(1, &apiv1.Command{Body: &apiv1.Command_ObserveVms{ObserveVms: vms}})
+	for i := range 64 {
+		wg.Go(func() {
+			for range 200 {
+				l.leavingSince.first(fmt.Sprint("op-", i), uint64(i))
+				l.idle(&apiv1.Intent{OperationId: fmt.Sprint("op-", i), Vm: fmt.Sprint("vm-", i)})
+			}
+		})
+	}
+	wg.Wait()
+	NewWithT(t).Expect(l.leavingSince.first("op-7", 99)).To(BeEquivalentTo(7))
+}
