Keep a committed standby for each shard

A successor had to wait for the longest deadline of lost entries' requests, because nothing told it which slots they hold. SetStandby names the session that has a copy of the shard's grants; it gets the shard when the host's session expires, and the shard then names the epoch that was mirrored.

Proposals carry a sequence: a proposal of a standby that is committed late, after its removal, would hand the shard to a process that lacks grants. A recovering host is refused, because it may not know all grants of earlier epochs.

A move for balance is left out while a standby is committed and an expired session is unreleased: the new host has no mirror and would wait for deadlines.

--- a/internal/membership/sessions.go
+++ b/internal/membership/sessions.go
@@ -64,6 +64,9 @@
 	}
 	session.Expired = true
 	for _, sh := range s.shards {
+		if sh.StandbySessionId == id {
+			sh.StandbySessionId = 0
+		}
 		if sh.SessionId == id {
 			sh.SessionId = 0
 			sh.Recovering = true
--- a/internal/membership/shards.go
+++ b/internal/membership/shards.go
@@ -5,22 +5,30 @@
 	"encoding/binary"
 )
 
-// assignOrphans gives each shard without a host to the live session with the
-// fewest shards.
+// assignOrphans gives each shard without a host to its standby, or else to the
+// live session with the fewest shards.
 func (s *State) assignOrphans(index uint64) {
 	for _, name := range sortedKeys(s.shards) {
 		sh := s.shards[name]
 		if sh.SessionId != 0 {
 			continue
 		}
-		s.assign(index, sh, s.leastLoaded(name))
+		s.assign(index, sh, s.nextHost(sh))
 	}
 }
 
 // assign starts a new epoch. Epochs are log indexes, so they also grow when a
 // service is removed and added again. A shard without a host keeps its epoch
-// and counts as recovering, which holds its allotments.
+// and counts as recovering, which holds its allotments. Only the standby of the
+// ended epoch has its grants mirrored.
 func (s *State) assign(index uint64, sh *shard, session uint64) {
+	mirrored := uint64(0)
+	if session != 0 && session == sh.StandbySessionId {
+		mirrored = sh.Epoch
+	}
+	sh.StandbySessionId = 0
+	sh.StandbySequence = 0
+	sh.MirroredEpoch = mirrored
 	sh.Recovering = true
 	sh.SessionId = session
 	if session == 0 {
@@ -60,7 +68,7 @@
 	var moved *shard
 	for _, name := range sortedKeys(s.shards) {
 		sh := s.shards[name]
-		if sh.AssignedIndex == index || counts[sh.SessionId] < counts[session]+2 {
+		if sh.AssignedIndex == index || counts[sh.SessionId] < counts[session]+2 || s.keepsHost(sh) {
 			continue
 		}
 		if moved == nil || s.betterMove(counts, session, sh, moved) {
