Mirror grants to a standby before they leave the host

The host sends its full set of grants to a session of another availability zone and then each change, one batch at a time; a grant leaves once its batch is acknowledged or the standby's removal is committed. The standby counts the copies when it gets the shard and does not wait for expired sessions. It asks live sessions for their grants for at most 300 ms, which only frees slots earlier.

A new host took the counted number as ceiling and replaced what ended, also above a fallen limit. Grants that wait for the standby are given back when the configuration changes, so that the wait does not add to the time in which grants of an older version start.

Changes to the test's cluster: a session that a restarted process ended was released at once, which the control leader never does; its release now waits as for any other expired session. Mirror batches are lost in 2% instead of 20% of calls, because standbys otherwise do not last; whole links are cut by steps instead.

--- a/internal/scheduler/cluster_test.go
+++ b/internal/scheduler/cluster_test.go
@@ -64,6 +64,9 @@
 	started  int
 	problems []string
 	faults   bool
+	// How often a standby was proposed or removed, and how often one got its
+	// shard.
+	proposals, mirrored int
 }
 
 // testVersion is a published limit and the time it came into force.
@@ -193,6 +196,8 @@
 				c.state.ExpireSessions(c.index, &apiv1.ExpireSessions{SessionIds: []uint64{s.Id}})
 				c.release[s.Id] = c.Now() + 5*testDeadline // other services have longer deadlines
 				c.acknowledge()
+			case s.Expired && c.release[s.Id] == 0: // a restarted process ended it
+				c.release[s.Id] = c.Now() + 5*testDeadline
 			case s.Expired && c.Now() > c.release[s.Id]:
 				c.state.ReleaseSessions(&apiv1.ReleaseSessions{SessionIds: []uint64{s.Id}})
 			}
@@ -212,6 +217,11 @@
 	res := &apiv1.CommandResult{Index: c.index}
 	switch b := cmd.Body.(type) {
 	case *apiv1.Command_FinishRecovery:
+		for _, sh := range c.state.Shards() {
+			if sh.Service == b.FinishRecovery.Service && sh.Epoch == b.FinishRecovery.Epoch && sh.Recovering && sh.MirroredEpoch != 0 {
+				c.mirrored++
+			}
+		}
 		if err := c.state.FinishRecovery(b.FinishRecovery); err != nil {
 			res.Status = err.Status()
 		}
@@ -221,6 +231,11 @@
 			res.Status = err.Status()
 		}
 		res.Body = &apiv1.CommandResult_Allotments{Allotments: a}
+	case *apiv1.Command_SetStandby:
+		c.proposals++
+		if err := c.state.SetStandby(b.SetStandby); err != nil {
+			res.Status = err.Status()
+		}
 	}
 	return res
 }
@@ -237,7 +252,7 @@
 		return nil, errLost
 	}
 	c.delay(30 * time.Millisecond)
-	if e.p.isCut() || ctx.Err() != nil {
+	if e.p.isCut() || e.p.isDead() || ctx.Err() != nil {
 		return nil, errLost
 	}
 	res := c.apply(cmd)
@@ -251,21 +266,50 @@
 	return res, nil
 }
 
-// Call implements Caller for Entry.ReportGrants.
-func (c *cluster) Call(ctx context.Context, address, _ string, req, resp proto.Message) error {
+// caller makes the calls of one process over the faulty network.
+type caller struct{ p *process }
+
+// Call implements Caller for Entry.ReportGrants and Shard.Mirror.
+func (n caller) Call(ctx context.Context, address, _ string, req, resp proto.Message) error {
+	c := n.p.c
+	lost, late := 20, 200*time.Millisecond
+	if _, ok := req.(*apiv1.MirrorBatch); ok {
+		if n.p.isMuted() {
+			<-ctx.Done()
+			return ctx.Err()
+		}
+		lost, late = 2, 40*time.Millisecond // so that standbys last a while
+	}
 	c.delay(50 * time.Millisecond)
+	to := c.process(address)
+	if n.p.isDead() || to == nil || to.isDead() || c.chance(lost) {
+		return errLost
+	}
+	if c.chance(10) { // delivered again, much later
+		again := proto.Clone(req)
+		go func() { c.delay(3 * time.Second); to.serve(again) }()
+	}
+	answer, err := to.serve(req)
+	c.delay(late)
+	switch {
+	case ctx.Err() != nil:
+		return ctx.Err()
+	case c.chance(lost) || n.p.isDead():
+		return errLost
+	case err != nil:
+		return err
+	}
+	proto.Merge(resp, answer)
+	return nil
+}
+
+func (c *cluster) process(address string) *process {
 	for _, p := range c.procs {
-		if p.name == address && !c.chance(20) {
-			report := p.reportGrants(req.(*apiv1.ReportGrants))
-			c.delay(200 * time.Millisecond)
-			if ctx.Err() != nil {
-				return ctx.Err()
-			}
-			proto.Merge(resp, report)
-			return nil
+		if p.name == address {
+			return p
 		}
 	}
-	return errLost
+	return nil
 }
 
 func quietLog() *logrus.Entry {
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -62,6 +62,8 @@
 	expiries  timeHeap[*grant]
 	// Releases that arrived before the report of their grant.
 	early map[grantKey]struct{}
+	// Changes since the last mirror batch; nil without a standby.
+	changes *changeLog
 
 	rate     serviceRate
 	sequence uint64
--- a/internal/scheduler/demand.go
+++ b/internal/scheduler/demand.go
@@ -142,13 +142,15 @@
 }
 
 // Counted returns what runs per team, for FinishRecovery, and makes it the
-// ceiling of each team.
+// ceiling of each team. The limit may be below what runs, so a team starts
+// nothing, not even in place of what ends, before the first report is answered.
 func (c *Core) Counted(now time.Duration) []*apiv1.TeamDemand {
 	var out []*apiv1.TeamDemand
 	for _, name := range slices.Sorted(maps.Keys(c.teams)) {
 		t := c.teams[name]
 		t.ceiling = t.running
 		t.report.amount = t.running
+		t.report.freeze(c.sequence)
 		c.updateBlocked(now, t)
 		if t.running > 0 {
 			out = append(out, t.demand())
--- a/internal/scheduler/dump.go
+++ b/internal/scheduler/dump.go
@@ -11,10 +11,13 @@
 
 // ShardDump is the state of one shard for the state dump.
 type ShardDump struct {
-	Service    string       `json:"service"`
-	Epoch      uint64       `json:"epoch"`
-	Granting   bool         `json:"granting"`
-	Recovery   []string     `json:"recovery_waits_for,omitempty"`
+	Service  string   `json:"service"`
+	Epoch    uint64   `json:"epoch"`
+	Granting bool     `json:"granting"`
+	Recovery []string `json:"recovery_waits_for,omitempty"`
+	// Session that may be the committed standby, and grants that wait for it.
+	Standby    uint64       `json:"standby,omitempty"`
+	Held       int          `json:"held,omitempty"`
 	Grants     int          `json:"grants"`
 	Queued     int          `json:"queued"`
 	Slots      uint32       `json:"slots"`
--- a/internal/scheduler/grants.go
+++ b/internal/scheduler/grants.go
@@ -12,6 +12,7 @@
 // grant occupies one slot of a minion until it is released or expires.
 type grant struct {
 	key     grantKey
+	session uint64
 	team    string
 	minion  *minion
 	granted time.Duration
@@ -26,6 +27,7 @@
 	c.lastGrant++
 	g := &grant{
 		key:     grantKey{c.epoch, c.lastGrant},
+		session: it.request.SessionId,
 		team:    it.request.Team,
 		minion:  m,
 		granted: now,
@@ -68,6 +70,7 @@
 	c.expiries.add(g)
 	g.minion.occupy(1)
 	c.teams[g.team].running++
+	c.changes.add(g)
 }
 
 // Release frees the slot of a grant. Unknown grants are ignored: a release may
@@ -93,6 +96,7 @@
 
 func (c *Core) free(now time.Duration, g *grant) {
 	delete(c.grants, g.key)
+	c.changes.remove(g.key)
 	c.expiries.remove(g)
 	g.minion.occupy(-1)
 	t := c.teams[g.team]
@@ -122,15 +126,21 @@
 		if known || released || held.Epoch >= c.epoch {
 			continue
 		}
-		c.team(now, held.Team)
-		c.hold(&grant{
+		c.resume(now, &grant{
 			key:     key,
+			session: report.SessionId,
 			team:    held.Team,
 			minion:  c.minion(held.MinionId),
 			granted: now,
 			expires: now + time.Duration(held.RemainingMs)*time.Millisecond + grantExpiryMargin,
 			heapPos: -1,
 		})
-		c.picker.Resume(now, held.Team)
 	}
 }
+
+// resume counts a grant of an earlier epoch.
+func (c *Core) resume(now time.Duration, g *grant) {
+	c.team(now, g.team)
+	c.hold(g)
+	c.picker.Resume(now, g.team)
+}
--- a/internal/scheduler/handover_test.go
+++ b/internal/scheduler/handover_test.go
@@ -30,13 +30,19 @@
 	stepHeal
 	stepLimit
 	stepJob
-	stepKinds
+	stepKill
+	stepRestart
+	stepKillHost
+	stepKillHostAndStandby
+	stepCutHost
+	stepMute
+	stepUnmute
 )
 
 func drawSteps(rt *rapid.T, count int) []step {
 	return rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) step {
 		return step{
-			kind:    rapid.SampledFrom([]int{stepLoad, stepLoad, stepLoad, stepCut, stepHeal, stepLimit, stepJob}).Draw(rt, "kind"),
+			kind:    rapid.SampledFrom([]int{stepLoad, stepLoad, stepLoad, stepCut, stepHeal, stepLimit, stepJob, stepKillHost, stepKillHostAndStandby, stepKill, stepRestart, stepRestart, stepCutHost, stepMute, stepUnmute, stepUnmute}).Draw(rt, "kind"),
 			process: rapid.IntRange(0, 2).Draw(rt, "process"),
 			service: rapid.IntRange(0, 1).Draw(rt, "service"),
 			team:    rapid.IntRange(0, 1).Draw(rt, "team"),
@@ -59,6 +65,23 @@
 		p.setCut(true)
 	case stepHeal:
 		p.setCut(false)
+	case stepKill:
+		p.kill()
+	case stepRestart:
+		p.restart()
+	case stepKillHost:
+		c.onHost(testServices[s.service], false, (*process).kill)
+	case stepKillHostAndStandby:
+		c.onHost(testServices[s.service], true, (*process).kill)
+	case stepCutHost:
+		c.onHost(testServices[s.service], false, func(p *process) {
+			p.setCut(true)
+			p.mute(s.n%2 == 0)
+		})
+	case stepMute:
+		p.mute(true)
+	case stepUnmute:
+		p.mute(false)
 	case stepLimit:
 		c.publish(uint32(s.n))
 	case stepJob:
@@ -66,10 +89,27 @@
 	}
 }
 
+// onHost does something to the host of a shard, and to its standby if asked.
+func (c *cluster) onHost(service string, standby bool, do func(*process)) {
+	c.mu.Lock()
+	snap := c.view()
+	c.mu.Unlock()
+	shard := snap.Shard(service)
+	ids := []uint64{shard.SessionId}
+	if standby {
+		ids = append(ids, shard.StandbySessionId)
+	}
+	for _, id := range ids {
+		if p := c.process(snap.Session(id).GetRpcAddress()); p != nil {
+			do(p)
+		}
+	}
+}
+
 // runSteps returns the violations seen, and whether work starts again after
 // all faults ended.
 func runSteps(t *testing.T, seed uint64, limit uint32, steps []step) (problems []string, recovered bool) {
-	synctest.Test(t, func(*testing.T) {
+	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		c := newCluster(seed, 3, limit)
 		c.faults = true
@@ -90,6 +130,8 @@
 		c.mu.Unlock()
 		for i, p := range c.procs {
 			p.setCut(false)
+			p.mute(false)
+			p.restart()
 			c.job([]string{"a", "b", "a"}[i], false)
 		}
 		c.publish(100)
@@ -104,6 +146,7 @@
 		cancel()
 		time.Sleep(2 * testDeadline)
 		problems = c.problems
+		t.Logf("standby proposals %d, mirrored hand-overs %d, starts %d", c.proposals, c.mirrored, c.started)
 	})
 	return problems, recovered
 }
--- /dev/null
+++ b/internal/scheduler/held.go
@@ -0,0 +1,135 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+	"bergamotdrum.example/bergamotdrum/internal/result"
+)
+
+// The functions of this file but letGo must be called with the lock held.
+
+// deliver answers the waiters. While a standby copies the grants, they wait for
+// its acknowledgement.
+func (sh *hosted) deliver(outcomes []Outcome) {
+	for _, out := range outcomes {
+		if out.Grant != nil && sh.standby.holding {
+			sh.standby.held = append(sh.standby.held, &heldOutcome{out: out})
+			continue
+		}
+		sh.answer(out)
+	}
+	if !sh.core.changes.empty() {
+		select {
+		case sh.changed <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func (sh *hosted) answer(out Outcome) {
+	if answer, ok := sh.waiters[out.Ticket]; ok {
+		delete(sh.waiters, out.Ticket)
+		answer <- out
+	}
+	sh.host.metrics.observe(sh.assigned.Service, out)
+}
+
+// letGo answers with the grants of the acknowledged batches.
+func (sh *hosted) letGo(batch uint64) {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	held := sh.standby.held
+	n := 0
+	for n < len(held) && held[n].batch != 0 && held[n].batch <= batch {
+		n++
+	}
+	sh.standby.held = held[n:]
+	for _, h := range held[:n] {
+		sh.finishHeld(h.out)
+	}
+}
+
+// finishHeld answers with a grant that waited, or gives it back when this
+// process may not grant any more or the request's time is over.
+func (sh *hosted) finishHeld(out Outcome) {
+	key := grantKey{out.Grant.Epoch, out.Grant.GrantId}
+	g, ok := sh.core.grants[key]
+	switch {
+	case !sh.mayGrant():
+		sh.giveBack(out, sh.cannotGrant())
+	case !ok || g.expires-grantExpiryMargin <= sh.now():
+		sh.giveBack(out, sh.waitedTooLong())
+	default:
+		left := max(1, uint32((g.expires-grantExpiryMargin-sh.now())/time.Millisecond))
+		out.Grant.TimeoutMs = left
+		out.Grant.StartWithinMs = min(left, out.Grant.StartWithinMs)
+		sh.answer(out)
+	}
+}
+
+func (sh *hosted) giveBack(out Outcome, err *result.Error) {
+	sh.core.Release(sh.now(), &apiv1.ReleaseRequest{
+		Epoch: out.Grant.Epoch, GrantId: out.Grant.GrantId,
+		Outcome: apiv1.GrantOutcome_GRANT_OUTCOME_NOT_STARTED,
+	})
+	out.Grant, out.Err = nil, err
+	sh.answer(out)
+}
+
+// dropHeld gives back the waiting grants that can no longer leave in time, or
+// all of them when this process may not grant.
+func (sh *hosted) dropHeld() {
+	may := sh.mayGrant()
+	sh.standby.held = slices.DeleteFunc(sh.standby.held, func(h *heldOutcome) bool {
+		g, ok := sh.core.grants[grantKey{h.out.Grant.Epoch, h.out.Grant.GrantId}]
+		switch {
+		case !may:
+			sh.giveBack(h.out, sh.cannotGrant())
+		case !ok || g.expires-grantExpiryMargin <= sh.now():
+			sh.giveBack(h.out, sh.waitedTooLong())
+		default:
+			return false
+		}
+		return true
+	})
+}
+
+// dropForbidden gives back waiting grants that the newest view may forbid: all
+// of them when the configuration changed, because limits may have fallen, and
+// those on minions that must get no new work. Otherwise their wait would add to
+// the time in which grants of the earlier view still start.
+func (sh *hosted) dropForbidden(configured bool) {
+	sh.standby.held = slices.DeleteFunc(sh.standby.held, func(h *heldOutcome) bool {
+		g, ok := sh.core.grants[grantKey{h.out.Grant.Epoch, h.out.Grant.GrantId}]
+		if ok && !configured && sh.core.placeable(sh.now(), g.minion) {
+			return false
+		}
+		sh.giveBack(h.out, unavailable("the view of %s changed before its grant left", sh.assigned.Service))
+		return true
+	})
+}
+
+// cancelHeld gives back the waiting grant of a ticket, if there is one.
+func (sh *hosted) cancelHeld(ticket uint64) bool {
+	i := slices.IndexFunc(sh.standby.held, func(h *heldOutcome) bool { return h.out.Ticket == ticket })
+	if i < 0 {
+		return false
+	}
+	out := sh.standby.held[i].out
+	sh.standby.held = slices.Delete(sh.standby.held, i, i+1)
+	sh.giveBack(out, sh.waitedTooLong())
+	return true
+}
+
+func (sh *hosted) cannotGrant() *result.Error {
+	if sh.stopped != nil {
+		return sh.stopped
+	}
+	return unavailable("the host of the shard of %s has no valid session", sh.assigned.Service)
+}
+
+func (sh *hosted) waitedTooLong() *result.Error {
+	return unavailable("the grant of %s was not copied to the standby in time", sh.assigned.Service)
+}
--- a/internal/scheduler/host.go
+++ b/internal/scheduler/host.go
@@ -64,6 +64,7 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	wg      sync.WaitGroup
+	mirrors *mirrors
 
 	mu       sync.Mutex
 	shards   map[string]*hosted
@@ -74,12 +75,13 @@
 // with the session before it runs.
 func NewHost(o HostOptions) *Host {
 	ctx, cancel := context.WithCancel(context.Background())
-	h := &Host{o: o, ctx: ctx, cancel: cancel, shards: map[string]*hosted{}}
+	h := &Host{o: o, ctx: ctx, cancel: cancel, shards: map[string]*hosted{}, mirrors: newMirrors()}
 	h.metrics = newMetrics(h, o.Registry)
 	if o.Server != nil {
 		rpc.Register(o.Server, "Shard.Acquire", h.Acquire)
 		rpc.Register(o.Server, "Shard.Release", h.Release)
 		rpc.Register(o.Server, "Shard.Announce", h.Announce)
+		rpc.Register(o.Server, "Shard.Mirror", h.Mirror)
 	}
 	return h
 }
@@ -116,9 +118,11 @@
 			sh.stop(handedOver(service))
 		}
 	}
+	h.mirrors.forget(snap)
 	for _, assigned := range snap.View.GetShards() {
+		copies, copied := h.mirrors.take(assigned, id)
 		if assigned.SessionId == id && id != 0 && h.shards[assigned.Service] == nil && !h.draining {
-			h.shards[assigned.Service] = h.start(assigned)
+			h.shards[assigned.Service] = h.start(assigned, copies, copied)
 		}
 	}
 	for _, sh := range h.shards {
@@ -135,7 +139,7 @@
 	return out
 }
 
-func (h *Host) start(assigned *apiv1.Shard) *hosted {
+func (h *Host) start(assigned *apiv1.Shard, copies []*mirrorCopy, copied bool) *hosted {
 	ctx, cancel := context.WithCancel(h.ctx)
 	sh := &hosted{
 		host:     h,
@@ -144,6 +148,10 @@
 		core:     NewCore(h.o.Clock.Now(), assigned.Service, assigned.Epoch),
 		waiters:  map[uint64]chan Outcome{},
 		views:    make(chan struct{}, 1),
+		changed:  make(chan struct{}, 1),
+		copies:   copies,
+		copied:   copied,
+		standby:  standby{paused: map[uint64]time.Duration{}},
 		log:      h.o.Log.WithFields(logrus.Fields{"service": assigned.Service, "epoch": assigned.Epoch}),
 	}
 	h.wg.Go(func() { sh.recover(ctx) })
--- a/internal/scheduler/hosted.go
+++ b/internal/scheduler/hosted.go
@@ -29,6 +29,13 @@
 	snap    *session.Snapshot
 	// Sessions the recovery waits for, for the state dump.
 	pending []string
+	// Copies of the grants of earlier epochs, when copied is true.
+	copies []*mirrorCopy
+	copied bool
+
+	standby standby
+	// Signals the standby's sender that there are changes.
+	changed chan struct{}
 
 	reporting bool
 	reported  time.Duration
@@ -47,23 +54,14 @@
 func (sh *hosted) step() { sh.settle((*Core).Step) }
 
 func (sh *hosted) settle(advance func(*Core, time.Duration) []Outcome) {
+	sh.dropHeld()
 	if !sh.mayGrant() {
-		sh.deliver(sh.core.Flush(sh.now(), unavailable("the host of the shard of %s has no valid session", sh.assigned.Service)))
+		sh.deliver(sh.core.Flush(sh.now(), sh.cannotGrant()))
 		return
 	}
 	sh.deliver(advance(sh.core, sh.now()))
 }
 
-func (sh *hosted) deliver(outcomes []Outcome) {
-	for _, out := range outcomes {
-		if answer, ok := sh.waiters[out.Ticket]; ok {
-			delete(sh.waiters, out.Ticket)
-			answer <- out
-		}
-		sh.host.metrics.observe(sh.assigned.Service, out)
-	}
-}
-
 func (sh *hosted) enqueue(req *apiv1.AcquireRequest) (uint64, <-chan Outcome, *result.Error) {
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
@@ -106,6 +104,10 @@
 	if sh.core.Cancel(sh.now(), ticket) {
 		return
 	}
+	if sh.cancelHeld(ticket) {
+		sh.step()
+		return
+	}
 	if out := <-answer; out.Grant != nil {
 		sh.core.Release(sh.now(), &apiv1.ReleaseRequest{
 			Epoch: out.Grant.Epoch, GrantId: out.Grant.GrantId,
@@ -132,8 +134,10 @@
 func (sh *hosted) setView(snap *session.Snapshot) {
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
+	configured := sh.snap != nil && sh.snap.View.GetConfigVersion() != snap.View.GetConfigVersion()
 	sh.snap = snap
 	sh.core.SetConfig(sh.now(), snap.Index, snap.View.GetLeavingVms())
+	sh.dropForbidden(configured)
 	sh.step()
 	sh.reportDemand()
 	select {
@@ -155,6 +159,7 @@
 	defer sh.mu.Unlock()
 	sh.stopped = err
 	sh.core.StopGranting()
+	sh.dropHeld()
 	sh.deliver(sh.core.Flush(sh.now(), err))
 	sh.cancel()
 }
@@ -164,5 +169,9 @@
 	defer sh.mu.Unlock()
 	d := sh.core.Dump(sh.now())
 	d.Recovery = sh.pending
+	if sh.standby.proposed {
+		d.Standby = sh.standby.target.Id
+	}
+	d.Held = len(sh.standby.held)
 	return d
 }
--- /dev/null
+++ b/internal/scheduler/mirror_test.go
@@ -0,0 +1,229 @@
+package scheduler
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+	"bergamotdrum.example/bergamotdrum/internal/result"
+)
+
+// Guards against a mirror that lacks a grant of the core, keeps an ended one,
+// or lets one expire before the core does, under repeated, late and lost
+// batches.
+func TestMirrorAgreesWithCore(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		const own = 9
+		now := time.Duration(0)
+		core := NewCore(now, "alerts", 5)
+		core.SetConfig(now, testIndex(100), nil)
+		core.StartGranting()
+		copies := newMirrors()
+		var sent []*apiv1.MirrorBatch
+		mirrored := false
+		send := func(batch *apiv1.MirrorBatch) {
+			batch.Sequence, batch.SessionId = uint64(len(sent)+1), own
+			sent = append(sent, batch)
+			if err := copies.apply(now, own, batch); err != nil {
+				rt.Fatalf("batch refused: %v", err)
+			}
+			compareMirror(rt, now, core, copies.shards["alerts"])
+		}
+		for range rapid.IntRange(1, 60).Draw(rt, "steps") {
+			now += time.Duration(rapid.IntRange(0, 400).Draw(rt, "wait_us")) * 1100 * time.Microsecond
+			switch rapid.IntRange(0, 6).Draw(rt, "kind") {
+			case 0, 1:
+				core.Announce(now, &apiv1.MinionAnnouncement{MinionId: "m", Service: "alerts", AvailabilityZone: "z1", Slots: testSlots})
+				core.Enqueue(now, &apiv1.AcquireRequest{SessionId: 3, Team: "a", TimeoutMs: rapid.Uint32Range(1, 3000).Draw(rt, "timeout")})
+				core.team(now, "a").ceiling = 100
+				core.updateBlocked(now, core.team(now, "a"))
+				core.Step(now)
+			case 2:
+				core.Release(now, &apiv1.ReleaseRequest{Epoch: 5, GrantId: rapid.Uint64Range(1, core.lastGrant+1).Draw(rt, "grant")})
+			case 3:
+				core.Tick(now)
+			case 4:
+				send(core.StartMirror(now))
+				mirrored = true
+			case 5:
+				if mirrored {
+					send(core.TakeChanges(now))
+				}
+			case 6:
+				if len(sent) > 0 { // an old batch arrives again
+					copies.apply(now, own, sent[rapid.IntRange(0, len(sent)-1).Draw(rt, "again")])
+				}
+			}
+		}
+		if mirrored {
+			send(core.TakeChanges(now))
+		}
+	})
+}
+
+func compareMirror(rt *rapid.T, now time.Duration, core *Core, m *mirror) {
+	if len(m.grants) != len(core.grants) {
+		rt.Fatalf("mirror has %d grants, core %d", len(m.grants), len(core.grants))
+	}
+	for key, g := range core.grants {
+		c := m.grants[key]
+		if c == nil || c.expires < g.expires || c.grant.SessionId != g.session || c.grant.Team != g.team || c.grant.MinionId != g.minion.id {
+			rt.Fatalf("%v: grant %v is mirrored as %v", now, key, c)
+		}
+	}
+}
+
+// Guards against a standby that acknowledges batches it does not take over, or
+// of a host whose epoch has ended.
+func TestMirrorRefusesWhatItDoesNotKeep(t *testing.T) {
+	g := NewWithT(t)
+	m := newMirrors()
+	batch := func(epoch, sequence, session uint64, full bool) apiv1.ResultCode {
+		err := m.apply(0, 9, &apiv1.MirrorBatch{Service: "alerts", Epoch: epoch, Sequence: sequence, SessionId: session, Full: full})
+		if err == nil {
+			return apiv1.ResultCode_RESULT_CODE_OK
+		}
+		return result.CodeOf(err)
+	}
+	g.Expect(batch(5, 1, 9, false)).To(Equal(apiv1.ResultCode_RESULT_CODE_INVALID_ARGUMENT), "no full set yet")
+	g.Expect(batch(5, 2, 8, true)).To(Equal(apiv1.ResultCode_RESULT_CODE_NO_SESSION))
+	g.Expect(batch(5, 2, 9, true)).To(Equal(apiv1.ResultCode_RESULT_CODE_OK))
+	g.Expect(batch(5, 4, 9, false)).To(Equal(apiv1.ResultCode_RESULT_CODE_INVALID_ARGUMENT), "batch 3 is missing")
+	g.Expect(batch(5, 1, 9, true)).To(Equal(apiv1.ResultCode_RESULT_CODE_INVALID_ARGUMENT), "delayed full set")
+	g.Expect(batch(4, 9, 9, true)).To(Equal(apiv1.ResultCode_RESULT_CODE_EPOCH_STALE))
+	_, ok := m.take(&apiv1.Shard{Service: "alerts", Epoch: 6, SessionId: 9, MirroredEpoch: 4}, 9)
+	g.Expect(ok).To(BeFalse(), "another epoch is marked as mirrored")
+	g.Expect(batch(5, 3, 9, false)).To(Equal(apiv1.ResultCode_RESULT_CODE_EPOCH_STALE), "the shard has moved")
+}
+
+// Guards against a successor that waits for the deadline of lost requests
+// although it has their grants, and against one that frees their slots.
+func TestStandbyGrantsWithoutWaitingForDeadlines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		c := newCluster(1, 3, 100)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer time.Sleep(3 * testDeadline)
+		defer cancel()
+		go c.lead(ctx)
+		for _, p := range c.procs {
+			go p.run(ctx)
+		}
+		time.Sleep(5 * time.Second)
+		host, other := c.hostAndOther("alerts")
+		const lost = 2*testSlots - 1 // of the 2 minions' slots
+		for range lost {
+			go host.request("alerts", "a", testDeadline, testDeadline)
+			time.Sleep(100 * time.Millisecond)
+		}
+		held, _ := host.theHost().find("alerts")
+		g.Expect(held.dump().Grants).To(Equal(lost))
+		g.Expect(held.dump().Standby).NotTo(BeZero())
+		began := c.Now()
+		host.kill()
+		for c.successor("alerts", host) == nil && c.Now() < began+testDeadline {
+			time.Sleep(10 * time.Millisecond)
+		}
+		next := c.successor("alerts", host)
+		t.Logf("the successor grants %v after the loss", c.Now()-began)
+		g.Expect(next).NotTo(BeNil(), "no successor grants before the deadline of the lost requests")
+		g.Expect(next.dump().Grants).To(Equal(lost), "each lost request keeps its slot")
+		g.Expect(other.request("alerts", "a", testDeadline, time.Millisecond)).To(Succeed())
+		g.Expect(next.dump().Grants).To(Equal(lost), "the free slot is granted while the lost requests run")
+		g.Expect(c.problems).To(BeEmpty())
+	})
+}
+
+// hostAndOther returns the process that hosts the shard and one that neither
+// hosts nor copies it.
+func (c *cluster) hostAndOther(service string) (host, other *process) {
+	c.mu.Lock()
+	snap := c.view()
+	c.mu.Unlock()
+	shard := snap.Shard(service)
+	for _, p := range c.procs {
+		switch p.ID() {
+		case shard.SessionId:
+			host = p
+		case shard.StandbySessionId:
+		default:
+			other = p
+		}
+	}
+	return host, other
+}
+
+// successor returns the shard on another process once that one grants.
+func (c *cluster) successor(service string, lost *process) *hosted {
+	for _, p := range c.procs {
+		if p == lost {
+			continue
+		}
+		sh, err := p.theHost().find(service)
+		if err != nil {
+			continue
+		}
+		sh.mu.Lock()
+		granting := sh.core.granting
+		sh.mu.Unlock()
+		if granting {
+			return sh
+		}
+	}
+	return nil
+}
+
+// Guards against a host that is cut off from the control group and lets grants
+// go without its standby's acknowledgement, and against a successor that does
+// not count the ones that were acknowledged.
+func TestCutOffHostLetsOnlyMirroredGrantsGo(t *testing.T) {
+	for _, muted := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			c := newCluster(1, 3, 100)
+			ctx, cancel := context.WithCancel(context.Background())
+			defer time.Sleep(3 * testDeadline)
+			defer cancel()
+			go c.lead(ctx)
+			for _, p := range c.procs {
+				go p.run(ctx)
+			}
+			time.Sleep(5 * time.Second)
+			host, other := c.hostAndOther("alerts")
+			load := func(p *process, run time.Duration) {
+				for range 2 * testSlots {
+					go p.request("alerts", "a", testDeadline, run)
+				}
+				time.Sleep(500 * time.Millisecond)
+			}
+			load(host, 400*time.Millisecond) // the allotments follow the demand
+			time.Sleep(350 * time.Millisecond)
+			host.setCut(true)
+			host.mute(muted)
+			before := c.startedNow()
+			load(other, testDeadline)
+			if muted {
+				g.Expect(c.startedNow()).To(Equal(before), "a grant left without acknowledgement")
+			} else {
+				g.Expect(c.startedNow()).To(BeNumerically(">", before))
+			}
+			time.Sleep(testTTL + testMargin + time.Second)
+			next := c.successor("alerts", host)
+			g.Expect(next).NotTo(BeNil())
+			load(other, testDeadline)
+			g.Expect(c.startedNow()).To(Equal(before+2*testSlots), "all slots are used once")
+			g.Expect(c.problems).To(BeEmpty())
+		})
+	}
+}
+
+func (c *cluster) startedNow() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.started
+}
--- a/internal/scheduler/recovery.go
+++ b/internal/scheduler/recovery.go
@@ -14,6 +14,10 @@
 	reportGrantsTimeout = time.Second
 	retryInterval       = 100 * time.Millisecond
 	executeTimeout      = 2 * time.Second
+	// copiedReportWait is how long a successor with a mirror waits for the
+	// reports. They only free slots earlier, and the processes of a lost
+	// availability zone stay live for up to a session's TTL.
+	copiedReportWait = 300 * time.Millisecond
 )
 
 // recover counts the grants of earlier epochs and then starts granting. It
@@ -22,13 +26,17 @@
 // service can run.
 func (sh *hosted) recover(ctx context.Context) {
 	began := sh.now()
-	if !sh.collect(ctx) || !sh.finishRecovery(ctx) {
+	if !sh.collect(ctx) || !sh.finishRecovery(ctx) || !sh.startGranting(began) {
 		return
 	}
+	sh.keepStandby(ctx)
+}
+
+func (sh *hosted) startGranting(began time.Duration) bool {
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	if sh.stopped != nil {
-		return
+		return false
 	}
 	sh.core.StartGranting()
 	took := sh.now() - began
@@ -36,17 +44,22 @@
 	sh.log.WithField("recovery_seconds", took.Seconds()).Info("shard grants")
 	sh.step()
 	sh.reportDemand()
+	return true
 }
 
 // collect returns true once all reports are in, false when ctx ended.
 func (sh *hosted) collect(ctx context.Context) bool {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	sh.countCopies()
+	began := sh.now()
 	answers := make(chan *apiv1.GrantReport)
 	asked := map[uint64]bool{}
 	answered := map[uint64]bool{}
 	ended := map[uint64]time.Duration{}
 	for {
 		open := sh.unreported(answered, ended)
-		if len(open) == 0 && sh.hasView() {
+		if sh.hasView() && (len(open) == 0 || sh.copied && sh.now()-began >= copiedReportWait) {
 			return true
 		}
 		for _, s := range open {
@@ -93,6 +106,9 @@
 			continue
 		}
 		state := "report"
+		if s.Expired && sh.copied {
+			continue // its grants are among the copies
+		}
 		if s.Expired {
 			left := sh.grantsEnd(s.Id, ended) - sh.now()
 			if left <= 0 {
@@ -122,9 +138,18 @@
 	return seen + time.Duration(longest)*time.Millisecond + grantExpiryMargin
 }
 
+// countCopies counts what the ended host had mirrored to this process.
+func (sh *hosted) countCopies() {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	sh.core.AddMirrored(sh.now(), sh.copies)
+	sh.copies = nil
+}
+
 func (sh *hosted) count(report *apiv1.GrantReport) {
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
+	sh.core.DropUnreported(sh.now(), report)
 	sh.core.AddHeld(sh.now(), report)
 }
 
