--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -120,7 +120,7 @@
 		return nil, err
 	}
 	switch c := cmd.Body.(type) {
-	case *apiv1.Command_OpenSession, *apiv1.Command_FinishRecovery,
+	case *apiv1.Command_OpenSession, *apiv1.Command_FinishRecovery, *apiv1.Command_SetStandby,
 		*apiv1.Command_ReportDemand, *apiv1.Command_StartRequest, *apiv1.Command_FinishRequest,
 		*apiv1.Command_SubmitJob, *apiv1.Command_CancelJobs, *apiv1.Command_ReleaseSessions:
 		return l.propose(ctx, cmd)
--- a/internal/measure/sim.go
+++ b/internal/measure/sim.go
@@ -5,8 +5,10 @@
 
 import (
 	"container/heap"
+	"maps"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
@@ -124,6 +126,18 @@
 	// Violations of invariants, all of which must stay 0.
 	overLimit, overSlots int
 	slotsUsed            map[string]int
+	// open holds the grants not yet released, which a standby mirrors.
+	open map[uint64]*openGrant
+}
+
+// openGrant is a grant as a standby knows it.
+type openGrant struct {
+	grant    *apiv1.Grant
+	deadline time.Duration
+	// inZone is true when an entry process of the zone that fails holds it.
+	inZone bool
+	// lost is set when that process is lost; the grant is never released.
+	lost bool
 }
 
 func newShardSim(seed uint64, ix *objects.Index, service string) *shardSim {
@@ -131,6 +145,7 @@
 		timeline: newTimeline(seed), ix: ix, service: service, members: membership.New(),
 		tickets: map[uint64]*request{}, down: map[string]bool{}, hosted: true,
 		refused: map[apiv1.ResultCode]int{}, running: map[string]uint32{}, slotsUsed: map[string]int{},
+		open:  map[uint64]*openGrant{},
 		onRun: func(*request, string, time.Duration, time.Duration) {}, onStart: func(*request, string) {},
 	}
 	s.openSession(1, "entry-1")
@@ -172,11 +187,29 @@
 	s.epoch = epoch
 	s.core = scheduler.NewCore(s.now, s.service, epoch)
 	s.core.SetConfig(s.now, s.ix, nil)
-	s.members.FinishRecovery(&apiv1.FinishRecovery{Service: s.service, Epoch: epoch})
+	s.core.AddHeld(s.now, s.mirrored())
+	s.members.FinishRecovery(&apiv1.FinishRecovery{Service: s.service, Epoch: epoch, Demands: s.core.Counted(s.now)})
 	s.core.StartGranting()
 	s.hosted = true
 }
 
+// mirrored returns the grants of earlier epochs that may still run.
+func (s *shardSim) mirrored() *apiv1.GrantReport {
+	report := &apiv1.GrantReport{SessionId: 1}
+	for _, key := range slices.Sorted(maps.Keys(s.open)) {
+		held := s.open[key]
+		if held.deadline <= s.now {
+			delete(s.open, key)
+			continue
+		}
+		report.Grants = append(report.Grants, &apiv1.HeldGrant{
+			GrantId: held.grant.GrantId, Epoch: held.grant.Epoch, MinionId: held.grant.MinionId, Team: held.grant.Team,
+			RemainingMs: uint32((held.deadline - s.now).Milliseconds()),
+		})
+	}
+	return report
+}
+
 func zoneOf(ix *objects.Index, i int) string {
 	zones := ix.Set.AvailabilityZone
 	return zones[i%len(zones)].Name
@@ -245,6 +278,8 @@
 
 func (s *shardSim) start(r *request, g *apiv1.Grant) {
 	start := s.now
+	held := &openGrant{grant: g, deadline: r.enqueued + r.timeout, inZone: s.rng.IntN(len(s.ix.Set.AvailabilityZone)) == 0}
+	s.open[g.Epoch<<32|g.GrantId] = held
 	s.onStart(r, g.AvailabilityZone)
 	s.running[r.team]++
 	s.slotsUsed[g.MinionId]++
@@ -265,7 +300,10 @@
 		} else {
 			s.onRun(r, g.AvailabilityZone, start, s.now)
 		}
-		if s.hosted {
+		if !held.lost {
+			delete(s.open, g.Epoch<<32|g.GrantId)
+		}
+		if s.hosted && !held.lost {
 			s.core.Release(s.now, &apiv1.ReleaseRequest{
 				Service: s.service, Epoch: g.Epoch, GrantId: g.GrantId, SessionId: 1, Outcome: outcome,
 			})
--- a/internal/measure/zone.go
+++ b/internal/measure/zone.go
@@ -16,6 +16,10 @@
 	zoneEnd     = 180 * time.Second
 	// sessionLost is the session TTL and margin.
 	sessionLost = 2250 * time.Millisecond
+	// askReports is how long a standby asks the live sessions for reports.
+	askReports = 300 * time.Millisecond
+	// grantMargin is added to deadlines before a slot counts as free.
+	grantMargin = 500 * time.Millisecond
 	zoneMean    = 100 * time.Millisecond
 )
 
@@ -120,12 +124,15 @@
 }
 
 // Zone measures a zone taken out by operators, one that fails with its minions,
-// and one that fails together with the shard's host.
+// and one that fails together with its entry processes and the shard's host,
+// with and without a standby that is left.
 func Zone(ix *objects.Index, seed uint64) []ZoneResult {
+	longest := time.Duration(ix.Services[requestQueue(ix).Service].MaxDeadlineMs) * time.Millisecond
 	return []ZoneResult{
 		zoneOut(ix, seed),
-		zoneLost(ix, seed, false),
-		zoneLost(ix, seed, true),
+		zoneLost(ix, seed, "minions of the zone lost", 0),
+		zoneLost(ix, seed, "minions, entry processes and shard host lost, standby left", sessionLost+askReports),
+		zoneLost(ix, seed, "the same, standby lost too", sessionLost+longest+grantMargin),
 	}
 }
 
@@ -144,29 +151,29 @@
 	return z.result("taken out by operators")
 }
 
-func zoneLost(ix *objects.Index, seed uint64, hostToo bool) ZoneResult {
+// zoneLost loses the host too when its successor takes a time to start.
+func zoneLost(ix *objects.Index, seed uint64, name string, successor time.Duration) ZoneResult {
 	z := newZoneRun(ix, seed)
-	name := "minions of the zone lost"
 	z.after(zoneLeaves, func() { z.down[z.zone] = true })
 	z.after(zoneReturns, func() { z.down[z.zone] = false })
-	if hostToo {
-		name = "minions and shard host lost"
-		z.after(zoneLeaves, func() { z.loseHost() })
+	if successor > 0 {
+		z.after(zoneLeaves, func() { z.loseHost(successor) })
 	}
 	z.run(zoneEnd)
 	return z.result(name)
 }
 
-// loseHost ends the shard's host. The successor is assigned when the session
-// expires and grants once no request of an expired session can still run.
-func (z *zoneRun) loseHost() {
+// loseHost ends the shard's host and the entry processes of the zone.
+func (z *zoneRun) loseHost(successor time.Duration) {
 	z.hosted = false
+	for _, held := range z.open {
+		held.lost = held.inZone
+	}
 	for ticket, r := range z.tickets {
 		delete(z.tickets, ticket)
 		z.refuse(r, apiv1.ResultCode_RESULT_CODE_SHARD_UNAVAILABLE)
 	}
-	wait := sessionLost + time.Duration(z.ix.Services[z.service].MaxDeadlineMs)*time.Millisecond
-	z.after(wait, func() {
+	z.after(successor, func() {
 		z.members.ExpireSessions(3, &apiv1.ExpireSessions{SessionIds: []uint64{1}})
 		z.members.ReleaseSessions(&apiv1.ReleaseSessions{SessionIds: []uint64{1}})
 		z.openSession(4, "entry-2")
--- a/internal/state/apply.go
+++ b/internal/state/apply.go
@@ -36,6 +36,9 @@
 	case *apiv1.Command_FinishRecovery:
 		fail(res, s.Membership.FinishRecovery(c.FinishRecovery))
 		return true
+	case *apiv1.Command_SetStandby:
+		fail(res, s.Membership.SetStandby(c.SetStandby))
+		return true
 	case *apiv1.Command_ReportDemand:
 		s.applyReportDemand(c.ReportDemand, res)
 	case *apiv1.Command_StartRequest:
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -36,7 +36,7 @@
 	cmd := &apiv1.Command{TimeUnixMs: now}
 	session := uint64(rapid.IntRange(1, 4).Draw(t, "session"))
 	vm := fmt.Sprintf("vm-%d", n)
-	switch rapid.IntRange(0, 13).Draw(t, "kind") {
+	switch rapid.IntRange(0, 14).Draw(t, "kind") {
 	case 0:
 		cmd.Body = &apiv1.Command_PublishConfig{PublishConfig: &apiv1.PublishConfig{
 			ExpectedVersion: uint64(n), RequestId: fmt.Sprint("r", rapid.IntRange(0, 20).Draw(t, "request")), Objects: set(n),
@@ -84,6 +84,10 @@
 			Vm: vm, Pool: "p", AvailabilityZone: "z", Rack: "r", WorkerId: "w" + vm,
 			Capacity: &apiv1.Resources{CpuMillis: 1000, MemoryMb: 100}, Down: session == 4,
 		}}}}
+	case 13:
+		cmd.Body = &apiv1.Command_SetStandby{SetStandby: &apiv1.SetStandby{
+			Service: "s", Epoch: session, SessionId: uint64(n), Sequence: uint64(now),
+		}}
 	default:
 		cmd.Body = &apiv1.Command_CreateIntents{CreateIntents: &apiv1.CreateIntents{Intents: []*apiv1.Intent{{
 			OperationId: fmt.Sprint("op", now), Vm: vm, Kind: apiv1.IntentKind_INTENT_KIND_REBOOT, FromPool: "p",
