--- a/internal/capacity/fixture_test.go
+++ b/internal/capacity/fixture_test.go
@@ -112,6 +112,7 @@
 func (n *localNode) Status() replica.Status { return replica.Status{} }
 
 func (n *localNode) ChangeMembership(context.Context, *apiv1.ConfChange) error { return nil }
+func (n *localNode) Peers(context.Context) ([]replica.PeerStatus, error)       { return nil, nil }
 
 func (n *localNode) apply(tb testing.TB, cmd *apiv1.Command) *apiv1.CommandResult {
 	tb.Helper()
--- a/internal/consensus/replicate.go
+++ b/internal/consensus/replicate.go
@@ -190,3 +190,19 @@
 		c.becomeFollower(c.term, 0)
 	}
 }
+
+// Match returns the last index that the leader knows to be synced on the
+// replica, zero when it is not the leader or does not know.
+func (c *Core) Match(id uint64) uint64 {
+	if c.role != Leader {
+		return 0
+	}
+	if id == c.id {
+		return c.log.committed
+	}
+	p := c.peers[id]
+	if p == nil {
+		return 0
+	}
+	return p.match
+}
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -41,7 +41,8 @@
 	case old != nil:
 		return c.changeMember(ctx, apiv1.ConfChangeKind_CONF_CHANGE_KIND_REMOVE, old)
 	}
-	return &apiv1.ControlMembers{Replicas: s.replicaStatus()}, nil
+	replicas, err := s.replicaStatus(ctx)
+	return &apiv1.ControlMembers{Replicas: replicas}, err
 }
 
 func unknownReplica(id uint64) error {
@@ -56,7 +57,8 @@
 		return nil, err
 	}
 	last := err == nil && kind == apiv1.ConfChangeKind_CONF_CHANGE_KIND_REMOVE
-	return &apiv1.ControlMembers{Replicas: c.l.s.replicaStatus(), Pending: !last}, nil
+	replicas, err := c.l.s.replicaStatus(ctx)
+	return &apiv1.ControlMembers{Replicas: replicas, Pending: !last}, err
 }
 
 func find(group *apiv1.GroupConfig, id uint64) *apiv1.Replica {
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -25,6 +25,7 @@
 	Propose(ctx context.Context, cmd *apiv1.Command) (*apiv1.CommandResult, error)
 	Barrier(ctx context.Context) error
 	Status() replica.Status
+	Peers(ctx context.Context) ([]replica.PeerStatus, error)
 	ChangeMembership(ctx context.Context, c *apiv1.ConfChange) error
 }
 
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -26,23 +26,31 @@
 	}
 	waiting, _ := c.l.sessions.waitingFor(report.ConfigVersion)
 	report.InForce = len(waiting) == 0
-	report.ControlReplicas = s.replicaStatus()
-	return report, nil
+	report.ControlReplicas, err = s.replicaStatus(ctx)
+	return report, err
 }
 
-func (s *Server) replicaStatus() []*apiv1.ControlReplicaStatus {
+// replicaStatus lists the control group as the leader sees it.
+func (s *Server) replicaStatus(ctx context.Context) ([]*apiv1.ControlReplicaStatus, error) {
+	peers, err := s.node.Peers(ctx)
+	if err != nil {
+		return nil, err
+	}
 	status := s.node.Status()
 	var out []*apiv1.ControlReplicaStatus
-	for _, r := range status.Group.GetReplicas() {
+	for _, p := range peers {
+		r := find(status.Group, p.ReplicaID)
 		out = append(out, &apiv1.ControlReplicaStatus{
-			ReplicaId:       r.Id,
-			RpcAddress:      r.RpcAddress,
-			OperatorAddress: s.o.OperatorAddresses[r.RpcAddress],
-			Leader:          r.Id == status.LeaderID,
-			Learner:         r.Learner,
+			ReplicaId:       p.ReplicaID,
+			RpcAddress:      r.GetRpcAddress(),
+			OperatorAddress: s.o.OperatorAddresses[r.GetRpcAddress()],
+			Leader:          p.ReplicaID == status.LeaderID,
+			Learner:         r.GetLearner(),
+			Reachable:       p.Reachable,
+			MatchIndex:      p.MatchIndex,
 		})
 	}
-	return out
+	return out, nil
 }
 
 func (l *leadership) reportSessions(report *apiv1.StatusReport, st *state.State) {
--- a/internal/daemon/dev/dev.go
+++ b/internal/daemon/dev/dev.go
@@ -6,10 +6,12 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"os"
 	"time"
 
 	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+	"bergamotdrum.example/bergamotdrum/internal/daemon"
 	"bergamotdrum.example/bergamotdrum/internal/daemon/control"
 	"bergamotdrum.example/bergamotdrum/internal/daemon/entry"
 	"bergamotdrum.example/bergamotdrum/internal/fakes"
@@ -20,6 +22,8 @@
 	folderMode   = 0o700
 	minions      = 2
 	workers      = 2
+	// operationTime is how long the fake platform takes for an operation.
+	operationTime = 2 * time.Second
 )
 
 // Options configure a run.
@@ -55,6 +59,11 @@
 	if err != nil {
 		return err
 	}
+	stopPlatform, err := startPlatform(s)
+	if err != nil {
+		return err
+	}
+	defer stopPlatform()
 	controlDaemon, err := control.Start(s.control)
 	if err != nil {
 		return err
@@ -73,6 +82,19 @@
 	return demonstrate(ctx, s, o)
 }
 
+// startPlatform serves the platform's API, whose operations take a moment and
+// do nothing.
+func startPlatform(s *site) (func(), error) {
+	l, err := net.Listen("tcp", loopback)
+	if err != nil {
+		return nil, fmt.Errorf("listen for the fake platform: %w", err)
+	}
+	s.control.PlatformUrl = "http://" + l.Addr().String()
+	server := daemon.HTTPServer(fakes.NewPlatform(fakes.PlatformOptions{Delay: operationTime}))
+	go server.Serve(l)
+	return func() { server.Close() }, nil
+}
+
 // startFakes starts minions and workers that announce themselves.
 func startFakes(ctx context.Context, s *site) (func(), error) {
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/fleet/explain.go
+++ b/internal/fleet/explain.go
@@ -62,7 +62,7 @@
 	}
 	prefix := "maintenance " + m.Name + " waits: "
 	if m.State != apiv1.MaintenanceState_MAINTENANCE_STATE_RUNNING {
-		return prefix + "its state is " + m.State.String()
+		return prefix + "its state is " + strings.ToLower(strings.TrimPrefix(m.State.String(), "MAINTENANCE_STATE_"))
 	}
 	if reason := w.held(m, vm); reason != "" {
 		return prefix + reason
