--- a/test/process/config_test.go
+++ b/test/process/config_test.go
@@ -1,9 +1,11 @@
 package process_test
 
 import (
+	"encoding/json"
 	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -153,6 +155,27 @@
 		c.served(paused)
 	})
 
+	// Guards against a process that cannot be looked into, and against secrets
+	// in dumps, logs and metrics.
+	It("dumps its state on request and shows no secret", func() {
+		for _, p := range c.processes() {
+			Expect(get(p, "/metrics")).To(ContainSubstring("bergamot_"))
+			dump := get(p, "/debug/state")
+			Expect(json.Valid([]byte(dump))).To(BeTrue())
+			p.signal(syscall.SIGUSR1)
+			Eventually(p.log).Should(ContainSubstring(`"msg":"state dump"`))
+			for _, text := range []string{dump, get(p, "/metrics"), p.log()} {
+				Expect(text).NotTo(ContainSubstring(secretOf(c.callerCredential)))
+				Expect(text).NotTo(ContainSubstring(secretOf(c.operatorCredential)))
+				Expect(text).NotTo(ContainSubstring(clusterSecret))
+				Expect(text).NotTo(ContainSubstring(c.objects.Key[0].Hash))
+			}
+			for line := range strings.Lines(p.log()) {
+				Expect(json.Valid([]byte(line))).To(BeTrue(), line)
+			}
+		}
+	})
+
 	// Guards against requests that are cut by a planned stop.
 	It("cuts no request when an entry process is stopped gracefully", func() {
 		for _, m := range c.minions {
