Prove the standby and the loss of a zone on real processes

Seen failing: with SetStandby refused by the leader no request is served within the 60 s that the test waits.

--- a/test/process/serve_test.go
+++ b/test/process/serve_test.go
@@ -94,4 +94,56 @@
 		}
 		Expect(c.runs(id)).To(Equal(1))
 	})
+
+	// Guards against a service that stands still for its longest timeout, here
+	// 5 min and more than this test waits, when its shard's host is lost: the
+	// standby knows what the lost host had granted.
+	It("goes on with the standby's grants when the host of a shard with long timeouts is killed", func() {
+		c := newCluster(3, 3)
+		c.testObjects().Service[0].MaxDeadlineMs = 300_000
+		c.publish()
+		c.startTargets()
+		for _, p := range c.entries {
+			c.served(p)
+		}
+		leader := c.leader()
+		Eventually(func() string { return get(leader, "/debug/state") }).Should(ContainSubstring(`"standby_session_id"`))
+		host := c.shardHost(service)
+		host.kill()
+		for _, p := range c.entries {
+			if p != host {
+				c.served(p)
+			}
+		}
+	})
+
+	// Guards against the loss of a whole availability zone ending the service in
+	// the others, and against processes that do not come back.
+	It("serves through the loss and return of an availability zone", func() {
+		c := newCluster(3, 3)
+		c.testObjects()
+		c.publish()
+		runs := c.startTargets()
+		for _, p := range c.entries {
+			c.served(p)
+		}
+		c.leader() // known before the loss, so that calls do not wait for it
+		lost := []*proc{c.controls[0], c.entries[0]}
+		c.minions[0].Crash()
+		for _, p := range lost {
+			p.kill()
+		}
+		for _, p := range c.entries[1:] {
+			c.served(p)
+			c.jobDone(p, c.submit(p, true))
+			c.jobDone(p, c.submit(p, false))
+		}
+		for _, p := range lost {
+			p.start()
+		}
+		c.served(c.entries[0])
+		c.jobDone(c.entries[0], c.submit(c.entries[0], true))
+		_, _, overlap := runs.Overlapping()
+		Expect(overlap).To(BeFalse(), "a job ran twice at once")
+	})
 })
