--- a/examples/examples_test.go
+++ b/examples/examples_test.go
@@ -16,6 +16,7 @@
 	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
 	"bergamotdrum.example/bergamotdrum/internal/objects"
 	"bergamotdrum.example/bergamotdrum/internal/settings"
+	_ "bergamotdrum.example/bergamotdrum/internal/testseed"
 )
 
 func TestExamples(t *testing.T) {
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -21,6 +21,7 @@
 	"bergamotdrum.example/bergamotdrum/internal/operator/operatortest"
 	"bergamotdrum.example/bergamotdrum/internal/publish"
 	"bergamotdrum.example/bergamotdrum/internal/result"
+	_ "bergamotdrum.example/bergamotdrum/internal/testseed"
 )
 
 func TestCommand(t *testing.T) {
--- a/internal/control/trackers_test.go
+++ b/internal/control/trackers_test.go
@@ -11,8 +11,8 @@
 
 	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
 	"bergamotdrum.example/bergamotdrum/internal/clock"
-	_ "bergamotdrum.example/bergamotdrum/internal/rapidseed"
 	"bergamotdrum.example/bergamotdrum/internal/state"
+	_ "bergamotdrum.example/bergamotdrum/internal/testseed"
 )
 
 const testTTL = 2 * time.Second
--- /dev/null
+++ b/internal/daemon/main.go
@@ -0,0 +1,50 @@
+package daemon
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kong"
+	"google.golang.org/protobuf/proto"
+)
+
+// Program is one daemon's command line: an INI file and a check of it.
+type Program[S proto.Message] struct {
+	Name, Description string
+	// Section is the INI section that Settings is read from.
+	Section  string
+	Settings S
+	// Start returns the function that stops the daemon gracefully.
+	Start func(S) (stop func() error, err error)
+}
+
+// Main runs the program until SIGTERM or SIGINT and exits with 1 on failure.
+func (p Program[S]) Main() {
+	var cli struct {
+		Settings string `arg:"" help:"INI file with the program's section."`
+		Check    bool   `help:"Check the settings and exit."`
+	}
+	kong.Parse(&cli, kong.Name(p.Name), kong.Description(p.Description))
+	if err := p.run(cli.Settings, cli.Check); err != nil {
+		fmt.Fprintf(os.Stderr, "%s: %v\n", p.Name, err)
+		os.Exit(1)
+	}
+}
+
+func (p Program[S]) run(path string, check bool) error {
+	if err := LoadSettings(path, p.Section, p.Settings); err != nil {
+		return err
+	}
+	if check {
+		fmt.Println("settings are valid")
+		return nil
+	}
+	ctx, cancel := StopSignal()
+	defer cancel()
+	stop, err := p.Start(p.Settings)
+	if err != nil {
+		return err
+	}
+	<-ctx.Done()
+	return stop()
+}
--- a/internal/fairshare/fairshare_test.go
+++ b/internal/fairshare/fairshare_test.go
@@ -9,7 +9,7 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
-	_ "bergamotdrum.example/bergamotdrum/internal/rapidseed"
+	_ "bergamotdrum.example/bergamotdrum/internal/testseed"
 )
 
 // naive computes every score from scratch at each choice.
--- a/internal/fleet/main_test.go
+++ b/internal/fleet/main_test.go
@@ -8,7 +8,7 @@
 
 	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
 	"bergamotdrum.example/bergamotdrum/internal/objects"
-	_ "bergamotdrum.example/bergamotdrum/internal/rapidseed"
+	_ "bergamotdrum.example/bergamotdrum/internal/testseed"
 )
 
 // checks sets the number of cases of the generated test that follows, and the
--- a/internal/jobs/main_test.go
+++ b/internal/jobs/main_test.go
@@ -9,7 +9,7 @@
 	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
 	"bergamotdrum.example/bergamotdrum/internal/fleet"
 	"bergamotdrum.example/bergamotdrum/internal/objects"
-	_ "bergamotdrum.example/bergamotdrum/internal/rapidseed"
+	_ "bergamotdrum.example/bergamotdrum/internal/testseed"
 )
 
 const startMS = 1_800_000_000_000
--- a/internal/objects/check_test.go
+++ b/internal/objects/check_test.go
@@ -11,8 +11,8 @@
 	"pgregory.net/rapid"
 
 	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
-	_ "bergamotdrum.example/bergamotdrum/internal/rapidseed"
 	"bergamotdrum.example/bergamotdrum/internal/settings"
+	_ "bergamotdrum.example/bergamotdrum/internal/testseed"
 )
 
 // drawSet draws a set with few names and small numbers, so that references
--- a/internal/operator/client_test.go
+++ b/internal/operator/client_test.go
@@ -19,6 +19,7 @@
 	"bergamotdrum.example/bergamotdrum/internal/publish"
 	"bergamotdrum.example/bergamotdrum/internal/result"
 	"bergamotdrum.example/bergamotdrum/internal/settings"
+	_ "bergamotdrum.example/bergamotdrum/internal/testseed"
 )
 
 func TestOperator(t *testing.T) {
--- a/internal/platform/executor_test.go
+++ b/internal/platform/executor_test.go
@@ -21,7 +21,7 @@
 	"bergamotdrum.example/bergamotdrum/internal/fleet"
 	"bergamotdrum.example/bergamotdrum/internal/objects"
 	"bergamotdrum.example/bergamotdrum/internal/platform"
-	_ "bergamotdrum.example/bergamotdrum/internal/rapidseed"
+	_ "bergamotdrum.example/bergamotdrum/internal/testseed"
 )
 
 // group is the control group as two leaders in turn see it.
--- a/internal/publish/publish_test.go
+++ b/internal/publish/publish_test.go
@@ -13,7 +13,7 @@
 	"pgregory.net/rapid"
 
 	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
-	_ "bergamotdrum.example/bergamotdrum/internal/rapidseed"
+	_ "bergamotdrum.example/bergamotdrum/internal/testseed"
 )
 
 // change is a publish whose only limit has a value that tells it apart. A
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+	_ "bergamotdrum.example/bergamotdrum/internal/testseed"
 )
 
 func TestSettings(t *testing.T) {
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -9,7 +9,7 @@
 	"pgregory.net/rapid"
 
 	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
-	_ "bergamotdrum.example/bergamotdrum/internal/rapidseed"
+	_ "bergamotdrum.example/bergamotdrum/internal/testseed"
 )
 
 // set is a small valid configuration that differs by n.
--- a/test/process/suite_test.go
+++ b/test/process/suite_test.go
@@ -9,6 +9,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"github.com/onsi/gomega/gexec"
+
+	_ "bergamotdrum.example/bergamotdrum/internal/testseed"
 )
 
 // A busy machine may be slow; no test asserts a duration, this only bounds the
