--- a/internal/jobs/state.go
+++ b/internal/jobs/state.go
@@ -61,6 +61,8 @@
 	// pending counts per queue, urgent counts pending urgent jobs per pool.
 	pending map[string]uint32
 	urgent  map[string]int
+	// dataBytes is what payloads, checkpoints and results take together.
+	dataBytes int
 }
 
 // load is what the leases on one VM add up to.
@@ -178,6 +180,11 @@
 }
 
 func (s *State) count(j *apiv1.Job, add bool) {
+	if size := len(j.Payload) + len(j.Checkpoint) + len(j.Result); add {
+		s.dataBytes += size
+	} else {
+		s.dataBytes -= size
+	}
 	if j.State == apiv1.JobState_JOB_STATE_PENDING {
 		s.countPending(j, add)
 	}
@@ -257,16 +264,34 @@
 			break
 		}
 		s.ended = s.ended[1:]
+		s.count(j, false)
 		delete(s.jobs, j.JobId)
 		if ms, ok := idTimeMS(j.JobId); ok {
 			s.forgottenMS = max(s.forgottenMS, ms)
 		}
 	}
+	s.dropResults()
 	if len(s.order) > 2*len(s.jobs)+100 {
 		s.order = slices.DeleteFunc(s.order, func(id string) bool { return s.jobs[id] == nil })
 	}
 }
 
+// dropResults drops the oldest results while the data takes more than half of
+// its bound, so that results that nobody fetches leave room for new jobs.
+func (s *State) dropResults() {
+	for _, id := range s.ended {
+		if s.dataBytes <= maxTotalDataBytes/2 {
+			return
+		}
+		if j := s.jobs[id]; len(j.Result) > 0 {
+			c := shallowCopy(j)
+			c.Result = nil
+			c.Reason = "the result is no longer kept"
+			s.put(c)
+		}
+	}
+}
+
 // shallowCopy copies the fields of j but not what they refer to, because a
 // payload may be large and is never modified.
 func shallowCopy(j *apiv1.Job) *apiv1.Job {
--- a/internal/jobs/submit.go
+++ b/internal/jobs/submit.go
@@ -17,6 +17,10 @@
 	// maxDataBytes bounds a payload, a checkpoint and a result, which all
 	// travel through the log.
 	maxDataBytes = 256 << 10
+	// maxTotalDataBytes bounds what all jobs' data takes in memory and in a
+	// snapshot; 10,000 jobs at the largest payload would take 2.5 GiB.
+	maxTotalDataBytes = 64 << 20
+	dataRetry         = 10 * time.Second
 	// emptyPoolRetry is about the time in which workers of a pool announce
 	// themselves.
 	emptyPoolRetry = time.Second
@@ -38,6 +42,11 @@
 		return nil, result.NotRun(apiv1.ResultCode_RESULT_CODE_TOO_LARGE,
 			"payload has %d bytes of at most %d", len(cmd.Payload), maxDataBytes)
 	}
+	if s.dataBytes+len(cmd.Payload) > maxTotalDataBytes {
+		err := result.NotRun(apiv1.ResultCode_RESULT_CODE_QUEUE_FULL, "the data of all jobs takes %d bytes already; submit again when some have ended", s.dataBytes)
+		err.RetryAfter = dataRetry
+		return nil, err
+	}
 	if cmd.Resources.GetCpuMillis() == 0 {
 		// Any number of such jobs would fit on one VM.
 		return nil, result.NotRun(apiv1.ResultCode_RESULT_CODE_INVALID_ARGUMENT, "resources.cpu_millis must be at least 1")
