--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -248,8 +248,8 @@
 	if err != nil {
 		return fmt.Errorf("close session %d: %w", id, err)
 	}
-	if s.busyVMs != nil && len(s.busyVMs()) > 0 {
-		return nil // requests are cut; the leader waits out their deadlines
+	if s.busyVMs == nil || len(s.busyVMs()) > 0 {
+		return nil // requests may still run; the leader waits out their deadlines
 	}
 	// Nothing runs under this session any more, so the shards that it hosted
 	// need not wait for deadlines.
