--- a/internal/measure/fleet.go
+++ b/internal/measure/fleet.go
@@ -25,7 +25,7 @@
 	// for demandLow.
 	demandHigh = 14.0
 	demandLow  = 1.5
-	// vmFailures a day over the fleet, each for failureTime. The expected rate
+	// Failures a day of one VM, each for failureTime. The expected rate
 	// of 21 for 3,200 VMs would show none among 50, so it is 100 times that.
 	vmFailuresPerVMDay = 0.66
 	failureTime        = 10 * time.Minute
