--- a/internal/control/dump.go
+++ b/internal/control/dump.go
@@ -74,3 +74,12 @@
 		Leases:   l.workers.leaseAges(now),
 	}
 }
+
+// ages returns the time since each entry's moment.
+func ages[K comparable, V any](now time.Duration, m map[K]V, moment func(V) time.Duration) map[K]time.Duration {
+	out := make(map[K]time.Duration, len(m))
+	for key, v := range m {
+		out[key] = now - moment(v)
+	}
+	return out
+}
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -40,7 +40,7 @@
 	l.sessions = newSessionTracker(s.o.SessionTTL + s.o.Margin)
 	l.workers = newWorkerTracker(s.o.LeaseTTL + s.o.Margin)
 	s.o.Machine.Read(func(st *state.State) {
-		l.sessions.sync(now, st.Membership.Sessions(), releaseAfter(st, s.o.Margin))
+		l.followSessions(now, st)
 		l.workers.sync(now, st)
 	})
 	return l
@@ -52,12 +52,14 @@
 	return time.Duration(st.LongestDeadlineMS())*time.Millisecond + margin
 }
 
+func (l *leadership) followSessions(now time.Duration, st *state.State) {
+	l.sessions.sync(now, st.Membership.Sessions(), releaseAfter(st, l.s.o.Margin))
+}
+
 // syncSessions makes the tracker follow the sessions committed so far.
 func (l *leadership) syncSessions() {
 	now := l.s.o.Clock.Now()
-	l.s.o.Machine.Read(func(st *state.State) {
-		l.sessions.sync(now, st.Membership.Sessions(), releaseAfter(st, l.s.o.Margin))
-	})
+	l.s.o.Machine.Read(func(st *state.State) { l.followSessions(now, st) })
 }
 
 func (l *leadership) run() {
@@ -89,7 +91,7 @@
 	now := l.s.o.Clock.Now()
 	var down []*apiv1.VmObservation
 	l.s.o.Machine.Read(func(st *state.State) {
-		l.sessions.sync(now, st.Membership.Sessions(), releaseAfter(st, l.s.o.Margin))
+		l.followSessions(now, st)
 		l.workers.sync(now, st)
 		down = l.workers.silentVMs(now, st)
 	})
--- a/internal/control/sessions.go
+++ b/internal/control/sessions.go
@@ -271,9 +271,5 @@
 func (t *sessionTracker) ages(now time.Duration) map[uint64]time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	out := make(map[uint64]time.Duration, len(t.live))
-	for id, s := range t.live {
-		out[id] = now - s.renewed
-	}
-	return out
+	return ages(now, t.live, func(s *liveSession) time.Duration { return s.renewed })
 }
--- a/internal/control/workertracker.go
+++ b/internal/control/workertracker.go
@@ -214,19 +214,11 @@
 func (t *workerTracker) vmAges(now time.Duration) map[string]time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	out := make(map[string]time.Duration, len(t.seen))
-	for id, seen := range t.seen {
-		out[id] = now - seen
-	}
-	return out
+	return ages(now, t.seen, func(seen time.Duration) time.Duration { return seen })
 }
 
 func (t *workerTracker) leaseAges(now time.Duration) map[string]time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	out := make(map[string]time.Duration, len(t.leases))
-	for id, r := range t.leases {
-		out[id] = now - r.renewed
-	}
-	return out
+	return ages(now, t.leases, func(r *leaseRenewal) time.Duration { return r.renewed })
 }
