Plan from counters, order machines in the background at the platform's rate

Cause: on the grown site the leader spends its whole processor share in a queue's turn. Each round listed and sorted the runs of every minion, walked the tasks of every active job, and scanned a full pool once for each waiting job. A fleet round waited for the answers and commits of its orders and gave eight at most, so machines followed a turn at 20 to 30 a second. Change: steps and loads keep counters; a session is brought up only when the revision of its load has changed; a need that found no room is not tried again in the round; at most 192 committed starts wait for their order, so the best jobs are chosen late; orders for machines leave in the background, at most orders_per_second, which the platform's settings give. Garbage collection at 300 percent.

--- a/cmd/bergamot-platform/main.go
+++ b/cmd/bergamot-platform/main.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"os"
+	"runtime/debug"
 
 	"github.com/alecthomas/kong"
 
@@ -56,7 +57,13 @@
 	}.Run(c.Settings, c.Check)
 }
 
+// gcPercent trades memory for processor time: the leader's live heap is some
+// tens of MiB, its VM has some hundreds, and collections at the default took a
+// sixth of its time.
+const gcPercent = 300
+
 func main() {
+	debug.SetGCPercent(gcPercent)
 	var cli struct {
 		Core  coreCommand  `cmd:"" help:"Run a control replica on a VM with a disk."`
 		Front frontCommand `cmd:"" help:"Run an entry for callers."`
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -12,6 +12,7 @@
 type Job struct {
 	*apiv1.BatchJob
 	occurrences map[uint32]*apiv1.BatchOccurrence
+	progress    map[uint32][]Progress
 	// remaining counts the tasks of all occurrences that are not done.
 	remaining int
 	// runs counts the runs that have not ended.
@@ -19,7 +20,7 @@
 }
 
 func newJob(j *apiv1.BatchJob) *Job {
-	job := &Job{BatchJob: j, occurrences: map[uint32]*apiv1.BatchOccurrence{}}
+	job := &Job{BatchJob: j, occurrences: map[uint32]*apiv1.BatchOccurrence{}, progress: map[uint32][]Progress{}}
 	for _, s := range j.Steps {
 		job.remaining += int(s.Count)
 	}
@@ -92,11 +93,7 @@
 }
 
 func (j *Job) stepDone(occurrence, step uint32) bool {
-	o := j.occurrences[occurrence]
-	if o == nil {
-		return false
-	}
-	return !slices.ContainsFunc(o.Steps[step].Tasks, func(t *apiv1.BatchTask) bool { return !t.Done })
+	return j.Progress(occurrence, step).Done == j.Steps[step].Count
 }
 
 // Ended tells whether a state is final.
@@ -186,6 +183,7 @@
 func (s *State) end(logTimeMS int64, j *Job, state apiv1.BatchState) {
 	j.State = state
 	j.EndedUnixMs = logTimeMS
+	s.touchJob(j)
 	s.active = slices.DeleteFunc(s.active, func(o *Job) bool { return o == j })
 	j.compact()
 }
@@ -198,6 +196,7 @@
 	j.Specification, j.Steps, j.Occurrences, j.AcceptedQueue = "", nil, nil, nil
 	j.remaining = 0
 	clear(j.occurrences)
+	clear(j.progress)
 }
 
 // forget drops jobs that ended before a log time and have no runs left.
--- a/internal/batch/runs.go
+++ b/internal/batch/runs.go
@@ -120,7 +120,38 @@
 // Load is what runs on one life of a minion.
 type Load struct {
 	Used Usage
-	runs map[RunKey]*ActiveRun
+	// Revision differs whenever the runs, or whether they are wanted, differ.
+	Revision uint64
+	// LongRunningCPU is the cpu of the runs that do not end by themselves, in
+	// thousandths of a core.
+	LongRunningCPU int64
+	runs           map[RunKey]*ActiveRun
+	// ofStep counts the runs of each step's occurrence.
+	ofStep      map[TaskRef]uint32
+	longRunning int
+}
+
+// Each calls fn for each run, in no order.
+func (l *Load) Each(fn func(*ActiveRun)) {
+	if l == nil {
+		return
+	}
+	for _, r := range l.runs {
+		fn(r)
+	}
+}
+
+func (l *Load) add(key RunKey, r *ActiveRun, sign int64) {
+	need := NeedOnMinion(r.Step)
+	l.Used = l.Used.Add(need, sign)
+	l.ofStep[key.StepRef()] += uint32(sign)
+	if l.ofStep[key.StepRef()] == 0 {
+		delete(l.ofStep, key.StepRef())
+	}
+	if r.Step.LongRunning {
+		l.LongRunningCPU += sign * need.CPUMillis
+		l.longRunning += int(sign)
+	}
 }
 
 // Runs returns the runs ordered by key.
@@ -144,46 +175,17 @@
 	return len(l.runs)
 }
 
-// LongRunningCPU is the cpu of the runs that do not end by themselves, in
-// thousandths of a core.
-func (l *Load) LongRunningCPU() int64 {
-	if l == nil {
-		return 0
-	}
-	cpu := int64(0)
-	for _, r := range l.runs {
-		if r.Step.LongRunning {
-			cpu += NeedOnMinion(r.Step).CPUMillis
-		}
-	}
-	return cpu
-}
-
 // HasLongRunning tells whether a run does not end by itself.
 func (l *Load) HasLongRunning() bool {
-	if l == nil {
-		return false
-	}
-	for _, r := range l.runs {
-		if r.Step.LongRunning {
-			return true
-		}
-	}
-	return false
+	return l != nil && l.longRunning > 0
 }
 
 // OfStep counts the runs of a step's occurrence.
 func (l *Load) OfStep(ref TaskRef) uint32 {
-	n := uint32(0)
 	if l == nil {
 		return 0
 	}
-	for k := range l.runs {
-		if k.Job == ref.Job && k.Occurrence == ref.Occurrence && k.Step == ref.Step {
-			n++
-		}
-	}
-	return n
+	return l.ofStep[ref.StepRef()]
 }
 
 // LoadOf returns the load of a life, nil when nothing runs on it.
@@ -203,12 +205,15 @@
 	life := LifeOf(run.Minion)
 	load := s.lives[life]
 	if load == nil {
-		load = &Load{runs: map[RunKey]*ActiveRun{}}
+		load = &Load{runs: map[RunKey]*ActiveRun{}, ofStep: map[TaskRef]uint32{}}
 		s.lives[life] = load
 	}
 	step := j.Steps[ref.Step]
-	load.runs[RunKey{ref, run.Number}] = &ActiveRun{Job: j, Ref: ref, Step: step, Task: task, Run: run}
-	load.Used = load.Used.Add(NeedOnMinion(step), 1)
+	active := &ActiveRun{Job: j, Ref: ref, Step: step, Task: task, Run: run}
+	key := RunKey{ref, run.Number}
+	load.runs[key] = active
+	load.add(key, active, 1)
+	s.touch(life)
 	s.running[j.Account] = s.running[j.Account].Add(NeedOf(step), 1)
 	j.runs++
 }
@@ -217,8 +222,10 @@
 	life := LifeOf(run.Minion)
 	load := s.lives[life]
 	step := j.Steps[ref.Step]
-	delete(load.runs, RunKey{ref, run.Number})
-	load.Used = load.Used.Add(NeedOnMinion(step), -1)
+	key := RunKey{ref, run.Number}
+	load.add(key, load.runs[key], -1)
+	delete(load.runs, key)
+	s.touch(life)
 	if len(load.runs) == 0 {
 		delete(s.lives, life)
 	}
@@ -271,6 +278,7 @@
 	case apiv1.RunEnd_RUN_END_FAILED:
 		s.failTask(logTimeMS, j, step, st, task, e.Run)
 	}
+	j.recount(ref.Occurrence, ref.Step)
 	j.compact()
 }
 
@@ -289,6 +297,9 @@
 			t.Done = true
 			j.remaining--
 		}
+		for _, copied := range t.Runs {
+			s.touch(LifeOf(copied.Minion))
+		}
 	}
 	s.endIfComplete(logTimeMS, j)
 }
--- a/internal/batch/starts.go
+++ b/internal/batch/starts.go
@@ -35,6 +35,7 @@
 	task.Runs = append(task.Runs, run)
 	task.LastRun = st.Run
 	s.track(j, ref, task, run)
+	j.recount(ref.Occurrence, ref.Step)
 	j.State = apiv1.BatchState_BATCH_STATE_RUNNING
 	return ""
 }
--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -31,6 +31,9 @@
 	// running is what each account has running.
 	running map[string]Usage
 	waves   map[uint64]*apiv1.MaintenanceWave
+	// revision grows with each change of what runs or is wanted on a life. It
+	// is not replicated.
+	revision uint64
 }
 
 // New returns an empty state.
@@ -116,7 +119,9 @@
 
 // Restore replaces the state by a snapshot, which it takes over.
 func (s *State) Restore(snap *apiv1.BatchSnapshot) {
+	revision := s.revision
 	*s = *New()
+	s.revision = revision
 	s.catalog = newCatalog(snap.GetCatalog())
 	for _, z := range snap.GetZonesOut() {
 		s.zones[z] = true
@@ -147,6 +152,7 @@
 					s.track(job, TaskRef{Job: j.Id, Occurrence: o.Number, Step: uint32(step), Index: uint32(index)}, task, run)
 				}
 			}
+			job.recount(o.Number, uint32(step))
 		}
 	}
 	if !Ended(j.State) {
--- a/internal/daemon/batchcore/daemon.go
+++ b/internal/daemon/batchcore/daemon.go
@@ -110,7 +110,7 @@
 			Lease: min(ms(set.LeaseMs), ms(set.MaxLeaseMs)), MaxLease: ms(set.MaxLeaseMs), Retention: ms(set.JobRetentionMs),
 			Fleet: dispatch.FleetOptions{
 				Provider: a.Provider(set.ProviderAddress), Holder: set.ProcessId,
-				TakeoverWait: ms(set.OrderTakeoverMs), ServiceTime: ms(set.ServiceTimeMs),
+				TakeoverWait: ms(set.OrderTakeoverMs), ServiceTime: ms(set.ServiceTimeMs), OrdersPerSecond: int(set.OrdersPerSecond),
 			},
 		},
 	})
--- a/internal/dispatch/away.go
+++ b/internal/dispatch/away.go
@@ -50,6 +50,9 @@
 }
 
 func (f *fleetManager) taskAvailability() taskAvailability {
+	if !f.wavesOpen() {
+		return taskAvailability{}
+	}
 	t := taskAvailability{working: f.workingRuns(), away: map[batch.TaskRef]int{}, heard: f.usableLives(f.d.clock.Now())}
 	f.d.o.Machine.Read(func(st *state.State) {
 		for _, j := range st.Batch.Active() {
@@ -80,18 +83,22 @@
 	}
 }
 
-// workingRuns lists the tasks that work at full speed and are not being
-// stopped.
+// workingRuns lists the long-running tasks that work at full speed, are not
+// being stopped, and whose machine has no service order on its way.
 func (f *fleetManager) workingRuns() map[batch.TaskRef]bool {
 	now := f.d.clock.Now()
 	out := map[batch.TaskRef]bool{}
+	going := map[batch.Life]bool{}
+	for _, machine := range f.orders.machines() {
+		going[f.servicedLife[machine]] = true
+	}
 	for _, s := range f.d.sessionList() {
-		if !s.usable(now) {
+		if !s.usable(now) || going[s.target.Life] {
 			continue
 		}
 		s.mu.Lock()
 		for key, o := range s.orders {
-			if o.state == orderStarted && !o.released && !o.stop && o.lastWork.WorkPercent >= fullWork {
+			if o.lasting && o.state == orderStarted && !o.released && !o.stop && o.lastWork.WorkPercent >= fullWork {
 				out[key.TaskRef] = true
 			}
 		}
--- a/internal/dispatch/capacity.go
+++ b/internal/dispatch/capacity.go
@@ -14,8 +14,6 @@
 )
 
 const (
-	// maxMovesPerRound bounds the moves ordered in one round.
-	maxMovesPerRound = 8
 	// settleTime is how long a machine stays in a pool at least.
 	settleTime = 3 * time.Second
 	// peakWindow is how long a pool keeps what it needed.
@@ -71,7 +69,7 @@
 
 func (f *fleetManager) capacityInput(busy map[string]bool) placement.CapacityInput {
 	now := f.d.clock.Now()
-	in := placement.CapacityInput{Spare: map[string]bool{}, MaxMoves: maxMovesPerRound}
+	in := placement.CapacityInput{Spare: map[string]bool{}, MaxMoves: f.orders.room(now)}
 	usable := f.usableLives(now)
 	f.d.o.Machine.Read(func(st *state.State) {
 		in.Demands = placement.Demands(st.Batch, time.Now().UnixMilli())
@@ -162,25 +160,31 @@
 // move gives the orders and notes where the machines go until the list shows
 // them there.
 func (f *fleetManager) move(moves []placement.Move) {
-	if !f.d.valid() || len(moves) == 0 {
-		return
-	}
-	calls := make([]machineCall, len(moves))
-	for i, m := range moves {
-		calls[i] = machineCall{machine: m.Machine, what: "move to " + m.To, life: m.Life, give: func(ctx context.Context) error {
+	for _, m := range moves {
+		sent := f.send(machineCall{machine: m.Machine, what: "move to " + m.To, life: m.Life, give: func(ctx context.Context) error {
 			return f.o.Provider.Move(ctx, f.order(m.Machine), m.To)
-		}}
-	}
-	for i, out := range f.callAll(calls) {
-		if out.done {
-			f.movingTo[moves[i].Machine] = moves[i].To
+		}})
+		if !sent {
+			return
 		}
+		f.movingTo[m.Machine] = m.To
+	}
+}
+
+// moveAnswered forgets a move that failed: its machine is where the list shows
+// it.
+func (f *fleetManager) moveAnswered(c machineCall, out outcome) {
+	if !out.done {
+		delete(f.movingTo, c.machine)
 	}
 }
 
 // noteArrivals forgets the moves that the list shows as over.
 func (f *fleetManager) noteArrivals() {
 	for id, to := range f.movingTo {
+		if f.orders.open(id) {
+			continue
+		}
 		m, listed := f.machines[id]
 		arrived := listed && m.Pool == to && m.State == MachineUp && f.listedAfterOrder(id)
 		if !listed || arrived {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -25,8 +25,9 @@
 	// planInterval bounds the time between two planning rounds, for what comes
 	// due without a change of the state.
 	planInterval = 100 * time.Millisecond
-	// maxStarts bounds the starts of one commit.
-	maxStarts = 512
+	// maxStarts bounds the starts that are committed and not ordered yet. More
+	// would only wait for the processor, in no order.
+	maxStarts = 192
 	// forgetInterval is the time between two removals of old jobs.
 	forgetInterval = 10 * time.Second
 )
@@ -73,6 +74,9 @@
 	latest map[string]int64
 	wg     sync.WaitGroup
 
+	// unsent counts the committed starts whose order has not left.
+	unsent atomic.Int64
+
 	// livesOver counts the lives that ended during the term.
 	livesOver atomic.Uint64
 
--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -9,6 +9,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
 	"bergamotdrum.example/bergamotdrum/internal/batch"
 	"bergamotdrum.example/bergamotdrum/internal/state"
 )
@@ -39,6 +40,8 @@
 	TakeoverWait time.Duration
 	// ServiceTime is how long a machine is away for service.
 	ServiceTime time.Duration
+	// OrdersPerSecond is how many orders the platform takes; zero is no limit.
+	OrdersPerSecond int
 }
 
 // fleetManager gives orders for machines during one term.
@@ -74,7 +77,9 @@
 	// refusedAt holds when an order for a machine last failed.
 	refusedAt map[string]time.Duration
 	// movingTo holds the pools of machines that are on their way.
-	movingTo         map[string]string
+	movingTo map[string]string
+	// orders holds those that are not answered yet.
+	orders           *machineOrders
 	capacityLoggedAt time.Duration
 	// samples holds the demand of each pool over the last peakWindow.
 	samples map[string][]demandSample
@@ -94,6 +99,7 @@
 		servicedLife: map[string]batch.Life{},
 		relievedAt:   map[string]time.Duration{},
 		movingTo:     map[string]string{},
+		orders:       newMachineOrders(d.o.Fleet.OrdersPerSecond),
 		idleSince:    map[string]time.Duration{},
 		samples:      map[string][]demandSample{},
 		reservedAt:   map[string]time.Duration{},
@@ -124,6 +130,7 @@
 	if f.d.clock.Now() < f.firstOrderAt || !f.refresh() {
 		return
 	}
+	f.noteAnswers()
 	f.noteArrivals()
 	serviced, busy := f.serviceWaves()
 	f.setReserved(serviced, f.planCapacity(busy))
@@ -205,30 +212,48 @@
 	// first one was carried out, and another life there since.
 	life batch.Life
 	give func(ctx context.Context) error
+	// service and its wave are set for a service, not for a move.
+	service *apiv1.MachineService
+	wave    uint64
 }
 
 // outcome of a machineCall: done when the platform has carried it out, refused
 // when it certainly has not, neither when that is not known.
 type outcome struct{ done, refused bool }
 
-// callAll gives orders side by side and releases what ran on the machines that
-// they took away.
-func (f *fleetManager) callAll(calls []machineCall) []outcome {
-	errs := make([]error, len(calls))
-	var wg sync.WaitGroup
-	for i, c := range calls {
-		wg.Go(func() { errs[i] = f.call(c) })
+// send gives an order in the background: the rounds go on meanwhile, so that a
+// slow platform delays no other machine. It returns false when the order must
+// wait for earlier ones.
+func (f *fleetManager) send(c machineCall) bool {
+	if !f.d.valid() || !f.orders.begin(c.machine, f.d.clock.Now()) {
+		return false
 	}
-	wg.Wait()
-	outcomes := make([]outcome, len(calls))
-	for i, c := range calls {
-		outcomes[i] = f.note(c, errs[i])
-		if outcomes[i].done {
-			wg.Go(func() { f.lifeEnded(c.life) })
+	f.d.wg.Go(func() {
+		err := f.call(c)
+		if err == nil {
+			f.lifeEnded(c.life)
+		}
+		f.orders.answered(machineAnswer{c, err})
+	})
+	return true
+}
+
+// noteAnswers takes over the answers that came since the last round.
+func (f *fleetManager) noteAnswers() {
+	changes := map[uint64][]*apiv1.MachineService{}
+	for _, a := range f.orders.take() {
+		out := f.note(a.call, a.err)
+		if a.call.service == nil {
+			f.moveAnswered(a.call, out)
+			continue
 		}
+		if next := serviceAfter(a.call.service, out); next != nil {
+			changes[a.call.wave] = append(changes[a.call.wave], next)
+		}
+	}
+	for wave, list := range changes {
+		f.updateServices(wave, list)
 	}
-	wg.Wait()
-	return outcomes
 }
 
 func (f *fleetManager) call(c machineCall) error {
--- a/internal/dispatch/lives.go
+++ b/internal/dispatch/lives.go
@@ -68,17 +68,17 @@
 
 // syncSession brings one session up to the committed state.
 func (d *Dispatcher) syncSession(s *session) {
-	var runs []committedRun
-	d.o.Machine.Read(func(st *state.State) { runs = d.committedRuns(st, s.target.Life) })
-	s.sync(runs)
+	var load committedLoad
+	d.o.Machine.Read(func(st *state.State) { load = d.committedLoad(st, s.target.Life) })
+	s.sync(load)
 }
 
-// committedRuns lists the runs on a life; the caller holds the read lock.
-func (d *Dispatcher) committedRuns(st *state.State, life batch.Life) []committedRun {
-	var out []committedRun
-	for _, r := range st.Batch.LoadOf(life).Runs() {
-		out = append(out, committedRun{key: r.Key(), unwanted: r.Unwanted(), inherited: r.Run.Term != d.term, lasting: r.Step.LongRunning})
-	}
+// committedLoad lists the runs on a life; the caller holds the read lock.
+func (d *Dispatcher) committedLoad(st *state.State, life batch.Life) committedLoad {
+	out := committedLoad{revision: st.Batch.RevisionOf(life), readAt: st.Batch.Revision()}
+	st.Batch.LoadOf(life).Each(func(r *batch.ActiveRun) {
+		out.runs = append(out.runs, committedRun{key: r.Key(), unwanted: r.Unwanted(), inherited: r.Run.Term != d.term, lasting: r.Step.LongRunning})
+	})
 	return out
 }
 
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -29,14 +29,25 @@
 	lasting   bool
 }
 
+// committedLoad is what is committed on a life.
+type committedLoad struct {
+	runs []committedRun
+	// revision of the load, and of the whole state it was read from.
+	revision, readAt uint64
+}
+
 // sync makes the orders follow the runs committed on the minion and sends what
 // is due. Inherited runs are never started: their order may be on its way
 // already.
-func (s *session) sync(runs []committedRun) {
+func (s *session) sync(load committedLoad) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	present := make(map[batch.RunKey]bool, len(runs))
-	for _, r := range runs {
+	if load.readAt < s.readAt {
+		return // a later state was taken over in the meantime
+	}
+	s.revision, s.readAt = load.revision, load.readAt
+	present := make(map[batch.RunKey]bool, len(load.runs))
+	for _, r := range load.runs {
 		present[r.key] = true
 		o := s.orders[r.key]
 		if o == nil {
@@ -58,6 +69,13 @@
 	s.send()
 }
 
+// syncedRevision is the revision of the committed runs that the orders follow.
+func (s *session) syncedRevision() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision
+}
+
 // stopRun asks for a run to be stopped.
 func (s *session) stopRun(key batch.RunKey) {
 	s.mu.Lock()
@@ -78,6 +96,7 @@
 			go s.sendStop(key, o)
 		case !o.stop && o.state == orderUnsent && s.reached:
 			o.state = orderSending
+			s.d.unsent.Add(1)
 			go s.sendStart(key, o)
 		}
 	}
@@ -94,7 +113,9 @@
 }
 
 func (s *session) sendStart(key batch.RunKey, o *order) {
-	if !s.acquire() {
+	acquired := s.acquire()
+	s.d.unsent.Add(-1)
+	if !acquired {
 		return
 	}
 	defer func() { <-s.slots }()
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -29,17 +29,17 @@
 func (d *Dispatcher) round() {
 	began := d.clock.Now()
 	var targets []Target
-	runs := map[batch.Life][]committedRun{}
+	revisions := map[batch.Life]uint64{}
 	d.o.Machine.Read(func(st *state.State) {
 		targets = targetsOf(st.Batch)
 		for _, t := range targets {
-			runs[t.Life] = d.committedRuns(st, t.Life)
+			revisions[t.Life] = st.Batch.RevisionOf(t.Life)
 		}
 	})
 	d.followMinions(targets)
 	for _, s := range d.sessionList() {
-		if r, ok := runs[s.target.Life]; ok {
-			s.sync(r)
+		if revision, ok := revisions[s.target.Life]; ok && revision != s.syncedRevision() {
+			d.syncSession(s)
 		}
 	}
 	starts := d.plan()
@@ -70,7 +70,7 @@
 	in := placement.Input{
 		NowUnixMS: time.Now().UnixMilli(),
 		Health:    map[batch.Life]placement.Health{},
-		MaxStarts: maxStarts,
+		MaxStarts: maxStarts - int(d.unsent.Load()),
 	}
 	in.Reserved, in.Leaving = d.fleet.reserved()
 	for _, s := range d.sessionList() {
@@ -83,6 +83,9 @@
 		s.mu.Unlock()
 	}
 	var starts []*apiv1.StartedRun
+	if in.MaxStarts <= 0 {
+		return nil
+	}
 	d.o.Machine.Read(func(st *state.State) {
 		in.State = st.Batch
 		starts = placement.Plan(in)
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -81,10 +81,13 @@
 	slots  chan struct{}
 	cancel context.CancelFunc
 
-	mu       sync.Mutex
-	lease    lease
-	orders   map[batch.RunKey]*order
-	ackedEnd uint64
+	mu     sync.Mutex
+	lease  lease
+	orders map[batch.RunKey]*order
+	// orders follows the committed load of this revision, which was read from
+	// the state of revision readAt.
+	revision, readAt uint64
+	ackedEnd         uint64
 	// answeredAt is when the last hold was answered; zero before the first.
 	answeredAt time.Duration
 	reached    bool
--- a/internal/dispatch/waves.go
+++ b/internal/dispatch/waves.go
@@ -73,7 +73,7 @@
 		changes = append(changes, change)
 		w.Services[i] = change
 	}
-	f.updateServices(w, changes)
+	f.updateServices(w.Number, changes)
 }
 
 func (f *fleetManager) observedState(sv *apiv1.MachineService) apiv1.MachineServiceState {
@@ -97,13 +97,13 @@
 	return f.listedAt > f.ordered[machine]
 }
 
-func (f *fleetManager) updateServices(w *apiv1.MaintenanceWave, changes []*apiv1.MachineService) bool {
+func (f *fleetManager) updateServices(wave uint64, changes []*apiv1.MachineService) bool {
 	if len(changes) == 0 {
 		return true
 	}
-	cmd := &apiv1.UpdateServices{Wave: w.Number, Services: changes}
+	cmd := &apiv1.UpdateServices{Wave: wave, Services: changes}
 	_, err := f.d.propose(f.d.ctx, &apiv1.BatchCommand{Body: &apiv1.BatchCommand_UpdateServices{UpdateServices: cmd}})
-	log := f.d.log.WithField("wave", w.Number)
+	log := f.d.log.WithField("wave", wave)
 	if err != nil {
 		if f.d.ctx.Err() == nil {
 			log.WithError(err).Warn("progress of the wave was not committed")
@@ -232,7 +232,7 @@
 			continue
 		}
 		machines = append(machines, sv.Machine)
-		if !f.refusedLately(sv.Machine) {
+		if !f.refusedLately(sv.Machine) && !f.orders.open(sv.Machine) {
 			again = append(again, sv)
 		}
 	}
@@ -247,7 +247,7 @@
 		for _, sv := range w.Services {
 			m, listed := f.machines[sv.Machine]
 			waits := sv.State == apiv1.MachineServiceState_MACHINE_SERVICE_STATE_UNSPECIFIED
-			if !waits || !listed || m.State != MachineUp || f.refusedLately(sv.Machine) {
+			if !waits || !listed || m.State != MachineUp || f.movingTo[sv.Machine] != "" || f.refusedLately(sv.Machine) {
 				continue
 			}
 			out = append(out, f.loadOf(st.Batch, sv, m))
@@ -305,33 +305,31 @@
 	for _, sv := range services {
 		f.servicedLife[sv.Machine] = f.lifeOn(sv.Machine)
 	}
-	if f.updateServices(w, ordered) {
+	if f.updateServices(w.Number, ordered) {
 		f.give(w, ordered)
 	}
 }
 
-// give sends the orders of committed services and commits the answers.
+// give sends the orders of committed services. Those that must wait are sent by
+// a later round.
 func (f *fleetManager) give(w *apiv1.MaintenanceWave, services []*apiv1.MachineService) {
-	if !f.d.valid() || len(services) == 0 {
-		return
-	}
-	calls := make([]machineCall, len(services))
-	for i, sv := range services {
-		calls[i] = machineCall{machine: sv.Machine, what: "service", life: f.servicedLife[sv.Machine], give: func(ctx context.Context) error {
-			return f.o.Provider.Service(ctx, f.order(sv.Machine), w.Number)
-		}}
+	for _, sv := range services {
+		f.send(machineCall{
+			machine: sv.Machine, what: "service", life: f.servicedLife[sv.Machine], service: sv, wave: w.Number,
+			give: func(ctx context.Context) error { return f.o.Provider.Service(ctx, f.order(sv.Machine), w.Number) },
+		})
 	}
-	var changes []*apiv1.MachineService
-	for i, out := range f.callAll(calls) {
-		next := apiv1.MachineServiceState_MACHINE_SERVICE_STATE_UNSPECIFIED
-		switch {
-		case out.done:
-			next = apiv1.MachineServiceState_MACHINE_SERVICE_STATE_STARTED
-		case !out.refused:
-			continue
-		}
-		sv := services[i]
-		changes = append(changes, &apiv1.MachineService{Machine: sv.Machine, State: next, OrderedUnixMs: sv.OrderedUnixMs, Term: sv.Term})
+}
+
+// serviceAfter returns the state of a service after the answer to its order,
+// nil while that is not known.
+func serviceAfter(sv *apiv1.MachineService, out outcome) *apiv1.MachineService {
+	next := apiv1.MachineServiceState_MACHINE_SERVICE_STATE_UNSPECIFIED
+	switch {
+	case out.done:
+		next = apiv1.MachineServiceState_MACHINE_SERVICE_STATE_STARTED
+	case !out.refused:
+		return nil
 	}
-	f.updateServices(w, changes)
+	return &apiv1.MachineService{Machine: sv.Machine, State: next, OrderedUnixMs: sv.OrderedUnixMs, Term: sv.Term}
 }
--- a/internal/placement/demand.go
+++ b/internal/placement/demand.go
@@ -70,18 +70,5 @@
 // countTasks counts the tasks of a step that neither run nor are done, and
 // those that run.
 func countTasks(j *batch.Job, occurrence, step uint32) (waiting, running int64) {
-	o := j.Occurrence(occurrence)
-	if o == nil {
-		return int64(j.Steps[step].Count), 0
-	}
-	for _, t := range o.Steps[step].Tasks {
-		switch {
-		case t.Done:
-		case len(t.Runs) > 0:
-			running++
-		default:
-			waiting++
-		}
-	}
-	return waiting, running
+	return int64(j.Waiting(occurrence, step)), int64(j.Progress(occurrence, step).Running)
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -60,11 +60,14 @@
 	// meanWork is the mean work of the active jobs of each queue.
 	meanWork map[string]int64
 	starts   []*apiv1.StartedRun
+	// fullFor holds, for each pool, the smallest need that no candidate had room
+	// for. Room only shrinks during a round.
+	fullFor map[string]batch.Usage
 }
 
 // Plan returns the starts of one round.
 func Plan(in Input) []*apiv1.StartedRun {
-	p := &planner{in: in, pools: map[string][]*candidate{}, started: map[string]batch.Usage{}}
+	p := &planner{in: in, pools: map[string][]*candidate{}, started: map[string]batch.Usage{}, fullFor: map[string]batch.Usage{}}
 	p.collectMinions()
 	for _, j := range p.order() {
 		if len(p.starts) >= in.MaxStarts {
@@ -85,7 +88,7 @@
 		c := &candidate{minion: m, life: life, load: p.in.State.LoadOf(life), suspect: h.Suspect, leaving: p.in.Leaving[life], ofStep: map[batch.TaskRef]uint32{}}
 		if c.load != nil {
 			c.used = c.load.Used
-			c.lasting = c.load.LongRunningCPU()
+			c.lasting = c.load.LongRunningCPU
 		}
 		p.pools[m.Pool] = append(p.pools[m.Pool], c)
 	}
@@ -108,23 +111,49 @@
 
 func (p *planner) planStep(j *batch.Job, occurrence, number uint32, pool []*candidate) {
 	step := j.Steps[number]
-	waiting := p.waitingTasks(j, occurrence, number)
-	if len(waiting) == 0 || !j.StepReady(occurrence, number) {
+	if j.Waiting(occurrence, number) == 0 || !j.StepReady(occurrence, number) {
 		return
 	}
+	waiting := p.waitingTasks(j, occurrence, number)
 	if step.Gang {
 		p.planGang(j, step, waiting, pool)
 		return
 	}
 	for _, ref := range waiting {
+		if len(p.starts) >= p.in.MaxStarts || p.full(step, pool) {
+			return
+		}
 		c := p.choose(j, step, ref, pool)
 		if c == nil {
+			p.noteFull(step, pool)
 			return
 		}
 		p.start(j, step, ref, p.lastRun(j, ref)+1, c)
 	}
 }
 
+// full tells that a step with no smaller need found no room in this round.
+func (p *planner) full(step *apiv1.BatchStep, pool []*candidate) bool {
+	limit, known := p.fullFor[pool[0].minion.Pool]
+	need := batch.NeedOnMinion(step)
+	return known && need.CPUMillis >= limit.CPUMillis && need.MemoryMB >= limit.MemoryMB && need.Accelerators >= limit.Accelerators
+}
+
+// noteFull remembers a need that no candidate of the pool has room for, whatever
+// else the step asks for.
+func (p *planner) noteFull(step *apiv1.BatchStep, pool []*candidate) {
+	need := batch.NeedOnMinion(step)
+	for _, c := range pool {
+		if c.used.Add(need, 1).Within(c.minion.Capacity) {
+			return
+		}
+	}
+	name := pool[0].minion.Pool
+	if limit, known := p.fullFor[name]; !known || need.CPUMillis < limit.CPUMillis {
+		p.fullFor[name] = need
+	}
+}
+
 // waitingTasks returns the tasks of a step that are neither done nor running.
 func (p *planner) waitingTasks(j *batch.Job, occurrence, step uint32) []batch.TaskRef {
 	var out []batch.TaskRef
--- a/internal/placement/rank.go
+++ b/internal/placement/rank.go
@@ -15,7 +15,9 @@
 	ranks := make([]rank, 0, len(p.in.State.Active()))
 	p.measureQueues()
 	for _, j := range p.in.State.Active() {
-		ranks = append(ranks, p.rank(j))
+		if startable(j) {
+			ranks = append(ranks, p.rank(j))
+		}
 	}
 	slices.SortStableFunc(ranks, compareRanks)
 	jobs := make([]*batch.Job, len(ranks))
@@ -25,6 +27,19 @@
 	return jobs
 }
 
+// startable tells whether a step has tasks that may start, if its occurrence is
+// due.
+func startable(j *batch.Job) bool {
+	for k := range j.Repeats() {
+		for s := range j.Steps {
+			if j.Waiting(k, uint32(s)) > 0 && j.StepReady(k, uint32(s)) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 type rank struct {
 	job *batch.Job
 	// serving jobs have long-running tasks, whose users wait all the time.
@@ -123,10 +138,7 @@
 
 // remainingChainMS leaves out the steps of the first occurrence that are done.
 func (p *planner) remainingChainMS(j *batch.Job) int64 {
-	o := j.Occurrence(0)
-	return chainMS(j, func(step int) bool {
-		return o != nil && !slices.ContainsFunc(o.Steps[step].Tasks, func(t *apiv1.BatchTask) bool { return !t.Done })
-	})
+	return chainMS(j, func(step int) bool { return j.Progress(0, uint32(step)).Done == j.Steps[step].Count })
 }
 
 func chainMS(j *batch.Job, done func(step int) bool) int64 {
--- a/internal/settings/field.go
+++ b/internal/settings/field.go
@@ -119,6 +119,9 @@
 
 func parseNumber(fd protoreflect.FieldDescriptor, text string) (protoreflect.Value, *issue) {
 	_, units := keyAndUnits(fd)
+	if strings.HasSuffix(string(fd.Name()), "_per_second") {
+		text = wholePart(text)
+	}
 	digits, factor, ok := splitUnit(text, units)
 	if !ok {
 		return protoreflect.Value{}, unitIssue(units)
@@ -140,6 +143,16 @@
 	return protoreflect.ValueOfUint64(product), nil
 }
 
+// wholePart rounds a decimal fraction down, as rates often are one; any other
+// text stays as it is.
+func wholePart(text string) string {
+	whole, fraction, found := strings.Cut(text, ".")
+	if !found || fraction == "" || strings.Trim(fraction, "0123456789") != "" {
+		return text
+	}
+	return whole
+}
+
 // splitUnit cuts the unit off; the longest suffix that fits wins, so "5ms" is
 // not read as "5m" + "s".
 func splitUnit(text string, units []unit) (digits string, factor uint64, ok bool) {
