--- a/internal/batch/waves.go
+++ b/internal/batch/waves.go
@@ -44,11 +44,24 @@
 	return st >= apiv1.MachineServiceState_MACHINE_SERVICE_STATE_FINISHED
 }
 
-// DownForWave counts the machines that are down for a wave.
-func DownForWave(w *apiv1.MaintenanceWave) uint32 {
+// DownMachines returns the machines that are down for any of the waves.
+func DownMachines(waves []*apiv1.MaintenanceWave) map[string]bool {
+	down := map[string]bool{}
+	for _, w := range waves {
+		for _, sv := range w.Services {
+			if MachineDown(sv.State) {
+				down[sv.Machine] = true
+			}
+		}
+	}
+	return down
+}
+
+// DownOfWave counts the machines of a wave that are down, whatever for.
+func DownOfWave(w *apiv1.MaintenanceWave, down map[string]bool) uint32 {
 	n := uint32(0)
 	for _, sv := range w.Services {
-		if MachineDown(sv.State) {
+		if down[sv.Machine] {
 			n++
 		}
 	}
@@ -62,7 +75,8 @@
 }
 
 // updateServices applies all of the changes or none: an order that would take
-// more machines down than the wave allows is refused.
+// more machines of a wave down than it allows is refused. A machine may belong
+// to several waves.
 func (s *State) updateServices(cmd *apiv1.UpdateServices) *result.Error {
 	w := s.waves[cmd.Wave]
 	if w == nil {
@@ -76,11 +90,15 @@
 		}
 		next[i] = change
 	}
-	after := &apiv1.MaintenanceWave{Services: next}
-	if down := DownForWave(after); down > w.MaxDown && down > DownForWave(w) {
-		return result.NotRun(apiv1.ResultCode_RESULT_CODE_BUDGET_EXCEEDED, "wave %d may have %d machines down", w.Number, w.MaxDown)
-	}
+	before, previous := DownMachines(s.OpenWaves()), w.Services
 	w.Services = next
+	after := DownMachines(s.OpenWaves())
+	for _, other := range s.OpenWaves() {
+		if n := DownOfWave(other, after); n > other.MaxDown && n > DownOfWave(other, before) {
+			w.Services = previous
+			return result.NotRun(apiv1.ResultCode_RESULT_CODE_BUDGET_EXCEEDED, "wave %d may have %d machines down", other.Number, other.MaxDown)
+		}
+	}
 	w.Completed = !slices.ContainsFunc(next, func(sv *apiv1.MachineService) bool { return !MachineServed(sv.State) })
 	return nil
 }
--- a/internal/dispatch/waves.go
+++ b/internal/dispatch/waves.go
@@ -49,7 +49,9 @@
 	f.due = map[string]bool{}
 	for _, w := range waves {
 		f.trackServices(w)
-		reserve = append(reserve, f.advanceWave(w, nowMS)...)
+	}
+	for _, w := range waves {
+		reserve = append(reserve, f.advanceWave(w, waves, nowMS)...)
 		for _, sv := range w.Services {
 			busy[sv.Machine] = busy[sv.Machine] || batch.MachineDown(sv.State)
 			f.due[sv.Machine] = !batch.MachineServed(sv.State)
@@ -139,10 +141,11 @@
 
 // advanceWave orders the services that may begin now and returns the machines
 // to empty for the next ones.
-func (f *fleetManager) advanceWave(w *apiv1.MaintenanceWave, nowMS int64) []string {
+func (f *fleetManager) advanceWave(w *apiv1.MaintenanceWave, open []*apiv1.MaintenanceWave, nowMS int64) []string {
 	loads := f.loads(w)
 	slices.SortStableFunc(loads, f.compareLoads)
-	places := int(w.MaxDown) - int(batch.DownForWave(w))
+	down := batch.DownMachines(open)
+	places := freePlaces(w, down)
 	reserve := f.retryOrders(w)
 	patience := f.patience(w, nowMS, len(loads))
 	taken := 0
@@ -157,8 +160,9 @@
 		}
 		taken++
 		reserve = append(reserve, l.service.Machine)
-		if taken <= places && f.empty(l, patience) && f.listIsFresh() {
+		if taken <= places && !heldByOther(l.service.Machine, w, open, down) && f.empty(l, patience) && f.listIsFresh() {
 			f.tasks.take(l)
+			down[l.service.Machine] = true
 			begin = append(begin, l.service)
 		}
 	}
@@ -166,6 +170,19 @@
 	return reserve
 }
 
+func freePlaces(w *apiv1.MaintenanceWave, down map[string]bool) int {
+	return int(w.MaxDown) - int(batch.DownOfWave(w, down))
+}
+
+// heldByOther tells that another wave that the machine belongs to has no place
+// left for it.
+func heldByOther(machine string, w *apiv1.MaintenanceWave, open []*apiv1.MaintenanceWave, down map[string]bool) bool {
+	return slices.ContainsFunc(open, func(other *apiv1.MaintenanceWave) bool {
+		member := func(sv *apiv1.MachineService) bool { return sv.Machine == machine }
+		return other.Number != w.Number && freePlaces(other, down) <= 0 && slices.ContainsFunc(other.Services, member)
+	})
+}
+
 // listIsFresh tells whether the list may be acted on; otherwise it is read
 // again in the next round.
 func (f *fleetManager) listIsFresh() bool {
@@ -305,9 +322,14 @@
 	for _, sv := range services {
 		f.servicedLife[sv.Machine] = f.lifeOn(sv.Machine)
 	}
-	if f.updateServices(w.Number, ordered) {
-		f.give(w, ordered)
+	if !f.updateServices(w.Number, ordered) {
+		return
+	}
+	for _, sv := range ordered {
+		i := slices.IndexFunc(w.Services, func(known *apiv1.MachineService) bool { return known.Machine == sv.Machine })
+		w.Services[i] = sv
 	}
+	f.give(w, ordered)
 }
 
 // give sends the orders of committed services. Those that must wait are sent by
