--- a/internal/dispatch/capacity.go
+++ b/internal/dispatch/capacity.go
@@ -171,14 +171,6 @@
 	}
 }
 
-// moveAnswered forgets a move that failed: its machine is where the list shows
-// it.
-func (f *fleetManager) moveAnswered(c machineCall, out outcome) {
-	if !out.done {
-		delete(f.movingTo, c.machine)
-	}
-}
-
 // noteArrivals forgets the moves that the list shows as over.
 func (f *fleetManager) noteArrivals() {
 	for id, to := range f.movingTo {
--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -170,7 +170,7 @@
 }
 
 // setReserved replaces what gets no new work: the minions of machines that are
-// due for service, and lives.
+// due for service or have an order on its way, and lives.
 func (f *fleetManager) setReserved(machines []string, lives []batch.Life) {
 	now := f.d.clock.Now()
 	keep := map[batch.Life]bool{}
@@ -189,6 +189,11 @@
 				keep[batch.LifeOf(m.Life)] = true
 			}
 		}
+		for _, id := range f.orders.machines() {
+			if m := st.Batch.Minion(f.machines[id].MinionID); m != nil {
+				keep[batch.LifeOf(m.Life)] = true
+			}
+		}
 		for id, due := range f.due {
 			if m := st.Batch.Minion(f.machines[id].MinionID); m != nil && due {
 				leaving[batch.LifeOf(m.Life)] = true
@@ -215,6 +220,8 @@
 	// service and its wave are set for a service, not for a move.
 	service *apiv1.MachineService
 	wave    uint64
+	// uncommitted services are committed before the order leaves.
+	uncommitted bool
 }
 
 // outcome of a machineCall: done when the platform has carried it out, refused
@@ -228,31 +235,39 @@
 	if !f.d.valid() || !f.orders.begin(c.machine, f.d.clock.Now()) {
 		return false
 	}
-	f.d.wg.Go(func() {
-		err := f.call(c)
-		if err == nil {
-			f.lifeEnded(c.life)
-		}
-		f.orders.answered(machineAnswer{c, err})
-	})
+	f.d.wg.Go(func() { f.orders.answered(machineAnswer{c, f.carryOut(c)}) })
 	return true
 }
 
-// noteAnswers takes over the answers that came since the last round.
+// errNotOrdered: the order was not committed, so it did not leave.
+var errNotOrdered = errors.New("order was not committed")
+
+// carryOut commits an order that must be, gives it, releases what ran on the
+// machine and commits the answer.
+func (f *fleetManager) carryOut(c machineCall) error {
+	if c.uncommitted && !f.updateServices(c.wave, c.service) || !f.d.valid() {
+		return errNotOrdered
+	}
+	err := f.call(c)
+	if err == nil {
+		f.lifeEnded(c.life)
+	}
+	if c.service == nil {
+		return err
+	}
+	if next := serviceAfter(c.service, outcomeOf(err)); next != nil {
+		f.updateServices(c.wave, next)
+	}
+	return err
+}
+
+// noteAnswers takes over the answers that came since the last round. A machine
+// whose move failed is where the list shows it.
 func (f *fleetManager) noteAnswers() {
-	changes := map[uint64][]*apiv1.MachineService{}
 	for _, a := range f.orders.take() {
-		out := f.note(a.call, a.err)
-		if a.call.service == nil {
-			f.moveAnswered(a.call, out)
-			continue
+		if !f.note(a.call, a.err).done && a.call.service == nil {
+			delete(f.movingTo, a.call.machine)
 		}
-		if next := serviceAfter(a.call.service, out); next != nil {
-			changes[a.call.wave] = append(changes[a.call.wave], next)
-		}
-	}
-	for wave, list := range changes {
-		f.updateServices(wave, list)
 	}
 }
 
@@ -272,8 +287,12 @@
 	}
 	log.WithError(err).Info("machine order was not carried out")
 	f.refusedAt[c.machine] = f.d.clock.Now()
+	return outcomeOf(err)
+}
+
+func outcomeOf(err error) outcome {
 	refusal, refused := errors.AsType[*ProviderRefusal](err)
-	return outcome{refused: refused && refusal.Reason != ProviderFenced}
+	return outcome{done: err == nil, refused: refused && refusal.Reason != ProviderFenced}
 }
 
 func (f *fleetManager) refusedLately(machine string) bool {
--- a/internal/dispatch/machineorders.go
+++ b/internal/dispatch/machineorders.go
@@ -91,3 +91,21 @@
 	defer o.mu.Unlock()
 	return slices.Collect(maps.Keys(o.waiting))
 }
+
+// hold keeps orders for a machine back until release; false when one is on its
+// way.
+func (o *machineOrders) hold(machine string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.waiting[machine] {
+		return false
+	}
+	o.waiting[machine] = true
+	return true
+}
+
+func (o *machineOrders) release(machine string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.waiting, machine)
+}
--- a/internal/dispatch/waves.go
+++ b/internal/dispatch/waves.go
@@ -63,19 +63,20 @@
 	return reserve, busy
 }
 
-// trackServices records what the list tells about the machines of a wave.
+// trackServices has what the list tells about the machines of a wave committed;
+// a later round sees it.
 func (f *fleetManager) trackServices(w *apiv1.MaintenanceWave) {
-	var changes []*apiv1.MachineService
-	for i, sv := range w.Services {
+	for _, sv := range w.Services {
 		next := f.observedState(sv)
-		if next == sv.State {
+		if next == sv.State || !f.orders.hold(sv.Machine) {
 			continue
 		}
 		change := &apiv1.MachineService{Machine: sv.Machine, State: next, OrderedUnixMs: sv.OrderedUnixMs, Term: sv.Term}
-		changes = append(changes, change)
-		w.Services[i] = change
+		f.d.wg.Go(func() {
+			defer f.orders.release(sv.Machine)
+			f.updateServices(w.Number, change)
+		})
 	}
-	f.updateServices(w.Number, changes)
 }
 
 func (f *fleetManager) observedState(sv *apiv1.MachineService) apiv1.MachineServiceState {
@@ -99,22 +100,18 @@
 	return f.listedAt > f.ordered[machine]
 }
 
-func (f *fleetManager) updateServices(wave uint64, changes []*apiv1.MachineService) bool {
-	if len(changes) == 0 {
-		return true
-	}
-	cmd := &apiv1.UpdateServices{Wave: wave, Services: changes}
+// updateServices commits the state of a service.
+func (f *fleetManager) updateServices(wave uint64, sv *apiv1.MachineService) bool {
+	cmd := &apiv1.UpdateServices{Wave: wave, Services: []*apiv1.MachineService{sv}}
 	_, err := f.d.propose(f.d.ctx, &apiv1.BatchCommand{Body: &apiv1.BatchCommand_UpdateServices{UpdateServices: cmd}})
-	log := f.d.log.WithField("wave", wave)
+	log := f.d.log.WithFields(logrus.Fields{"wave": wave, "machine": sv.Machine, "state": sv.State.String()})
 	if err != nil {
 		if f.d.ctx.Err() == nil {
 			log.WithError(err).Warn("progress of the wave was not committed")
 		}
 		return false
 	}
-	for _, c := range changes {
-		log.WithFields(logrus.Fields{"machine": c.Machine, "state": c.State.String()}).Info("machine service")
-	}
+	log.Info("machine service")
 	return true
 }
 
@@ -145,6 +142,9 @@
 	loads := f.loads(w)
 	slices.SortStableFunc(loads, f.compareLoads)
 	down := batch.DownMachines(open)
+	for _, machine := range f.orders.machines() {
+		down[machine] = down[machine] || f.movingTo[machine] == ""
+	}
 	places := freePlaces(w, down)
 	reserve := f.retryOrders(w)
 	patience := f.patience(w, nowMS, len(loads))
@@ -243,17 +243,15 @@
 // retryOrders repeats the orders that have no answer yet.
 func (f *fleetManager) retryOrders(w *apiv1.MaintenanceWave) []string {
 	var machines []string
-	var again []*apiv1.MachineService
 	for _, sv := range w.Services {
 		if sv.State != apiv1.MachineServiceState_MACHINE_SERVICE_STATE_ORDERED {
 			continue
 		}
 		machines = append(machines, sv.Machine)
 		if !f.refusedLately(sv.Machine) && !f.orders.open(sv.Machine) {
-			again = append(again, sv)
+			f.give(w, sv, false)
 		}
 	}
-	f.give(w, again)
 	return machines
 }
 
@@ -263,7 +261,7 @@
 	f.d.o.Machine.Read(func(st *state.State) {
 		for _, sv := range w.Services {
 			m, listed := f.machines[sv.Machine]
-			waits := sv.State == apiv1.MachineServiceState_MACHINE_SERVICE_STATE_UNSPECIFIED
+			waits := sv.State == apiv1.MachineServiceState_MACHINE_SERVICE_STATE_UNSPECIFIED && !f.orders.open(sv.Machine)
 			if !waits || !listed || m.State != MachineUp || f.movingTo[sv.Machine] != "" || f.refusedLately(sv.Machine) {
 				continue
 			}
@@ -310,37 +308,24 @@
 	last.runs = append(last.runs, r.Key())
 }
 
-// begin commits the orders before they leave.
+// begin orders services; each is committed before its order leaves.
 func (f *fleetManager) begin(w *apiv1.MaintenanceWave, services []*apiv1.MachineService) {
-	ordered := make([]*apiv1.MachineService, len(services))
-	for i, sv := range services {
-		ordered[i] = &apiv1.MachineService{
-			Machine: sv.Machine, State: apiv1.MachineServiceState_MACHINE_SERVICE_STATE_ORDERED,
-			OrderedUnixMs: time.Now().UnixMilli(), Term: f.d.term,
-		}
-	}
 	for _, sv := range services {
 		f.servicedLife[sv.Machine] = f.lifeOn(sv.Machine)
+		f.give(w, &apiv1.MachineService{
+			Machine: sv.Machine, State: apiv1.MachineServiceState_MACHINE_SERVICE_STATE_ORDERED,
+			OrderedUnixMs: time.Now().UnixMilli(), Term: f.d.term,
+		}, true)
 	}
-	if !f.updateServices(w.Number, ordered) {
-		return
-	}
-	for _, sv := range ordered {
-		i := slices.IndexFunc(w.Services, func(known *apiv1.MachineService) bool { return known.Machine == sv.Machine })
-		w.Services[i] = sv
-	}
-	f.give(w, ordered)
 }
 
-// give sends the orders of committed services. Those that must wait are sent by
-// a later round.
-func (f *fleetManager) give(w *apiv1.MaintenanceWave, services []*apiv1.MachineService) {
-	for _, sv := range services {
-		f.send(machineCall{
-			machine: sv.Machine, what: "service", life: f.servicedLife[sv.Machine], service: sv, wave: w.Number,
-			give: func(ctx context.Context) error { return f.o.Provider.Service(ctx, f.order(sv.Machine), w.Number) },
-		})
-	}
+// give sends the order of a service; one that must wait is sent by a later
+// round.
+func (f *fleetManager) give(w *apiv1.MaintenanceWave, sv *apiv1.MachineService, uncommitted bool) {
+	f.send(machineCall{
+		machine: sv.Machine, what: "service", life: f.servicedLife[sv.Machine], service: sv, wave: w.Number, uncommitted: uncommitted,
+		give: func(ctx context.Context) error { return f.o.Provider.Service(ctx, f.order(sv.Machine), w.Number) },
+	})
 }
 
 // serviceAfter returns the state of a service after the answer to its order,
