--- a/internal/batch/model_test.go
+++ b/internal/batch/model_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"testing"
 
 	"google.golang.org/protobuf/proto"
@@ -127,17 +128,22 @@
 	accounts := map[string]Usage{}
 	for life, load := range s.lives {
 		used := Usage{}
+		ofStep := map[TaskRef]uint32{}
 		for _, r := range load.Runs() {
 			used = used.Add(NeedOnMinion(r.Step), 1)
+			ofStep[r.Ref.StepRef()]++
 			accounts[r.Job.Account] = accounts[r.Job.Account].Add(NeedOf(r.Step), 1)
 		}
-		if used != load.Used {
-			t.Fatalf("%v uses %v, its runs %v", life, load.Used, used)
+		if used != load.Used || !maps.Equal(ofStep, load.ofStep) {
+			t.Fatalf("%v uses %v and runs %v, its runs %v and %v", life, load.Used, load.ofStep, used, ofStep)
 		}
 		if m := s.minions[life.ID]; m != nil && LifeOf(m.Life) == life && !used.Within(m.Capacity) {
 			t.Fatalf("%v is over its capacity: %v", life, used)
 		}
 	}
+	for _, j := range s.active {
+		checkProgress(t, j)
+	}
 	for account, used := range accounts {
 		a := s.Account(account)
 		if used != s.running[account] || a != nil && !used.WithinLimit(a.Limit) {
@@ -146,6 +152,27 @@
 	}
 }
 
+// checkProgress compares the counters of each step with its tasks.
+func checkProgress(t *rapid.T, j *Job) {
+	for _, o := range j.Occurrences {
+		for i, st := range o.Steps {
+			waiting, done := uint32(0), uint32(0)
+			for _, task := range st.Tasks {
+				switch {
+				case task.Done:
+					done++
+				case len(task.Runs) == 0:
+					waiting++
+				}
+			}
+			step := uint32(i)
+			if j.Waiting(o.Number, step) != waiting || j.Progress(o.Number, step).Done != done {
+				t.Fatalf("%s step %d: waiting %d, counted %d; progress %v", j.Id, i, waiting, j.Waiting(o.Number, step), j.Progress(o.Number, step))
+			}
+		}
+	}
+}
+
 // restored returns the state that a restarted replica would have.
 func restored(t *rapid.T, s *State) *State {
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(s.Snapshot())
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -204,3 +204,26 @@
 	g.Expect(Plan(in)).To(HaveLen(1))
 	g.Expect(Demands(s.st, in.NowUnixMS)["p"].Ready).To(BeNumerically("==", 1000))
 }
+
+// Guards against a commit of more starts than the round may have, by one job
+// with many tasks.
+func TestStartsOfOneRoundAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	s := newSite(nil)
+	s.minion("m", 64_000)
+	s.submit("j", "q", tasks(10, 1000))
+	starts := Plan(Input{State: s.st, NowUnixMS: nowMS, Health: s.health, MaxStarts: 3})
+	g.Expect(starts).To(HaveLen(3))
+}
+
+// Guards against a large task without room that keeps a smaller one from
+// starting in the same round.
+func TestLargeTaskHoldsUpNoSmallerOne(t *testing.T) {
+	g := NewWithT(t)
+	s := newSite(nil)
+	s.minion("m1", 3000)
+	s.minion("m2", 3000)
+	s.submit("large", "q", tasks(1, 4000))
+	s.submit("small", "q", tasks(2, 3000))
+	g.Expect(places(s.plan())["small"]).To(ConsistOf("m1", "m2"))
+}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 
@@ -105,6 +106,24 @@
 			To(ContainSubstring("wrong value|control|bootstrap"))
 	})
 
+	// Guards against a process that does not start because a platform writes its
+	// rates as decimal fractions.
+	It("rounds rates down and refuses what is no number", func() {
+		read := func(rate string) (uint32, string) {
+			var got apiv1.BatchControlSettings
+			problems := loadText("[batch-control]\norders_per_second = "+rate+"\n", "batch-control", &got)
+			problems = slices.DeleteFunc(problems, func(p Problem) bool { return p.Key != "orders_per_second" })
+			return got.OrdersPerSecond, brief(problems)
+		}
+		rate, problems := read("7.9")
+		Expect(problems).To(BeEmpty())
+		Expect(rate).To(BeEquivalentTo(7))
+		for _, text := range []string{"7.", "7.x", ".5", "seven", "1.5e3"} {
+			_, problems := read(text)
+			Expect(problems).To(Equal("x.ini|wrong value|batch-control|orders_per_second"), text)
+		}
+	})
+
 	It("reads a file and names one that is missing", func() {
 		path := filepath.Join(GinkgoT().TempDir(), "c.ini")
 		Expect(os.WriteFile(path, []byte(goodClient), 0o600)).To(Succeed())
