Show batch jobs, pools, queues and waves in bergamotctl

Cause: on the platform an operator had only logs and a dump without batch jobs. Change: control replicas serve /batch/status, /batch/jobs (pages of at most 500) and /batch/jobs/ID on the admin address; bergamotctl batch status, jobs and show. The test that counts commands expects three more.

--- /dev/null
+++ b/internal/batch/view.go
@@ -0,0 +1,160 @@
+package batch
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+)
+
+// MaxJobsPerPage bounds a page of jobs.
+const MaxJobsPerPage = 500
+
+// Status returns the overview that operators are shown.
+func (s *State) Status() *apiv1.BatchStatus {
+	return &apiv1.BatchStatus{
+		CatalogVersion: s.catalog.Version, ZonesOut: s.ZonesOut(),
+		Pools: s.poolStatus(), Queues: s.queueStatus(), Waves: s.waveStatus(),
+	}
+}
+
+func (s *State) poolStatus() []*apiv1.BatchPoolStatus {
+	var out []*apiv1.BatchPoolStatus
+	byName := map[string]*apiv1.BatchPoolStatus{}
+	for _, p := range s.catalog.Pools {
+		row := &apiv1.BatchPoolStatus{Pool: p.Name, Spare: p.Spare}
+		byName[p.Name] = row
+		out = append(out, row)
+	}
+	for _, m := range s.minions {
+		row := byName[m.Pool]
+		if row == nil {
+			continue // its pool left the catalog
+		}
+		row.Minions++
+		if m.Draining {
+			row.Draining++
+		}
+		row.CapacityCpuMillis += uint64(m.Capacity.GetCpuMillis())
+		if load := s.lives[LifeOf(m.Life)]; load != nil {
+			row.UsedCpuMillis += uint64(load.Used.CPUMillis)
+			row.Runs += uint32(load.Len())
+		}
+	}
+	return out
+}
+
+func (s *State) queueStatus() []*apiv1.BatchQueueStatus {
+	byName := map[string]*apiv1.BatchQueueStatus{}
+	var out []*apiv1.BatchQueueStatus
+	for _, q := range s.catalog.Queues {
+		byName[q.Name] = &apiv1.BatchQueueStatus{Queue: q.Name, Pool: q.Pool}
+		out = append(out, byName[q.Name])
+	}
+	for _, j := range s.active {
+		row := byName[j.Queue]
+		if row == nil {
+			continue // its queue left the catalog
+		}
+		sum := j.Summary()
+		row.WaitingTasks += sum.WaitingTasks
+		row.RunningTasks += sum.RunningTasks
+		if j.State == apiv1.BatchState_BATCH_STATE_QUEUED {
+			row.QueuedJobs++
+			continue
+		}
+		row.RunningJobs++
+	}
+	return out
+}
+
+func (s *State) waveStatus() []*apiv1.BatchWaveStatus {
+	var out []*apiv1.BatchWaveStatus
+	for _, n := range sortedKeys(s.waves) {
+		w := s.waves[n]
+		row := &apiv1.BatchWaveStatus{Wave: n, Machines: uint32(len(w.Services)), MaxDown: w.MaxDown, Completed: w.Completed}
+		for _, sv := range w.Services {
+			switch {
+			case MachineServed(sv.State):
+				row.Served++
+			case MachineDown(sv.State):
+				row.Down++
+			default:
+				row.Waiting++
+			}
+		}
+		out = append(out, row)
+	}
+	return out
+}
+
+// Summary returns the job on one line. An ended job has no tasks left to count.
+func (j *Job) Summary() *apiv1.BatchJobSummary {
+	out := &apiv1.BatchJobSummary{JobId: j.Id, Queue: j.Queue, Account: j.Account, State: j.State}
+	for k := range j.Repeats() {
+		if k > 0 && j.Occurrence(k) == nil {
+			continue
+		}
+		for i := range j.Steps {
+			p := j.Progress(k, uint32(i))
+			out.WaitingTasks += j.Waiting(k, uint32(i))
+			out.RunningTasks += p.Running
+			out.DoneTasks += p.Done
+		}
+	}
+	return out
+}
+
+// JobPage returns up to limit jobs with ids above after, those of one queue when
+// it is not empty, and only those that have not ended unless all is set.
+func (s *State) JobPage(queue, after string, all bool, limit int) *apiv1.BatchJobList {
+	limit = min(max(limit, 1), MaxJobsPerPage)
+	var found []*Job
+	for _, j := range s.jobs {
+		if j.Id > after && (queue == "" || j.Queue == queue) && (all || !Ended(j.State)) {
+			found = append(found, j)
+		}
+	}
+	slices.SortFunc(found, func(a, b *Job) int { return strings.Compare(a.Id, b.Id) })
+	out := &apiv1.BatchJobList{}
+	for i, j := range found {
+		if i == limit {
+			out.NextAfter = out.Jobs[limit-1].JobId
+			break
+		}
+		out.Jobs = append(out.Jobs, j.Summary())
+	}
+	return out
+}
+
+// View returns the job with its steps and the runs that have not ended.
+func (j *Job) View() *apiv1.BatchJobView {
+	out := &apiv1.BatchJobView{Summary: j.Summary()}
+	occurrences := slices.Clone(j.Occurrences)
+	slices.SortFunc(occurrences, func(a, b *apiv1.BatchOccurrence) int { return cmp.Compare(a.Number, b.Number) })
+	for _, o := range occurrences {
+		for i, st := range o.Steps {
+			out.Steps = append(out.Steps, j.stepView(o.Number, uint32(i), st))
+			for index, task := range st.Tasks {
+				for _, r := range task.Runs {
+					key := RunKey{TaskRef{Job: j.Id, Occurrence: o.Number, Step: uint32(i), Index: uint32(index)}, r.Number}
+					out.Runs = append(out.Runs, &apiv1.BatchRunView{Run: key.String(), Minion: r.Minion.GetId(), StartedUnixMs: r.StartedUnixMs})
+				}
+			}
+		}
+	}
+	return out
+}
+
+func (j *Job) stepView(occurrence, step uint32, st *apiv1.BatchStepState) *apiv1.BatchStepView {
+	p := j.Progress(occurrence, step)
+	row := &apiv1.BatchStepView{
+		Occurrence: occurrence, Step: step, Tasks: j.Steps[step].Count, Waiting: j.Waiting(occurrence, step),
+		Running: p.Running, Done: p.Done, Failures: st.GangFailures, Ready: j.StepReady(occurrence, step),
+	}
+	for _, t := range st.Tasks {
+		row.Failures += t.Failures
+	}
+	return row
+}
--- /dev/null
+++ b/internal/command/batch.go
@@ -0,0 +1,97 @@
+package command
+
+import (
+	"context"
+	"time"
+
+	"bergamotdrum.example/bergamotdrum/internal/operator"
+)
+
+// batchPageTimeout bounds one look at a control replica.
+const batchPageTimeout = 5 * time.Second
+
+type batchCommands struct {
+	Admin  string             `help:"Admin address (ip:port) of a control replica; the leader's state is the newest." required:"" env:"BERGAMOT_ADMIN"`
+	Status batchStatusCommand `cmd:"" help:"Show the catalog in force, pools, queues, zones out and waves."`
+	Jobs   batchJobsCommand   `cmd:"" help:"List jobs that have not ended, by pages."`
+	Show   batchShowCommand   `cmd:"" help:"Show one job with its steps and runs."`
+}
+
+func (b *batchCommands) pages() *operator.BatchPages {
+	return operator.NewBatchPages(b.Admin, batchPageTimeout)
+}
+
+type batchStatusCommand struct{}
+
+func (batchStatusCommand) Help() string {
+	return `Example:
+  bergamotctl batch --admin 10.0.0.4:7001 status`
+}
+
+// Run implements the command.
+func (batchStatusCommand) Run(ctx context.Context, a *app) error {
+	s, err := a.cli.Batch.pages().Status(ctx)
+	if err != nil {
+		return err
+	}
+	a.print(s, func() {
+		a.say("catalog version %d in force", s.CatalogVersion)
+		for _, zone := range s.ZonesOut {
+			a.say("availability zone %s is out of service", zone)
+		}
+		printTable(a.stdout, "\npools", s.Pools)
+		printTable(a.stdout, "\nqueues", s.Queues)
+		printTable(a.stdout, "\nmaintenance", s.Waves)
+	})
+	return nil
+}
+
+type batchJobsCommand struct {
+	Queue string `help:"Only jobs of this queue."`
+	After string `help:"Continue after this job id, as the last page says."`
+	All   bool   `help:"Include jobs that have ended."`
+	Limit int    `help:"Jobs on a page, at most 500." default:"100"`
+}
+
+func (batchJobsCommand) Help() string {
+	return `Example:
+  bergamotctl batch --admin 10.0.0.4:7001 jobs --queue dawn-warnings`
+}
+
+// Run implements the command.
+func (c *batchJobsCommand) Run(ctx context.Context, a *app) error {
+	list, err := a.cli.Batch.pages().Jobs(ctx, operator.JobQuery{Queue: c.Queue, After: c.After, All: c.All, Limit: c.Limit})
+	if err != nil {
+		return err
+	}
+	a.print(list, func() {
+		printTable(a.stdout, "", list.Jobs)
+		if list.NextAfter != "" {
+			a.say("more: --after %s", list.NextAfter)
+		}
+	})
+	return nil
+}
+
+type batchShowCommand struct {
+	ID string `arg:"" help:"Id of the job."`
+}
+
+func (batchShowCommand) Help() string {
+	return `Example:
+  bergamotctl batch --admin 10.0.0.4:7001 show 5c0e7a21d94b36f8`
+}
+
+// Run implements the command.
+func (c *batchShowCommand) Run(ctx context.Context, a *app) error {
+	job, err := a.cli.Batch.pages().Job(ctx, c.ID)
+	if err != nil {
+		return err
+	}
+	a.print(job, func() {
+		printFields(a.stdout, job.Summary)
+		printTable(a.stdout, "\nsteps", job.Steps)
+		printTable(a.stdout, "\nruns", job.Runs)
+	})
+	return nil
+}
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -35,6 +35,7 @@
 	Zone        zoneCommands       `cmd:"" help:"Take availability zones out of service and back."`
 	Maintenance maintenanceCommand `cmd:"" help:"Plan, start and pause maintenance waves."`
 	Jobs        jobsCommands       `cmd:"" help:"List, show and cancel jobs."`
+	Batch       batchCommands      `cmd:"" help:"Show batch jobs, pools and waves of a platform."`
 	Control     controlCommands    `cmd:"" help:"Show and replace control replicas."`
 	Dump        dumpCommand        `cmd:"" help:"Get the state dump of the control leader."`
 	OperatorKey operatorKeyCommand `cmd:"" help:"Create a key for an operator."`
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -318,7 +318,7 @@
 		parser, err := kong.New(&CLI{}, kong.Name("bergamotctl"))
 		Expect(err).NotTo(HaveOccurred())
 		leaves := parser.Model.Leaves(false)
-		Expect(len(leaves)).To(Equal(21))
+		Expect(len(leaves)).To(Equal(24))
 		for _, leaf := range leaves {
 			Expect(leaf.Help).NotTo(BeEmpty(), leaf.Path())
 			Expect(leaf.Detail).To(ContainSubstring("bergamotctl "+leafName(leaf)), leaf.Path())
--- a/internal/observe/observe.go
+++ b/internal/observe/observe.go
@@ -39,6 +39,7 @@
 	ready    atomic.Bool
 	mu       sync.Mutex
 	dumpers  map[string]Dumper
+	pages    map[string]http.HandlerFunc
 	probes   []func() error
 }
 
@@ -61,6 +62,7 @@
 		Registry: reg,
 		out:      out,
 		dumpers:  map[string]Dumper{},
+		pages:    map[string]http.HandlerFunc{},
 	}, nil
 }
 
@@ -74,6 +76,13 @@
 	p.dumpers[name] = d
 }
 
+// AddPage serves one more page on the admin listener; call it before Handler.
+func (p *Process) AddPage(pattern string, h http.HandlerFunc) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pages[pattern] = h
+}
+
 // AddProbe adds a condition of readiness.
 func (p *Process) AddProbe(probe func() error) {
 	p.mu.Lock()
@@ -115,7 +124,8 @@
 	return json.MarshalIndent(state, "", "  ")
 }
 
-// Handler serves /metrics, /ready, /healthz, /debug/state and /debug/pprof.
+// Handler serves /metrics, /ready, /healthz, /debug/state, /debug/pprof and the
+// pages that were added.
 func (p *Process) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", promhttp.HandlerFor(p.Registry, promhttp.HandlerOpts{}))
@@ -124,6 +134,11 @@
 	mux.HandleFunc("GET /debug/state", p.serveDump)
 	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
 	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for pattern, h := range p.pages {
+		mux.HandleFunc(pattern, h)
+	}
 	return mux
 }
 
