--- a/internal/command/batch.go
+++ b/internal/command/batch.go
@@ -25,7 +25,7 @@
 
 func (batchStatusCommand) Help() string {
 	return `Example:
-  bergamotctl batch --admin 10.0.0.4:7001 status`
+  bergamotctl batch status --admin 10.0.0.4:7001`
 }
 
 // Run implements the command.
@@ -55,7 +55,7 @@
 
 func (batchJobsCommand) Help() string {
 	return `Example:
-  bergamotctl batch --admin 10.0.0.4:7001 jobs --queue dawn-warnings`
+  bergamotctl batch jobs --admin 10.0.0.4:7001 --queue dawn-warnings`
 }
 
 // Run implements the command.
@@ -79,7 +79,7 @@
 
 func (batchShowCommand) Help() string {
 	return `Example:
-  bergamotctl batch --admin 10.0.0.4:7001 show 5c0e7a21d94b36f8`
+  bergamotctl batch show --admin 10.0.0.4:7001 5c0e7a21d94b36f8`
 }
 
 // Run implements the command.
--- a/internal/command/batch_test.go
+++ b/internal/command/batch_test.go
@@ -53,7 +53,7 @@
 	// has its own way to submit it.
 	It("shows the overview, pages of jobs and one job", func() {
 		s, admin := newShell(), batchReplica()
-		Expect(s.run("batch", "--admin", admin, "status")).To(Equal(0), s.err)
+		Expect(s.run("batch", "status", "--admin", admin)).To(Equal(0), s.err)
 		Expect(s.out).To(ContainSubstring("catalog version 7 in force"))
 		Expect(s.out).To(ContainSubstring("availability zone b is out of service"))
 		Expect(s.out).To(MatchRegexp(`wards +no +1 +0 +4000 +1000 +1`))
