--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -85,7 +85,7 @@
 		if !h.Usable || m.Draining || p.in.Reserved[life] || p.in.State.ZoneOut(m.AvailabilityZone) {
 			continue
 		}
-		c := &candidate{minion: m, life: life, load: p.in.State.LoadOf(life), suspect: h.Suspect, leaving: p.in.Leaving[life], ofStep: map[batch.TaskRef]uint32{}}
+		c := &candidate{minion: m, life: life, load: p.in.State.LoadOf(life), suspect: h.Suspect, leaving: p.in.Leaving[life]}
 		if c.load != nil {
 			c.used = c.load.Used
 			c.lasting = c.load.LongRunningCPU
@@ -246,6 +246,9 @@
 	if step.LongRunning {
 		c.lasting += batch.NeedOnMinion(step).CPUMillis
 	}
+	if c.ofStep == nil {
+		c.ofStep = map[batch.TaskRef]uint32{}
+	}
 	c.ofStep[ref.StepRef()]++
 	p.started[j.Account] = p.started[j.Account].Add(batch.NeedOf(step), 1)
 }
