Drop log lines beyond the bound before they are formatted

Change: the formatter asks for the bound first; warnings and errors are always written. TestLinesBeyondTheBoundAreDropped.

--- a/internal/observe/logwriter.go
+++ b/internal/observe/logwriter.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
 	"golang.org/x/time/rate"
 )
 
@@ -23,6 +24,7 @@
 // waits for the reader. Lines beyond its bounds are dropped and counted.
 type logWriter struct {
 	out     io.Writer
+	format  logrus.JSONFormatter
 	lines   chan []byte
 	limiter *rate.Limiter
 	dropped prometheus.Counter
@@ -33,6 +35,7 @@
 func newLogWriter(out io.Writer, reg prometheus.Registerer) *logWriter {
 	w := &logWriter{
 		out: out, lines: make(chan []byte, waitingLogLines), done: make(chan struct{}),
+		format:  logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano},
 		limiter: rate.NewLimiter(maxLogLines, waitingLogLines),
 		dropped: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "bergamot_log_dropped_lines_total", Help: "Log lines dropped because there were too many or the reader was too slow.",
@@ -43,11 +46,21 @@
 	return w
 }
 
+// Format writes an entry as a JSON line. Beyond the bound lines are dropped
+// before they are formatted, which is most of their cost; warnings and errors
+// are always written.
+func (w *logWriter) Format(e *logrus.Entry) ([]byte, error) {
+	if e.Level >= logrus.InfoLevel && !w.limiter.Allow() {
+		w.dropped.Inc()
+		return nil, nil
+	}
+	return w.format.Format(e)
+}
+
 // Write takes one line; it never blocks and never fails.
 func (w *logWriter) Write(line []byte) (int, error) {
-	if !w.limiter.Allow() {
-		w.dropped.Inc()
-		return len(line), nil
+	if len(line) == 0 {
+		return 0, nil // dropped by Format
 	}
 	select {
 	case w.lines <- append([]byte(nil), line...):
--- a/internal/observe/logwriter_test.go
+++ b/internal/observe/logwriter_test.go
@@ -10,6 +10,8 @@
 	. "github.com/onsi/gomega"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/testutil"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
 
 	_ "bergamotdrum.example/bergamotdrum/internal/testseed"
 )
@@ -43,3 +45,41 @@
 	w.flush()
 	g.Expect(strings.Count(out.String(), "line\n")).To(Equal(100))
 }
+
+// Guards against a process that spends its time on lines that nobody gets, and
+// against a warning that is lost among them.
+func TestLinesBeyondTheBoundAreDropped(t *testing.T) {
+	g := NewWithT(t)
+	var out bytes.Buffer
+	w := newLogWriter(&out, prometheus.NewRegistry())
+	w.limiter = rate.NewLimiter(0, 3)
+	log := logrus.New()
+	log.SetFormatter(w)
+	log.SetOutput(w)
+	for range 10 {
+		log.Info("line")
+	}
+	log.Warn("kept")
+	w.flush()
+	g.Expect(strings.Count(out.String(), `"msg":"line"`)).To(Equal(3))
+	g.Expect(out.String()).To(ContainSubstring(`"msg":"kept"`))
+	g.Expect(testutil.ToFloat64(w.dropped)).To(BeEquivalentTo(7))
+}
+
+// BenchmarkLogLine measures one line with the fields of a start, written and
+// beyond the bound.
+func BenchmarkLogLine(b *testing.B) {
+	for name, limit := range map[string]rate.Limit{"written": rate.Inf, "dropped": 0} {
+		b.Run(name, func(b *testing.B) {
+			w := newLogWriter(io.Discard, prometheus.NewRegistry())
+			w.limiter = rate.NewLimiter(limit, 1)
+			log := logrus.New()
+			log.SetFormatter(w)
+			log.SetOutput(w)
+			entry := log.WithFields(logrus.Fields{"role": "batch-control", "process_id": "core-1", "term": 3, "minion": "i-7f3a91c2"})
+			for b.Loop() {
+				entry.WithFields(logrus.Fields{"run": "5c0e7a21d94b36f8.0.1.17#2", "job_id": "5c0e7a21d94b36f8", "outcome": "started"}).Info("start ordered")
+			}
+		})
+	}
+}
--- a/internal/observe/observe.go
+++ b/internal/observe/observe.go
@@ -51,10 +51,10 @@
 		return nil, fmt.Errorf("log level %q: use debug, info, warn or error", level)
 	}
 	log := logrus.New()
-	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
 	log.SetLevel(lvl)
 	reg := prometheus.NewRegistry()
 	out := newLogWriter(os.Stdout, reg)
+	log.SetFormatter(out)
 	log.SetOutput(out)
 	reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return &Process{
