Order machines by the demand that is likely when they arrive

Change: a pool's shortage counts the growth of its demand over the last second, for the 1.7 s until a machine is there, at most as much again.

--- a/internal/dispatch/capacity.go
+++ b/internal/dispatch/capacity.go
@@ -18,6 +18,11 @@
 	settleTime = 3 * time.Second
 	// peakWindow is how long a pool keeps what it needed.
 	peakWindow = 2 * time.Second
+	// trendWindow is the time over which the growth of a demand is measured.
+	trendWindow = time.Second
+	// arrivalTime is the time from an order to the first start on the machine: a
+	// move of 1.5 s, and the rounds before and after it.
+	arrivalTime = 1700 * time.Millisecond
 	// parkAfter is how long a machine is idle before it is turned off.
 	parkAfter = 2 * time.Second
 )
@@ -102,10 +107,25 @@
 		for _, s := range samples {
 			d.Peak = max(d.Peak, s.cpu)
 		}
+		d.Rise = rise(samples, now)
 		demands[pool] = d
 	}
 }
 
+// rise forecasts how much a demand grows until a machine that is ordered now
+// arrives, from its growth over the last trendWindow; a demand at most doubles.
+func rise(samples []demandSample, now time.Duration) int64 {
+	latest := samples[len(samples)-1].cpu
+	for _, s := range samples {
+		if now-s.at > trendWindow {
+			continue
+		}
+		grown := (latest - s.cpu) * int64(arrivalTime/time.Millisecond) / int64(trendWindow/time.Millisecond)
+		return min(max(grown, 0), latest)
+	}
+	return 0
+}
+
 func sortedMachines(machines map[string]Machine) []string {
 	ids := make([]string, 0, len(machines))
 	for id := range machines {
--- a/internal/placement/capacity.go
+++ b/internal/placement/capacity.go
@@ -136,7 +136,8 @@
 }
 
 func (p *capacityPlanner) shortage(s *supply) int64 {
-	return p.in.Demands[s.pool].CPU()*headroomPercent/100 - s.cpu
+	d := p.in.Demands[s.pool]
+	return (d.CPU()+d.Rise)*headroomPercent/100 - s.cpu
 }
 
 // needy returns the pools that are short, the shortest first.
--- a/internal/placement/demand.go
+++ b/internal/placement/demand.go
@@ -16,6 +16,9 @@
 	// Peak is the highest demand of the last seconds, for the decision to turn
 	// machines off; the caller keeps it.
 	Peak int64
+	// Rise is how much the demand is likely to grow until a machine that is
+	// ordered now arrives; the caller forecasts it.
+	Rise int64
 }
 
 // CPU is the capacity that serves the demand without a queue.
