--- a/internal/batch/runs.go
+++ b/internal/batch/runs.go
@@ -127,8 +127,8 @@
 	LongRunningCPU int64
 	runs           map[RunKey]*ActiveRun
 	// ofStep counts the runs of each step's occurrence.
-	ofStep      map[TaskRef]uint32
-	longRunning int
+	ofStep  map[TaskRef]uint32
+	lasting int
 }
 
 // Each calls fn for each run, in no order.
@@ -150,7 +150,7 @@
 	}
 	if r.Step.LongRunning {
 		l.LongRunningCPU += sign * need.CPUMillis
-		l.longRunning += int(sign)
+		l.lasting += int(sign)
 	}
 }
 
@@ -177,7 +177,7 @@
 
 // HasLongRunning tells whether a run does not end by itself.
 func (l *Load) HasLongRunning() bool {
-	return l != nil && l.longRunning > 0
+	return l != nil && l.lasting > 0
 }
 
 // OfStep counts the runs of a step's occurrence.
