Stop late starts in a known next life before a lapsed life's runs are released

A start to a silent minion was late; the minion ended and its next life announced itself while the last hold of the earlier life still waited. That hold failed, the lease was over, and the runs were released without a look at the next life, which had carried out the late start: the task ran again, and the end of its first run was acknowledged. Change: a life whose lease is over ends as a reborn one when a later life is known. The soak's crash now breaks the minion's connections, as TCP does: the trace shows bytes of a connection to the earlier life arrive at the next one, which cannot be.

--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -202,10 +202,16 @@
 	if lost {
 		s.log.WithError(err).Warn("minion does not answer")
 	}
-	if over {
-		s.d.lifeOver(ctx, s, "its lease is over")
+	if !over {
+		return false
+	}
+	if bornMS, ok := s.d.laterLife(s.target.Life); ok {
+		// A late start may be carried out by the life that is there now.
+		s.d.reborn(ctx, s, bornMS)
+		return true
 	}
-	return over
+	s.d.lifeOver(ctx, s, "its lease is over")
+	return true
 }
 
 // take processes a reply to a hold that was sent at sentAt.
--- a/test/soak/minion_test.go
+++ b/test/soak/minion_test.go
@@ -101,8 +101,10 @@
 	m.running, m.highest, m.ended = map[string]*runState{}, map[string]int{}, nil
 }
 
-// crash ends the life and all that runs.
+// crash ends the life, all that runs, and its connections: an order on its way
+// over one of them never reaches the next life.
 func (m *minion) crash() {
+	m.link.reset()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.up = false
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -29,6 +29,7 @@
 	cause string
 }{
 	{2, "a machine was down for one wave while another wave, which it also belongs to, used all of its places"},
+	{115, "a late start reached the next life of a silent minion, whose runs were released with its lease; the leader knew that life and did not stop them there"},
 }
 
 const (
