dispatch: don't acknowledge a repeated announcement that was not committed

Cause: the filter of announcements noted the sequence number before the commit. When the commit failed, the minion's (or the control client's) repetition with the same number was taken for an old one and acknowledged: a minion that said it drains was told so, and still got work.

An announcement with the latest number is processed again; it commits nothing when nothing has changed.

--- a/internal/dispatch/announce.go
+++ b/internal/dispatch/announce.go
@@ -27,23 +27,19 @@
 	latest map[string]lastAnnouncement
 }
 
-// accept reports whether an announcement is newer than those accepted before.
-// The sequence numbers of a minion start again with each incarnation, a lifetime
-// of its process. A notice that the minion leaves never gets here, since
-// Announce handles it before.
+// accept reports whether an announcement is not older than those accepted before.
+// One with the latest number is accepted again, because the minion repeats an
+// announcement that was not acknowledged. The sequence numbers of a minion start
+// again with each incarnation, a lifetime of its process.
 func (f *announcementFilter) accept(req *apiv1.AnnounceMinionRequest) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	inc := batch.IncarnationOf(req.Minion.Life)
 	last := f.latest[inc.ID]
-	if inc.StartedMS < last.startedMS || inc.StartedMS == last.startedMS && req.Sequence <= last.sequence && !req.Leaves {
+	if inc.StartedMS < last.startedMS || inc.StartedMS == last.startedMS && req.Sequence < last.sequence {
 		return false
 	}
-	sequence := max(req.Sequence, last.sequence)
-	if inc.StartedMS != last.startedMS {
-		sequence = req.Sequence
-	}
-	f.latest[inc.ID] = lastAnnouncement{startedMS: inc.StartedMS, sequence: sequence}
+	f.latest[inc.ID] = lastAnnouncement{startedMS: inc.StartedMS, sequence: req.Sequence}
 	return true
 }
 
--- a/internal/dispatch/harness_test.go
+++ b/internal/dispatch/harness_test.go
@@ -45,6 +45,12 @@
 	return n.machine.Apply(n.index, cmd), nil
 }
 
+func (n *fakeNode) setDeposed(deposed bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.deposed = deposed
+}
+
 func (n *fakeNode) Barrier(context.Context) error {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -79,6 +85,8 @@
 	starts                                                      int
 	// endless is set when tasks don't end by themselves.
 	endless bool
+	// maxLease is the longest lease that a minion accepts.
+	maxLease time.Duration
 }
 
 // fakeMinion is one incarnation of a minion, a lifetime of its process. It
@@ -107,7 +115,7 @@
 func newFakeCluster(t *testing.T, seed uint64) *fakeCluster {
 	return &fakeCluster{
 		t: t, rand: rand.New(rand.NewPCG(seed, 1)), minions: map[string]*fakeMinion{},
-		active: map[batch.TaskRef]int{}, acked: map[batch.TaskRef]bool{},
+		active: map[batch.TaskRef]int{}, acked: map[batch.TaskRef]bool{}, maxLease: testMaxLease,
 	}
 }
 
@@ -254,7 +262,7 @@
 }
 
 func (m *fakeMinion) extendLease(until int64) {
-	m.leaseUntilMS = max(m.leaseUntilMS, min(until, m.clock()+testMaxLease.Milliseconds()))
+	m.leaseUntilMS = max(m.leaseUntilMS, min(until, m.clock()+m.cluster.maxLease.Milliseconds()))
 }
 
 func (c *fakeCluster) Stop(ctx context.Context, to Target, run batch.RunKey, token uint64) (clockMS int64, err error) {
@@ -322,6 +330,7 @@
 	log        *logrus.Entry
 	term       uint64
 	fleet      FleetOptions
+	lease      time.Duration
 	dispatcher *Dispatcher
 	cancel     context.CancelFunc
 	done       chan struct{}
@@ -333,7 +342,7 @@
 	quiet.SetOutput(io.Discard)
 	h := &harness{
 		t: t, cluster: newFakeCluster(t, seed), node: &fakeNode{machine: state.New()}, metrics: NewMetrics(nil),
-		log: logrus.NewEntry(quiet), term: 1, start: time.Now(),
+		log: logrus.NewEntry(quiet), term: 1, start: time.Now(), lease: testLease,
 	}
 	h.propose(&apiv1.BatchCommand{Body: &apiv1.BatchCommand_PutCatalog{PutCatalog: &apiv1.Catalog{
 		Version: 1, Pools: []*apiv1.BatchPool{{Name: "p"}}, Queues: []*apiv1.BatchQueue{{Name: "q", Pool: "p", MaxAttempts: 3}},
@@ -355,7 +364,7 @@
 	h.cancel, h.done = cancel, make(chan struct{})
 	h.dispatcher = New(ctx, h.term, Options{
 		Minions: h.cluster, StateMachine: h.node.machine, Node: h.node, Clock: bubbleClock{h.start}, Log: h.log,
-		Lease: testLease, MaxLease: testMaxLease, Retention: time.Hour, Fleet: h.fleet,
+		Lease: h.lease, MaxLease: h.cluster.maxLease, Retention: time.Hour, Fleet: h.fleet,
 	}, h.metrics)
 	d, done := h.dispatcher, h.done
 	go func() {
