dispatch: keep runs whose minion was slow to report

The first session's last renewal lasts 2% and the margin longer on a minion with a slow clock, so a task could run twice for 130 ms at a lease of 4 s.

TestEarlierReplyDoesNotStopUncertainRun and TestNextSessionAwaitsTheLeaseOfTheFirst fail without the changes. TestSilentMinionKeepsItsRuns (silent for 1.5 s of a lease of 4 s, with the same leader, a new one, and a second without one) passes before and after.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -107,7 +107,7 @@
 	d := &Dispatcher{
 		opts: o, term: term, ctx: ctx, clock: o.Clock, metrics: m.m,
 		log:               o.Log.WithField("term", term),
-		inheritedLeaseEnd: now + time.Duration(float64(o.MaxLease)/minClockRate) + leadershipTTL + leaseMargin,
+		inheritedLeaseEnd: now + longestLease(o.MaxLease) + leadershipTTL,
 		sessions:          map[batch.Incarnation]*session{},
 		latest:            map[string]int64{},
 	}
--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -55,11 +55,16 @@
 		return 0
 	}
 	until := l.estimateClock(now) + d.Milliseconds()
-	left := time.Duration(float64(until-l.estimateClock(now))/minClockRate) * time.Millisecond
-	l.endsBy = max(l.endsBy, now+left+leaseMargin)
+	l.endsBy = max(l.endsBy, now+longestLease(d))
 	return until
 }
 
+// longestLease returns how long a lease that the minion measures as d may last on
+// the leader's clock.
+func longestLease(d time.Duration) time.Duration {
+	return time.Duration(float64(d)/minClockRate) + leaseMargin
+}
+
 // expired reports whether all leases given so far have certainly ended, so that
 // nothing ordered so far can still run.
 func (l *lease) expired(now time.Duration) bool { return now > l.endsBy }
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -124,9 +124,9 @@
 		d: d, target: t, token: d.nextToken(),
 		log:        d.log.WithFields(logrus.Fields{"minion": t.Incarnation.ID, "born_unix_ms": t.Incarnation.StartedMS}),
 		orderSlots: make(chan struct{}, maxParallelOrders),
-		// The lease is at least one lease length from now, so that a minion that
-		// was never reached isn't released after its first failed call.
-		lease:  newLease(max(d.inheritedLeaseEnd, d.clock.Now()+d.opts.Lease)),
+		// An earlier session of this term may have renewed the lease just now, when
+		// the minion's address changed.
+		lease:  newLease(max(d.inheritedLeaseEnd, d.clock.Now()+longestLease(d.opts.Lease))),
 		orders: map[batch.RunKey]*runOrder{},
 	}
 }
@@ -336,7 +336,8 @@
 			o.stopRequested = true
 		}
 	case orderUncertain:
-		o.stopRequested = true
+		// An earlier reply may have been written before the minion began the run.
+		o.stopRequested = o.stopRequested || o.answeredAt < sentAt
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/dispatch/silence_test.go
@@ -0,0 +1,110 @@
+package dispatch
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"bergamotdrum.example/bergamotdrum/internal/batch"
+	"bergamotdrum.example/bergamotdrum/internal/state"
+)
+
+// runsOf returns the committed runs of a job.
+func (h *harness) runsOf(id string) []batch.RunKey {
+	var out []batch.RunKey
+	h.node.machine.Read(func(s *state.State) {
+		for _, inc := range s.Batch.LoadedIncarnations() {
+			for _, r := range s.Batch.LoadOf(inc).Runs() {
+				if r.Job.Id == id {
+					out = append(out, r.Key())
+				}
+			}
+		}
+	})
+	return out
+}
+
+// setUnreachable cuts a minion off from the leader, or connects it again.
+func (h *harness) setUnreachable(m *fakeMinion, unreachable bool) {
+	h.cluster.mu.Lock()
+	defer h.cluster.mu.Unlock()
+	m.unreachable = unreachable
+}
+
+// Guards against work that is stopped or started again although its minion was
+// only silent for 1.5 s of its lease of 4 s, also when the leader changes in
+// that time.
+func TestSilentMinionKeepsItsRuns(t *testing.T) {
+	const silence = 1500 * time.Millisecond
+	for name, leaderless := range map[string]time.Duration{"same leader": -1, "leader changes": 0, "leader changes after an election": time.Second} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				h := newHarness(t, 1)
+				defer func() { h.endTerm() }()
+				h.endTerm()
+				h.lease, h.cluster.maxLease, h.cluster.endless = 4*time.Second, 6*time.Second, true
+				h.startTerm()
+				silent := h.cluster.add("a")
+				h.announce(silent)
+				h.announce(h.cluster.add("b"))
+				h.submit("job0", 3)
+				for range 5 {
+					time.Sleep(3 * time.Second)
+					before := h.runsOf("job0")
+					g.Expect(before).To(HaveLen(3))
+					h.setUnreachable(silent, true)
+					if leaderless >= 0 {
+						h.endTerm()
+						time.Sleep(leaderless)
+						h.startTerm()
+					}
+					time.Sleep(silence - max(leaderless, 0))
+					h.setUnreachable(silent, false)
+					time.Sleep(2 * time.Second)
+					g.Expect(h.runsOf("job0")).To(Equal(before))
+				}
+				g.Expect(h.cluster.starts).To(Equal(3))
+			})
+		})
+	}
+}
+
+// Guards against a run that is stopped because a hold reply doesn't list it that
+// was requested before the start order timed out: the minion may have begun the
+// run after it wrote the reply.
+func TestEarlierReplyDoesNotStopUncertainRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		h := newHarness(t, 1)
+		defer h.endTerm()
+		s := newSession(h.dispatcher, Target{Incarnation: batch.Incarnation{ID: "a", StartedMS: 1}})
+		key := batch.RunKey{TaskRef: batch.TaskRef{Job: "job0"}, Number: 1}
+		o := &runOrder{state: orderUncertain, answeredAt: 2 * time.Second}
+		s.orders[key] = o
+		s.reconcile(&HoldReply{}, time.Second, 3*time.Second)
+		g.Expect(o.stopRequested).To(BeFalse(), "the reply was requested before the start order timed out")
+		s.reconcile(&HoldReply{}, 3*time.Second, 4*time.Second)
+		g.Expect(o.stopRequested).To(BeTrue())
+	})
+}
+
+// Guards against a second session of the same incarnation, after a change of its
+// address, that takes the lease as over while the first session's last renewal
+// still holds on a minion with a slow clock.
+func TestNextSessionAwaitsTheLeaseOfTheFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		h := newHarness(t, 1)
+		defer h.endTerm()
+		time.Sleep(10 * testMaxLease) // leases of earlier leaders are over
+		target := Target{Incarnation: batch.Incarnation{ID: "a", StartedMS: 1}}
+		first := newSession(h.dispatcher, target)
+		now := h.dispatcher.clock.Now()
+		first.lease.observeClock(1000, now)
+		first.lease.extend(now, testLease)
+		g.Expect(newSession(h.dispatcher, target).lease.endsBy).To(BeNumerically(">=", first.lease.endsBy))
+	})
+}
