Keep a minion's runs when a row of its replies is malformed

Cause: one row that doesn't decode made the whole reply to a hold call an error. The minion counted as silent, its lease was not renewed, and after 4 s all its runs were released.

Rows that decode count now. A run that isn't listed may be in a malformed row, so nothing follows from its absence; ends from the first malformed one on are not acknowledged, so that the minion lists them again.

--- a/internal/dispatch/minionclient.go
+++ b/internal/dispatch/minionclient.go
@@ -81,6 +81,26 @@
 	Running []RunStatus
 	// Ended lists the ends that are not acknowledged yet.
 	Ended []ReportedEnd
+	// Unreadable is the error of the first row of Running or Ended that could not
+	// be read, nil when there is none. A run that is not listed may be in such a row.
+	Unreadable error
+	// AckableEnd is set with Unreadable: the number of the last end before the first
+	// unreadable one. Later ends must not be acknowledged, since the minion would
+	// forget the unreadable one with them.
+	AckableEnd uint64
+}
+
+// lastAckable returns the number of the last end that may be acknowledged once
+// the reply's ends are committed, zero when there is none.
+func (r *HoldReply) lastAckable() uint64 {
+	if r.Unreadable != nil {
+		return r.AckableEnd
+	}
+	last := uint64(0)
+	for _, e := range r.Ended {
+		last = max(last, e.EndNumber)
+	}
+	return last
 }
 
 // RunStatus is a minion's report of a run that is in progress.
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -247,19 +247,18 @@
 	if !s.answering {
 		s.log.WithFields(logrus.Fields{"running": len(reply.Running), "ended": len(reply.Ended)}).Info("minion answers")
 	}
+	if reply.Unreadable != nil {
+		s.log.WithError(reply.Unreadable).Warn("minion's reply has unreadable rows; the others count")
+	}
 	s.answering, s.answeredAt = true, now
 	s.lease.observeClock(reply.ClockMS, now)
 	ends := s.reconcile(reply, sentAt, now)
-	lastEnd := s.ackedEnd
-	for _, e := range reply.Ended {
-		lastEnd = max(lastEnd, e.EndNumber)
-	}
 	s.mu.Unlock()
 	if len(ends) > 0 && !s.d.commitEnds(ctx, ends) {
 		return
 	}
 	s.mu.Lock()
-	s.ackedEnd = max(s.ackedEnd, lastEnd)
+	s.ackedEnd = max(s.ackedEnd, reply.lastAckable())
 	s.mu.Unlock()
 	s.d.syncSession(s)
 }
@@ -279,8 +278,8 @@
 		s.recordEnd(e, now)
 		ends = append(ends, &apiv1.EndedRun{Task: e.Run.Name(), Run: e.Run.Number, End: e.End, Checkpoint: e.Checkpoint})
 	}
-	if len(reply.Ended) >= maxEndsPerReply {
-		return ends // the list may be truncated, so a missing run means nothing
+	if len(reply.Ended) >= maxEndsPerReply || reply.Unreadable != nil {
+		return ends // the lists may lack rows, so a missing run means nothing
 	}
 	for key, o := range s.orders {
 		if !running[key] && !ended[key] && !o.released {
--- a/internal/dispatch/silence_test.go
+++ b/internal/dispatch/silence_test.go
@@ -1,12 +1,14 @@
 package dispatch
 
 import (
+	"errors"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
 
+	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
 	"bergamotdrum.example/bergamotdrum/internal/batch"
 	"bergamotdrum.example/bergamotdrum/internal/state"
 )
@@ -108,3 +110,30 @@
 		g.Expect(newSession(h.dispatcher, target).lease.endsBy).To(BeNumerically(">=", first.lease.endsBy))
 	})
 }
+
+// Guards against the loss of a minion's runs, or of the end that it can't be
+// read from, because one row of its replies is malformed.
+func TestUnreadableRowConcernsOnlyItself(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		h := newHarness(t, 1)
+		defer h.endTerm()
+		s := newSession(h.dispatcher, Target{Incarnation: batch.Incarnation{ID: "a", StartedMS: 1}})
+		run := func(index uint32) batch.RunKey {
+			return batch.RunKey{TaskRef: batch.TaskRef{Job: "job0", Index: index}, Number: 1}
+		}
+		for i := range uint32(3) {
+			s.orders[run(i)] = &runOrder{state: orderStarted}
+		}
+		reply := &HoldReply{
+			StartedMS: 1, Running: []RunStatus{{Run: run(0)}},
+			Ended: []ReportedEnd{{EndNumber: 6, Run: run(1), End: apiv1.RunEnd_RUN_END_DONE}},
+			// The end of the third run, number 5, cannot be read.
+			Unreadable: errors.New("row"), AckableEnd: 4,
+		}
+		ends := s.reconcile(reply, time.Second, 2*time.Second)
+		g.Expect(ends).To(HaveLen(1))
+		g.Expect(s.orders[run(2)].stopRequested).To(BeFalse())
+		g.Expect(reply.lastAckable()).To(BeNumerically("==", 4))
+	})
+}
