session: a refusal after a lost answer doesn't say that nothing ran

Cause: the control client repeats a call whose answer was lost. When the repetition was refused for a reason that arose meanwhile (a key withdrawn, a queue removed, a full queue, a replica that stops), the refusal went to the caller as "not run", although the first attempt may have been accepted and its job may run.

Such a refusal is OUTCOME_UNKNOWN now, unless its reason is the request itself. Queries change nothing and keep their answer, so the client has a method of its own for them.

--- a/internal/batchservice/client.go
+++ b/internal/batchservice/client.go
@@ -12,6 +12,8 @@
 // it. A call may be sent again after a lost response, so it must be idempotent.
 type Invoker interface {
 	Invoke(ctx context.Context, method string, req, resp proto.Message) error
+	// Query is Invoke for a method that changes nothing.
+	Query(ctx context.Context, method string, req, resp proto.Message) error
 }
 
 // Client calls the batch service at the control leader, the leader of the control
@@ -31,7 +33,7 @@
 // waiting jobs if the path names only a queue.
 func (c *Client) Get(ctx context.Context, call *apiv1.QueueCall) (*apiv1.GetBatchResponse, error) {
 	resp := &apiv1.GetBatchResponse{}
-	return resp, c.control.Invoke(ctx, MethodGet, &apiv1.GetBatchRequest{Call: call}, resp)
+	return resp, c.control.Query(ctx, MethodGet, &apiv1.GetBatchRequest{Call: call}, resp)
 }
 
 // Cancel cancels the job that the call's path names.
@@ -50,7 +52,7 @@
 // until one has been published.
 func (c *Client) GetCatalog(ctx context.Context) (*apiv1.GetCatalogResponse, error) {
 	resp := &apiv1.GetCatalogResponse{}
-	return resp, c.control.Invoke(ctx, MethodGetCatalog, &apiv1.GetCatalogRequest{}, resp)
+	return resp, c.control.Query(ctx, MethodGetCatalog, &apiv1.GetCatalogRequest{}, resp)
 }
 
 // SetZone takes an availability zone out of service, or back in if out is false.
@@ -68,7 +70,7 @@
 // over: finished, or the machine is gone. An unknown wave is an error.
 func (c *Client) WaveCompleted(ctx context.Context, number uint64) (bool, error) {
 	resp := &apiv1.GetWaveResponse{}
-	err := c.control.Invoke(ctx, MethodGetWave, &apiv1.GetWaveRequest{Number: number}, resp)
+	err := c.control.Query(ctx, MethodGetWave, &apiv1.GetWaveRequest{Number: number}, resp)
 	return resp.Completed, err
 }
 
--- a/internal/session/control.go
+++ b/internal/session/control.go
@@ -66,7 +66,11 @@
 // ends. NO_QUORUM means that no leader was reached and nothing was executed.
 func (c *ControlClient) Execute(ctx context.Context, cmd *apiv1.Command) (*apiv1.CommandResult, error) {
 	res := &apiv1.CommandResult{}
-	if err := c.call(ctx, "Control.Execute", cmd, res, IsIdempotent(cmd)); err != nil {
+	kind := once
+	if IsIdempotent(cmd) {
+		kind = repeatable
+	}
+	if err := c.call(ctx, "Control.Execute", cmd, res, kind); err != nil {
 		return nil, err
 	}
 	if err := result.FromStatus(res.Status); err != nil {
@@ -80,28 +84,28 @@
 // part of the replicated state that entry processes receive (long poll).
 func (c *ControlClient) RenewSession(ctx context.Context, req *apiv1.RenewSession) (*apiv1.SessionRenewal, error) {
 	resp := &apiv1.SessionRenewal{}
-	return resp, c.call(ctx, methodRenew, req, resp, true)
+	return resp, c.call(ctx, methodRenew, req, resp, repeatable)
 }
 
 // GetView returns the leader's current view. The configuration is left out when
 // req says that the caller already has it.
 func (c *ControlClient) GetView(ctx context.Context, req *apiv1.GetView) (*apiv1.View, error) {
 	resp := &apiv1.View{}
-	return resp, c.call(ctx, "Control.GetView", req, resp, true)
+	return resp, c.call(ctx, "Control.GetView", req, resp, query)
 }
 
 // ReportWorkers forwards heartbeats of workers. It is not sent again after a
 // lost answer, because workers send a newer heartbeat each second.
 func (c *ControlClient) ReportWorkers(ctx context.Context, req *apiv1.WorkerBatch) (*apiv1.WorkerBatchReply, error) {
 	resp := &apiv1.WorkerBatchReply{}
-	return resp, c.call(ctx, "Control.ReportWorkers", req, resp, false)
+	return resp, c.call(ctx, "Control.ReportWorkers", req, resp, once)
 }
 
 // GetJob returns a job of the client account that req names; operators name
 // none and get a job of any account.
 func (c *ControlClient) GetJob(ctx context.Context, req *apiv1.GetJob) (*apiv1.Job, error) {
 	resp := &apiv1.Job{}
-	return resp, c.call(ctx, "Control.GetJob", req, resp, true)
+	return resp, c.call(ctx, "Control.GetJob", req, resp, query)
 }
 
 // IsIdempotent reports whether committing cmd twice has the same effect as
@@ -132,7 +136,12 @@
 // executed twice, and sends it again after a lost answer. Errors are as with
 // Execute.
 func (c *ControlClient) Invoke(ctx context.Context, method string, req, resp proto.Message) error {
-	return c.call(ctx, method, req, resp, true)
+	return c.call(ctx, method, req, resp, repeatable)
+}
+
+// Query is Invoke for a method that changes nothing.
+func (c *ControlClient) Query(ctx context.Context, method string, req, resp proto.Message) error {
+	return c.call(ctx, method, req, resp, query)
 }
 
 // SetAddresses replaces the addresses (ip:port) at which the leader is searched
@@ -149,7 +158,21 @@
 	return max(len(c.addresses), 1)
 }
 
-func (c *ControlClient) call(ctx context.Context, method string, req, resp proto.Message, idempotent bool) error {
+// callKind says what follows when the answer to a call is lost.
+type callKind int
+
+const (
+	// once means that the call is not sent again; its outcome is unknown.
+	once callKind = iota
+	// repeatable means that the call is sent again: executing it twice has the same
+	// effect as executing it once.
+	repeatable
+	// query means that the call is sent again and changes nothing, so that what a
+	// later answer says holds whatever became of the earlier attempts.
+	query
+)
+
+func (c *ControlClient) call(ctx context.Context, method string, req, resp proto.Message, kind callKind) error {
 	if _, ok := ctx.Deadline(); !ok {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, defaultTotalTimeout)
@@ -166,10 +189,13 @@
 		}
 		retry, maybeExecuted := c.classify(address, err)
 		if !retry {
+			if anyExecuted && kind != query && dependsOnState(err) {
+				return newUnknownOutcomeError(method, err)
+			}
 			return err
 		}
 		anyExecuted = anyExecuted || maybeExecuted
-		if maybeExecuted && !idempotent {
+		if maybeExecuted && kind == once {
 			return newUnknownOutcomeError(method, err)
 		}
 		if c.isRedirect(err) && redirects < maxRedirects {
@@ -223,6 +249,22 @@
 	return false, false
 }
 
+// dependsOnState reports whether a refusal may have another reason than the
+// content of the request. If so, it doesn't say that an earlier attempt of the same
+// call was refused as well.
+func dependsOnState(err error) bool {
+	re, ok := errors.AsType[*result.Error](err)
+	if !ok || !re.NotRun {
+		return false
+	}
+	switch re.Code {
+	case apiv1.ResultCode_RESULT_CODE_INVALID_ARGUMENT, apiv1.ResultCode_RESULT_CODE_CONFIG_INVALID,
+		apiv1.ResultCode_RESULT_CODE_TOO_LARGE, apiv1.ResultCode_RESULT_CODE_JOB_NOT_FOUND:
+		return false
+	}
+	return true
+}
+
 func (c *ControlClient) isRedirect(err error) bool {
 	re, ok := errors.AsType[*result.Error](err)
 	return ok && re.LeaderAddress != ""
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -82,6 +82,36 @@
 	})
 }
 
+// Guards against a caller that is told that nothing ran although it may have: the
+// answer to a call was lost, and its repetition is refused because the state has
+// changed meanwhile, for example since the caller's key was withdrawn.
+func TestRefusalAfterLostAnswerIsUnknown(t *testing.T) {
+	for code, want := range map[apiv1.ResultCode]apiv1.ResultCode{
+		apiv1.ResultCode_RESULT_CODE_UNAUTHENTICATED:  apiv1.ResultCode_RESULT_CODE_OUTCOME_UNKNOWN,
+		apiv1.ResultCode_RESULT_CODE_UNKNOWN_QUEUE:    apiv1.ResultCode_RESULT_CODE_OUTCOME_UNKNOWN,
+		apiv1.ResultCode_RESULT_CODE_QUEUE_FULL:       apiv1.ResultCode_RESULT_CODE_OUTCOME_UNKNOWN,
+		apiv1.ResultCode_RESULT_CODE_SHUTTING_DOWN:    apiv1.ResultCode_RESULT_CODE_OUTCOME_UNKNOWN,
+		apiv1.ResultCode_RESULT_CODE_INVALID_ARGUMENT: apiv1.ResultCode_RESULT_CODE_INVALID_ARGUMENT,
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			calls := 0
+			refuse := func(string, proto.Message) error { return result.NotRun(code, "no") }
+			r := fakeReplicas{"a": loseAnswer(&calls), "b": refuse}
+			c := NewControlClient(r, []string{"a", "b"})
+			err := c.Invoke(t.Context(), "Batch.Submit", &apiv1.Empty{}, &apiv1.Empty{})
+			g.Expect(result.CodeOf(err)).To(Equal(want), code.String())
+			g.Expect(result.From(err).NotRun).To(Equal(want == code), code.String())
+			c = NewControlClient(r, []string{"b"})
+			err = c.Invoke(t.Context(), "Batch.Submit", &apiv1.Empty{}, &apiv1.Empty{})
+			g.Expect(result.CodeOf(err)).To(Equal(code), "no answer was lost")
+			c = NewControlClient(r, []string{"a", "b"})
+			err = c.Query(t.Context(), "Batch.Get", &apiv1.Empty{}, &apiv1.Empty{})
+			g.Expect(result.CodeOf(err)).To(Equal(code), "a query changes nothing")
+		})
+	}
+}
+
 // fakeControlGroup implements ControlGroup with answers that the test sets.
 type fakeControlGroup struct {
 	mu            sync.Mutex
