batchservice: a call that waited in vain for its confirmation has not run

Cause: a call that waits for a quorum to confirm the leader got the bare error of its context when the time ran out, which is INTERNAL with an unknown outcome, so callers got 504 and asked again for a job that was never proposed.

The error is NO_QUORUM, not run (503 with Retry-After). TestReadWithoutConfirmationHasNotRun fails without the change.

--- a/internal/batchservice/barrier.go
+++ b/internal/batchservice/barrier.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"sync"
+
+	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+	"bergamotdrum.example/bergamotdrum/internal/result"
 )
 
 // readBarrier makes reads linearizable: before a read, a quorum confirms that
@@ -31,7 +34,8 @@
 }
 
 // wait returns nil once a confirmation that began after the call has succeeded.
-// It returns the confirmation's error, or that of ctx if ctx ends first.
+// It returns the confirmation's error, or NO_QUORUM if ctx ends first. Either way
+// the read, and a call that waits for it, has not run.
 func (b *readBarrier) wait(ctx context.Context) error {
 	b.mu.Lock()
 	if b.pending == nil {
@@ -47,10 +51,14 @@
 	case <-c.done:
 		return c.err
 	case <-ctx.Done():
-		return ctx.Err()
+		return errNotConfirmed(ctx.Err())
 	}
 }
 
+func errNotConfirmed(err error) error {
+	return result.NotRun(apiv1.ResultCode_RESULT_CODE_NO_QUORUM, "no quorum confirmed the leader: %v", err)
+}
+
 // run performs confirmations one after the other until no read waits for one.
 func (b *readBarrier) run() {
 	for {
--- a/internal/batchservice/barrier_test.go
+++ b/internal/batchservice/barrier_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+	"bergamotdrum.example/bergamotdrum/internal/result"
 	_ "bergamotdrum.example/bergamotdrum/internal/testseed"
 )
 
@@ -55,6 +56,24 @@
 	g.Expect(b.wait(t.Context())).To(MatchError(errDeposed))
 }
 
+// Guards against a caller that is told that the outcome of its call is unknown
+// when nothing was proposed yet: the call waited for its confirmation in vain.
+func TestReadWithoutConfirmationHasNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		b := newReadBarrier(func(ctx context.Context) error {
+			<-ctx.Done()
+			return ctx.Err()
+		})
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		err := b.wait(ctx)
+		g.Expect(result.CodeOf(err)).To(Equal(apiv1.ResultCode_RESULT_CODE_NO_QUORUM))
+		g.Expect(result.From(err).NotRun).To(BeTrue())
+		time.Sleep(2 * confirmTimeout)
+	})
+}
+
 // Guards against a job id that makes task names ambiguous: a task's name joins
 // the job id and numbers with dots.
 func TestJobIDs(t *testing.T) {
