rpc: a panic in a handler ends only its call

Cause: a call whose handler panicked ended the whole process, since nothing recovered on the goroutine of the call; a submission without a job, a wave request without a wave and an announcement without a minion did that at the leader, and then at the next one, as the client repeats such calls.

The server recovers, logs the stack and answers INTERNAL with an unknown outcome; the batch service refuses requests that lack a part as INVALID_ARGUMENT. TestPanicEndsOnlyItsCall and TestRequestsWithoutContentAreRefused end the test process without the change (nil pointer dereference).

--- a/internal/batchservice/calls.go
+++ b/internal/batchservice/calls.go
@@ -25,6 +25,9 @@
 		return nil, err
 	}
 	job := req.Job
+	if job == nil {
+		return nil, errWithout("job")
+	}
 	if !isValidJobID(caller.Subpath) {
 		return nil, result.NotRun(apiv1.ResultCode_RESULT_CODE_NOT_FOUND, "%q is not a job id", caller.Subpath)
 	}
@@ -38,6 +41,11 @@
 	return &apiv1.SubmitBatchResponse{}, err
 }
 
+// errWithout returns the error for a request that lacks a part.
+func errWithout(part string) error {
+	return result.NotRun(apiv1.ResultCode_RESULT_CODE_INVALID_ARGUMENT, "request has no %s", part)
+}
+
 // jobIDDigits is the length of a job id in hexadecimal digits.
 const jobIDDigits = 16
 
@@ -105,6 +113,9 @@
 // putCatalog proposes a catalog, the batch configuration of queues, pools and
 // client accounts.
 func (s *Server) putCatalog(ctx context.Context, _ *dispatch.Dispatcher, req *apiv1.PutCatalogRequest) (*apiv1.Empty, error) {
+	if req.Catalog == nil {
+		return nil, errWithout("catalog")
+	}
 	res, err := s.propose(ctx, &apiv1.BatchCommand{Body: &apiv1.BatchCommand_PutCatalog{PutCatalog: req.Catalog}})
 	s.logCall("catalog received", err, logrus.Fields{"version": req.Catalog.GetVersion(), "version_in_force": res.GetCatalogVersion()})
 	return &apiv1.Empty{}, err
@@ -130,6 +141,9 @@
 // startWave proposes a maintenance wave. The request carries a duration; its due
 // time is computed from the leader's wall clock.
 func (s *Server) startWave(ctx context.Context, _ *dispatch.Dispatcher, req *apiv1.StartWaveRequest) (*apiv1.Empty, error) {
+	if req.Wave == nil {
+		return nil, errWithout("wave")
+	}
 	req.Wave.DueUnixMs = time.Now().UnixMilli() + int64(req.DurationMs)
 	_, err := s.propose(ctx, &apiv1.BatchCommand{Body: &apiv1.BatchCommand_StartWave{StartWave: req.Wave}})
 	s.logCall("maintenance wave received", err, logrus.Fields{"wave": req.Wave.Number, "machines": len(req.Wave.Machines), "max_down": req.Wave.MaxDown})
@@ -152,6 +166,9 @@
 // announce records a minion's announcement and replies with the address of this
 // replica, the leader, for later announcements.
 func (s *Server) announce(ctx context.Context, d *dispatch.Dispatcher, req *apiv1.AnnounceMinionRequest) (*apiv1.AnnounceMinionResponse, error) {
+	if req.Minion.GetLife().GetId() == "" {
+		return nil, errWithout("minion")
+	}
 	if err := d.Announce(ctx, req); err != nil {
 		return nil, err
 	}
--- a/internal/batchservice/server_test.go
+++ b/internal/batchservice/server_test.go
@@ -10,6 +10,7 @@
 
 	. "github.com/onsi/gomega"
 	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
 
 	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
 	"bergamotdrum.example/bergamotdrum/internal/batch"
@@ -55,7 +56,7 @@
 	g := NewWithT(t)
 	stateMachine := state.New()
 	s := New(Options{StateMachine: stateMachine, Log: discardLogger(), Dispatch: dispatch.Options{Clock: clock.Boot{}}})
-	server := rpc.NewServer(nil)
+	server := rpc.NewServer(nil, discardLogger())
 	s.Register(server)
 	s.SetNode(&immediateNode{stateMachine: stateMachine})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -139,5 +140,26 @@
 	g.Expect(result.From(err).NotRun).To(BeTrue())
 }
 
+// Guards against a request without its parts that ends the whole process.
+func TestRequestsWithoutContentAreRefused(t *testing.T) {
+	g := NewWithT(t)
+	c := startService(t, true)
+	g.Expect(c.PutCatalog(t.Context(), catalog(1))).To(Succeed())
+	call := &apiv1.QueueCall{Host: "h", Path: "/q/5c0e7a21d94b36f8", Key: "k"}
+	for method, req := range map[string]proto.Message{
+		MethodSubmit: &apiv1.SubmitBatchRequest{Call: call}, MethodPutCatalog: &apiv1.PutCatalogRequest{},
+		MethodStartWave: &apiv1.StartWaveRequest{}, MethodAnnounce: &apiv1.AnnounceMinionRequest{Minion: &apiv1.BatchMinion{}},
+	} {
+		err := c.control.Invoke(t.Context(), method, req, &apiv1.Empty{})
+		g.Expect(result.CodeOf(err)).To(Equal(apiv1.ResultCode_RESULT_CODE_INVALID_ARGUMENT), method)
+		g.Expect(result.From(err).NotRun).To(BeTrue(), method)
+	}
+	for _, method := range []string{MethodSubmit, MethodGet, MethodCancel, MethodSetZone, MethodAnnounce} {
+		g.Expect(c.control.Invoke(t.Context(), method, &apiv1.Empty{}, &apiv1.Empty{})).To(Or(Succeed(), HaveOccurred()), method)
+	}
+	_, err := c.GetCatalog(t.Context())
+	g.Expect(err).NotTo(HaveOccurred(), "the process still serves")
+}
+
 // callTimeout bounds a call that is retried because no replica leads.
 const callTimeout = 200 * time.Millisecond
--- a/internal/capacity/fixture_test.go
+++ b/internal/capacity/fixture_test.go
@@ -244,7 +244,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { srv.OnLeader(ctx); close(done) }()
-	server, w := rpc.NewServer([]byte("secret")), listen(tb)
+	server, w := rpc.NewServer([]byte("secret"), logrus.NewEntry(log)), listen(tb)
 	srv.Register(server)
 	go server.Serve(w)
 	client := rpc.NewClient([]byte("secret"))
--- a/internal/daemon/batchcore/daemon.go
+++ b/internal/daemon/batchcore/daemon.go
@@ -81,7 +81,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Daemon{Process: process, rpcServer: rpc.NewServer(secret), rpcClient: rpc.NewClient(secret)}
+	d := &Daemon{Process: process, rpcServer: rpc.NewServer(secret, process.Log), rpcClient: rpc.NewClient(secret)}
 	if err := d.startReplica(settings, a, seeds); err != nil {
 		for _, l := range listeners {
 			l.Close()
--- a/internal/daemon/control/daemon.go
+++ b/internal/daemon/control/daemon.go
@@ -64,7 +64,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Daemon{Process: process, rpcServer: rpc.NewServer(secret), rpcClient: rpc.NewClient(secret)}
+	d := &Daemon{Process: process, rpcServer: rpc.NewServer(secret, process.Log), rpcClient: rpc.NewClient(secret)}
 	if err := d.startReplica(cfg, keys, addresses); err != nil {
 		for _, l := range listeners {
 			l.Close()
--- a/internal/daemon/entry/daemon.go
+++ b/internal/daemon/entry/daemon.go
@@ -66,7 +66,7 @@
 	d := &Daemon{
 		Process:   process,
 		settings:  settings,
-		rpcServer: rpc.NewServer(secret),
+		rpcServer: rpc.NewServer(secret, process.Log),
 		rpcClient: rpc.NewClient(secret),
 	}
 	d.wire()
--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -130,7 +130,7 @@
 func (c *cluster) startOn(m *member, l net.Listener) {
 	secret := []byte("secret")
 	m.appliedAtStart.Store(0)
-	m.stateMachine, m.server, m.client = &authorRecorder{}, rpc.NewServer(secret), rpc.NewClient(secret)
+	m.stateMachine, m.server, m.client = &authorRecorder{}, rpc.NewServer(secret, logrus.WithField("address", m.address)), rpc.NewClient(secret)
 	o := c.options
 	o.DataFolder, o.RPCAddress, o.StateMachine, o.RPCServer, o.RPCClient = m.folder, m.address, m.stateMachine, m.server, m.client
 	o.OnLeader = m.onLeader
--- a/internal/replica/node_test.go
+++ b/internal/replica/node_test.go
@@ -187,7 +187,7 @@
 	c.g.Expect(os.WriteFile(last, data, 0o600)).To(Succeed())
 	o := c.options
 	o.DataFolder, o.RPCAddress, o.StateMachine = m.folder, m.address, &authorRecorder{}
-	o.RPCServer, o.RPCClient = rpc.NewServer(nil), rpc.NewClient(nil)
+	o.RPCServer, o.RPCClient = rpc.NewServer(nil, logrus.WithField("address", m.address)), rpc.NewClient(nil)
 	_, err = Start(o)
 	c.g.Expect(result.CodeOf(err)).To(Equal(apiv1.ResultCode_RESULT_CODE_DATA_DAMAGED))
 	c.g.Expect(err.Error()).To(And(ContainSubstring(filepath.Base(last)), ContainSubstring("offset"), ContainSubstring("record")))
--- a/internal/rpc/rpc_test.go
+++ b/internal/rpc/rpc_test.go
@@ -3,22 +3,30 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
 
 	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
 	"bergamotdrum.example/bergamotdrum/internal/fakes"
 	"bergamotdrum.example/bergamotdrum/internal/result"
 )
 
+func discardLogger() *logrus.Entry {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return logrus.NewEntry(log)
+}
+
 func startServer(t *testing.T, secret string) (*Server, string) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
-	s := NewServer([]byte(secret))
+	s := NewServer([]byte(secret), discardLogger())
 	Register(s, "Control.GetJob", func(_ context.Context, req *apiv1.GetJob) (*apiv1.Job, error) {
 		if req.JobId == "" {
 			return nil, result.NotRun(apiv1.ResultCode_RESULT_CODE_JOB_NOT_FOUND, "job id is empty")
@@ -72,7 +80,7 @@
 	g.Expect(call()).NotTo(Succeed())
 	l, err := net.Listen("tcp", addr)
 	g.Expect(err).NotTo(HaveOccurred())
-	s2 := NewServer([]byte("secret"))
+	s2 := NewServer([]byte("secret"), discardLogger())
 	Register(s2, "Control.GetJob", func(context.Context, *apiv1.GetJob) (*apiv1.Job, error) { return &apiv1.Job{}, nil })
 	go s2.Serve(l)
 	defer s2.Close()
@@ -99,3 +107,20 @@
 	g.Expect(call()).NotTo(Succeed())
 	g.Eventually(call).WithTimeout(20 * time.Second).Should(Succeed())
 }
+
+// Guards against a process that ends because one call makes its handler panic. The
+// call may have had an effect before.
+func TestPanicEndsOnlyItsCall(t *testing.T) {
+	g := NewWithT(t)
+	s, addr := startServer(t, "secret")
+	Register(s, "Control.GetView", func(context.Context, *apiv1.GetView) (*apiv1.View, error) {
+		var missing *apiv1.View
+		return &apiv1.View{Version: missing.Version}, nil
+	})
+	c := NewClient([]byte("secret"))
+	defer c.Close()
+	err := c.Call(t.Context(), addr, "Control.GetView", &apiv1.GetView{}, &apiv1.View{})
+	g.Expect(result.CodeOf(err)).To(Equal(apiv1.ResultCode_RESULT_CODE_INTERNAL))
+	g.Expect(result.From(err).NotRun).To(BeFalse())
+	g.Expect(c.Call(t.Context(), addr, "Control.GetJob", &apiv1.GetJob{JobId: "a"}, &apiv1.Job{})).To(Succeed())
+}
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -6,10 +6,12 @@
 	"fmt"
 	"io"
 	"net"
+	"runtime/debug"
 	"sync"
 	"time"
 
 	"github.com/hashicorp/yamux"
+	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/proto"
 
 	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
@@ -50,6 +52,7 @@
 // them, each in its own goroutine.
 type Server struct {
 	secret   []byte
+	log      *logrus.Entry
 	mu       sync.Mutex
 	handlers map[string]handler
 	conns    map[*yamux.Session]struct{}
@@ -60,11 +63,13 @@
 	cancel   context.CancelFunc
 }
 
-// NewServer returns a server that accepts peers which know the cluster secret.
-func NewServer(secret []byte) *Server {
+// NewServer returns a server that accepts peers which know the cluster secret. It
+// logs panics of handlers to log.
+func NewServer(secret []byte, log *logrus.Entry) *Server {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Server{
 		secret:   secret,
+		log:      log,
 		handlers: map[string]handler{},
 		conns:    map[*yamux.Session]struct{}{},
 		ctx:      ctx,
@@ -219,7 +224,7 @@
 		err := result.NotRun(apiv1.ResultCode_RESULT_CODE_INVALID_ARGUMENT, "method %q does not exist here", req.Method)
 		return &apiv1.RpcResponse{Status: err.Status()}
 	}
-	m, err := h(ctx, req.Body)
+	m, err := s.runHandler(ctx, h, req)
 	if err != nil {
 		return &apiv1.RpcResponse{Status: result.From(err).Status()}
 	}
@@ -229,3 +234,15 @@
 	}
 	return &apiv1.RpcResponse{Body: body}
 }
+
+// runHandler calls a handler. A panic ends only this call, whose outcome is unknown
+// then.
+func (s *Server) runHandler(ctx context.Context, h handler, req *apiv1.RpcRequest) (m proto.Message, err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			s.log.WithFields(logrus.Fields{"method": req.Method, "panic": fmt.Sprint(r), "stack": string(debug.Stack())}).Error("call panicked")
+			err = result.New(apiv1.ResultCode_RESULT_CODE_INTERNAL, "%s failed unexpectedly; it may have been carried out", req.Method)
+		}
+	}()
+	return h(ctx, req.Body)
+}
