batch: ignore committed minions without an id

Cause: a committed record of a minion without its life made each replica that applied it panic, again after each restart from the same log.

--- a/internal/batch/minions.go
+++ b/internal/batch/minions.go
@@ -7,13 +7,16 @@
 // observeMinions records minions (worker processes) that announced themselves,
 // and incarnations (lifetimes of a minion's process) that are gone, which means
 // that they have ended. An announcement of an earlier incarnation than the
-// recorded one is ignored. Runs (executions of tasks) on an incarnation that is
+// recorded one, or one without an id, is ignored. Runs (executions of tasks) on an incarnation that is
 // gone end as lost.
 func (s *State) observeMinions(logTimeMS int64, cmd *apiv1.ObserveMinions) {
 	for _, m := range cmd.Minions {
-		known := s.minions[m.Life.GetId()]
-		if known == nil || known.Life.BornUnixMs <= m.Life.GetBornUnixMs() {
-			s.minions[m.Life.GetId()] = m
+		if m.Life.GetId() == "" {
+			continue
+		}
+		known := s.minions[m.Life.Id]
+		if known == nil || known.Life.BornUnixMs <= m.Life.BornUnixMs {
+			s.minions[m.Life.Id] = m
 		}
 	}
 	for _, gone := range cmd.Gone {
