--- a/internal/replica/node_test.go
+++ b/internal/replica/node_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
 	"go.uber.org/goleak"
 
 	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
