Check a machine order's permission when it is written

Cause: the leader checked that a quorum had confirmed it within the last second, then committed the order, took a connection and wrote. A process that was suspended in between, or waited up to 2 s for a connection, gave the order when another leader may have given its own; on the platform machine orders are not fenced everywhere. Orders to minions carry a fencing token that each minion checks, so they need nothing more.

--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -230,7 +230,7 @@
 
 // newOrder returns an order for a machine in the name of this leader.
 func (f *fleetManager) newOrder(machine string) MachineOrder {
-	return MachineOrder{Machine: machine, Holder: f.opts.Holder, Token: f.d.term}
+	return MachineOrder{Machine: machine, Holder: f.opts.Holder, Token: f.d.term, Permitted: f.d.leadershipConfirmed}
 }
 
 // machineCall is one order for a machine, with what follows from its answer.
--- a/internal/dispatch/machineorders_test.go
+++ b/internal/dispatch/machineorders_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -138,3 +139,47 @@
 		}
 	})
 }
+
+// suspendedProvider has the idle machine m0. During the first order the process is
+// suspended, and another leader is elected meanwhile.
+type suspendedProvider struct {
+	slowProvider
+	orders, written atomic.Int32
+}
+
+func (p *suspendedProvider) Move(_ context.Context, o MachineOrder, _ string) error {
+	if p.orders.Add(1) > 1 {
+		return &ProviderRefusal{Reason: ProviderThrottled}
+	}
+	p.harness.node.setDeposed(true)
+	time.Sleep(2 * leadershipTTL)
+	if !o.Permitted() {
+		return ErrNotPermitted
+	}
+	p.written.Add(1)
+	return nil
+}
+
+// Guards against an order for a machine by a process that was suspended, between
+// the check that it leads and the writing of the order, until another one leads.
+func TestSuspendedLeaderGivesNoMachineOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		h := newHarness(t, 1)
+		h.endTerm()
+		h.propose(&apiv1.BatchCommand{Body: &apiv1.BatchCommand_PutCatalog{PutCatalog: &apiv1.Catalog{
+			Version: 2, Pools: []*apiv1.BatchPool{{Name: "p"}, {Name: "off", Spare: true}},
+			Queues: []*apiv1.BatchQueue{{Name: "q", Pool: "p", MaxAttempts: 3}},
+		}}})
+		p := &suspendedProvider{slowProvider: slowProvider{harness: h}}
+		h.fleet = FleetOptions{Provider: p, Holder: "leader"}
+		h.startTerm()
+		defer h.endTerm()
+		for i := range 2 {
+			h.announce(h.cluster.add(fmt.Sprint("m", i)))
+		}
+		time.Sleep(20 * time.Second)
+		g.Expect(p.orders.Load()).NotTo(BeZero())
+		g.Expect(p.written.Load()).To(BeZero())
+	})
+}
--- a/internal/dispatch/provider.go
+++ b/internal/dispatch/provider.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 
 	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
@@ -44,8 +45,16 @@
 	// Token is a fencing token that grows with each new leader: the provider
 	// refuses orders with a lower token than the highest one that it has seen.
 	Token uint64
+	// Permitted reports whether the order may still be given. A client asks it
+	// again immediately before it writes the order, since the process may have been
+	// suspended, or have waited for a connection, since the order was made.
+	Permitted func() bool
 }
 
+// ErrNotPermitted means that an order was not sent, because its giver's permission
+// had ended.
+var ErrNotPermitted = errors.New("order is no longer permitted")
+
 // ProviderRefusalReason is why the provider did not carry out an order.
 type ProviderRefusalReason int
 
