--- a/internal/batch/state_test.go
+++ b/internal/batch/state_test.go
@@ -344,3 +344,21 @@
 		g.Expect(result.CodeOf(CheckCatalog(c))).To(Equal(apiv1.ResultCode_RESULT_CODE_CONFIG_INVALID), name)
 	}
 }
+
+// Guards against a key that is accepted again after it was withdrawn: a replica
+// restarts from its snapshot, and the catalog that had the key arrives once more.
+func TestWithdrawnKeyStaysWithdrawnAfterRestart(t *testing.T) {
+	f := newFixture(t)
+	withoutKey := testCatalog(2)
+	withoutKey.Accounts[0].KeyHashes = nil
+	f.apply(&apiv1.BatchCommand{Body: &apiv1.BatchCommand_PutCatalog{PutCatalog: withoutKey}})
+	data, err := proto.Marshal(f.s.Snapshot())
+	f.Expect(err).NotTo(HaveOccurred())
+	snap := &apiv1.BatchSnapshot{}
+	f.Expect(proto.Unmarshal(data, snap)).To(Succeed())
+	f.s = New()
+	f.s.Restore(snap)
+	f.apply(&apiv1.BatchCommand{Body: &apiv1.BatchCommand_PutCatalog{PutCatalog: testCatalog(1)}})
+	_, refused := f.s.Authorize(&apiv1.QueueCall{Host: "h", Path: "/q/5c0e7a21d94b36f8", Key: "key-a"})
+	f.Expect(refused.Code).To(Equal(apiv1.ResultCode_RESULT_CODE_UNAUTHENTICATED))
+}
