dispatch: count tasks that start up as what a maintenance ends

Cause: a long-running task that wasn't at full speed at its minion's last answer counted as certainly unavailable, so its machine could go into maintenance. Between two answers (200 ms) it may reach full speed. The same break can come at any machine count.

The runs on a machine that start up now count as ended by its maintenance, and no longer as away for themselves.

--- a/internal/dispatch/availability.go
+++ b/internal/dispatch/availability.go
@@ -19,9 +19,7 @@
 	// unavailable counts the other tasks of each step.
 	unavailable map[batch.TaskRef]int
 	// usable holds the incarnations (lifetimes of a minion's process) that
-	// answered recently and have not just refused an order (see session.usable). A
-	// task which one of them doesn't report at full speed is certainly
-	// unavailable.
+	// answered recently and have not just refused an order (see session.usable).
 	usable map[batch.Incarnation]bool
 }
 
@@ -29,7 +27,7 @@
 // step exceeding its limit of unavailable tasks.
 func (t taskAvailability) allowsMaintenance(l machineLoad) bool {
 	for _, s := range l.steps {
-		if t.unavailable[s.step]+len(s.runs) > s.maxUnavailable {
+		if t.unavailable[s.step]-s.starting+len(s.runs) > s.maxUnavailable {
 			return false
 		}
 	}
@@ -39,7 +37,7 @@
 // markUnavailable counts the tasks of a machine that goes down as unavailable.
 func (t taskAvailability) markUnavailable(l machineLoad) {
 	for _, s := range l.steps {
-		t.unavailable[s.step] += len(s.runs)
+		t.unavailable[s.step] += len(s.runs) - s.starting
 	}
 }
 
--- a/internal/dispatch/waves.go
+++ b/internal/dispatch/waves.go
@@ -138,17 +138,21 @@
 	// work) on the machine.
 	unknown bool
 	// steps are the long-running steps that limit their unavailable tasks and have
-	// available tasks on the machine.
+	// tasks on the machine.
 	steps []stepLoad
 }
 
-// stepLoad lists the available tasks of one long-running step on a machine.
+// stepLoad lists the tasks of one long-running step on a machine. Tasks that were
+// not available when the minion last answered may be so now.
 type stepLoad struct {
 	step batch.TaskRef
 	// maxUnavailable is how many tasks of the step may be unavailable at the same
 	// time.
 	maxUnavailable int
 	runs           []batch.RunKey
+	// starting is how many of runs were not available, and so are counted among the
+	// step's unavailable tasks.
+	starting int
 }
 
 // advanceWave starts the maintenance that may start now and returns the machines
@@ -322,22 +326,25 @@
 			// the minion's long-running tasks are available (can do their work). The
 			// machine gets no maintenance until that is known.
 			l.unknown = true
-		case f.availability.available[r.Ref]:
-			l.add(r)
+		default:
+			l.add(r, f.availability.available[r.Ref])
 		}
 	}
 	return l
 }
 
-// add records an available task. The runs of a machine are added in order of
-// their steps.
-func (l *machineLoad) add(r *batch.ActiveRun) {
+// add records a task of a long-running step. The runs of a machine are added in
+// order of their steps.
+func (l *machineLoad) add(r *batch.ActiveRun, available bool) {
 	step := r.Ref.StepRef()
 	if n := len(l.steps); n == 0 || l.steps[n-1].step != step {
 		l.steps = append(l.steps, stepLoad{step: step, maxUnavailable: int(r.Step.MaxUnavailable)})
 	}
 	last := &l.steps[len(l.steps)-1]
 	last.runs = append(last.runs, r.Key())
+	if !available {
+		last.starting++
+	}
 }
 
 // startMaintenance orders the maintenance of machines. Each order is committed
--- a/internal/dispatch/waves_test.go
+++ b/internal/dispatch/waves_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+	"bergamotdrum.example/bergamotdrum/internal/batch"
 	"bergamotdrum.example/bergamotdrum/internal/state"
 )
 
@@ -199,3 +200,23 @@
 		g.Expect(p.maintained).To(ConsistOf("m0", "m1", "m2"))
 	})
 }
+
+// Guards against maintenance that makes too many tasks of a long-running step
+// unavailable because some of them have finished starting up since the minion's
+// last answer.
+func TestStartingTasksMayBeAvailable(t *testing.T) {
+	g := NewWithT(t)
+	step := batch.TaskRef{Job: "job0"}
+	run := func(index uint32) batch.RunKey {
+		return batch.RunKey{TaskRef: batch.TaskRef{Job: "job0", Index: index}, Number: 1}
+	}
+	load := machineLoad{steps: []stepLoad{{step: step, maxUnavailable: 2, runs: []batch.RunKey{run(0), run(1)}, starting: 2}}}
+	elsewhere := func(unavailable int) taskAvailability {
+		return taskAvailability{unavailable: map[batch.TaskRef]int{step: unavailable + 2}}
+	}
+	g.Expect(elsewhere(0).allowsMaintenance(load)).To(BeTrue())
+	g.Expect(elsewhere(1).allowsMaintenance(load)).To(BeFalse())
+	during := elsewhere(0)
+	during.markUnavailable(load)
+	g.Expect(during.unavailable[step]).To(Equal(2))
+}
