placement: share machines by what can still be done in time

Pools without demand kept half of an equal share.

The demand of jobs that can't meet their limit any more is counted apart and shares only what the others leave. The fleet is divided by max-min fairness, first by the demand of jobs on time, then by the late one; a pool gives up machines beyond its share, those with the fewest runs first, and keeps an eighth of an equal share when it has no demand.

--- a/internal/dispatch/capacity.go
+++ b/internal/dispatch/capacity.go
@@ -66,7 +66,7 @@
 	for _, pool := range slices.Sorted(maps.Keys(plan.Pools)) {
 		s := plan.Pools[pool]
 		f.d.log.WithFields(logrus.Fields{
-			"pool": pool, "machines": s.Machines, "supply_cpu_millis": s.SupplyCPU, "demand_cpu_millis": s.DemandCPU,
+			"pool": pool, "machines": s.Machines, "supply_cpu_millis": s.SupplyCPU, "demand_cpu_millis": s.DemandCPU, "late_cpu_millis": s.LateCPU,
 		}).Info("pool capacity")
 	}
 }
--- a/internal/placement/capacity.go
+++ b/internal/placement/capacity.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"bergamotdrum.example/bergamotdrum/internal/batch"
@@ -12,12 +13,15 @@
 	// demand. The part above the demand lets work start at once that arrives
 	// before further machines do.
 	targetSupplyPercent = 115
-	// minSourceSupplyPercent is the supply that stays in a pool that a machine is
-	// moved out of, in percent of its demand.
-	minSourceSupplyPercent = 125
+	// onSupplyPercent is the supply that stays on in a pool whose idle machines are
+	// powered off, in percent of its highest demand of the last seconds.
+	onSupplyPercent = 125
 	// minShortagePercent is the shortage of a pool below which no machine is moved
 	// there, in percent of the machine's CPU.
 	minShortagePercent = 30
+	// reserveDivisor divides an equal share of all machines into the machines that
+	// stay on in a pool without demand.
+	reserveDivisor = 8
 )
 
 // Machine is a machine of the fleet, as the machine provider names it, that may
@@ -76,8 +80,9 @@
 // PoolSupply is the state of a pool before the moves of a round.
 type PoolSupply struct {
 	Machines int
-	// In thousandths of a core.
-	SupplyCPU, DemandCPU int64
+	// In thousandths of a core. DemandCPU is that of jobs which can meet their
+	// latency limit, LateCPU that of the others.
+	SupplyCPU, DemandCPU, LateCPU int64
 }
 
 // CapacityPlan is the result of PlanCapacity.
@@ -95,28 +100,34 @@
 	pool      string
 	cpuMillis int64
 	machines  int
+	// share is the CPU that the pool may have: others get its machines beyond that.
+	share int64
+	// movable holds the machines that may leave the pool, the best to move first.
+	movable []*Machine
 }
 
+// surplus returns the CPU by which the supply exceeds the share, in thousandths of
+// a core.
+func (s *poolSupply) surplus() int64 { return s.cpuMillis - s.share }
+
 // PlanCapacity plans the machine moves of one round, a pass of the planner. It
-// moves machines to pools with a shortage, first those that are powered off,
-// then those of pools whose supply well exceeds their demand. Then it powers off
-// idle machines. The leader calls it in every round and orders the moves.
+// divides the fleet among the pools by their demand, first that of jobs which can
+// meet their latency limit, then that of late ones, and moves machines to pools
+// that have less than their share: first those that are powered off, then those
+// of pools that have more than theirs. Then it powers off idle machines. The
+// leader calls it in every round and orders the moves.
 func PlanCapacity(in CapacityInput) CapacityPlan {
-	p := &capacityPlanner{in: in, supplies: map[string]*poolSupply{}, claimed: map[string]bool{}}
+	p := &capacityPlanner{in: in, supplies: map[string]*poolSupply{}, spare: &poolSupply{}}
 	for pool := range in.Demands {
 		p.supplies[pool] = &poolSupply{pool: pool}
 	}
-	for _, m := range in.Machines {
-		if s := p.supplies[m.Pool]; s != nil && (m.Available || m.Arriving) {
-			s.cpuMillis += m.CPUMillis
-			s.machines++
-		}
-	}
+	p.minMachines = max(len(in.Machines)/max(len(in.Demands), 1)/reserveDivisor, 1)
+	p.collectMachines()
 	p.out.Pools = map[string]PoolSupply{}
 	for pool, s := range p.supplies {
-		p.out.Pools[pool] = PoolSupply{Machines: s.machines, SupplyCPU: s.cpuMillis, DemandCPU: in.Demands[pool].CPU()}
+		p.out.Pools[pool] = PoolSupply{Machines: s.machines, SupplyCPU: s.cpuMillis, DemandCPU: in.Demands[pool].CPU(), LateCPU: in.Demands[pool].Late}
 	}
-	p.minMachines = max(len(in.Machines)/max(len(in.Demands), 1)/2, 1)
+	p.setShares()
 	for _, s := range p.poolsWithShortage() {
 		p.fillShortage(s)
 	}
@@ -124,61 +135,76 @@
 	return p.out
 }
 
-// powerOffIdle moves idle machines that their pool can do without to the spare
-// pool, which powers them off.
-func (p *capacityPlanner) powerOffIdle() {
+// capacityPlanner is the working state of one round.
+type capacityPlanner struct {
+	in       CapacityInput
+	supplies map[string]*poolSupply
+	// spare has the machines that are powered off.
+	spare *poolSupply
+	// The number of machines that stay on in a pool without demand: half of an
+	// equal share of all machines.
+	minMachines int
+	out         CapacityPlan
+}
+
+// collectMachines counts the supply of each pool and collects the machines that
+// may be moved. A machine that is powered off always may, if it is available.
+// Another one may only when its cooldown is over and it runs no long-running task.
+func (p *capacityPlanner) collectMachines() {
 	for i := range p.in.Machines {
 		m := &p.in.Machines[i]
-		if p.in.PowerOffPool == "" || len(p.out.Moves) >= p.in.MaxMoves {
-			return
+		s := p.supplies[m.Pool]
+		if p.in.SparePools[m.Pool] {
+			s = p.spare
 		}
-		if !m.Idle || m.Runs > 0 || p.in.SparePools[m.Pool] || !p.canMove(m, &poolSupply{pool: p.in.PowerOffPool}) {
+		if s == nil || !m.Available && !m.Arriving {
 			continue
 		}
-		p.claim(m)
-		p.out.Moves = append(p.out.Moves, Move{Machine: m.ID, To: p.in.PowerOffPool, Incarnation: m.Incarnation})
+		if s != p.spare || !m.Arriving {
+			s.cpuMillis += m.CPUMillis
+			s.machines++
+		}
+		if m.Available && !m.Arriving && (s == p.spare || m.CooldownOver && !m.LongRunning) {
+			s.movable = append(s.movable, m)
+		}
 	}
-}
-
-// claim takes a machine out of its pool's supply; it isn't planned again in this
-// round.
-func (p *capacityPlanner) claim(m *Machine) {
-	p.claimed[m.ID] = true
-	if source := p.supplies[m.Pool]; source != nil {
-		source.cpuMillis -= m.CPUMillis
-		source.machines--
+	for _, s := range p.supplies {
+		slices.SortStableFunc(s.movable, func(a, b *Machine) int {
+			return cmp.Or(cmp.Compare(a.Runs, b.Runs), cmp.Compare(a.ID, b.ID))
+		})
 	}
 }
 
-// capacityPlanner is the working state of one round.
-type capacityPlanner struct {
-	in       CapacityInput
-	supplies map[string]*poolSupply
-	claimed  map[string]bool
-	// The number of machines that a pool keeps at least when others are moved out
-	// of it: half of an equal share of all machines.
-	minMachines int
-	out         CapacityPlan
-}
-
-// shortage returns the CPU that is missing from a pool's target supply, in
-// thousandths of a core. It is negative if the pool has more than that.
-func (p *capacityPlanner) shortage(s *poolSupply) int64 {
-	d := p.in.Demands[s.pool]
-	return (d.CPU()+d.ForecastGrowth)*targetSupplyPercent/100 - s.cpuMillis
+// setShares divides the CPU of all machines among the pools.
+func (p *capacityPlanner) setShares() {
+	total := p.spare.cpuMillis
+	wanted, lateWanted := map[string]int64{}, map[string]int64{}
+	for pool, s := range p.supplies {
+		d := p.in.Demands[pool]
+		total += s.cpuMillis
+		wanted[pool] = (d.CPU() + d.ForecastGrowth) * targetSupplyPercent / 100
+		lateWanted[pool] = d.Late
+	}
+	shares := maxMinShares(total, wanted)
+	for _, share := range shares {
+		total -= share
+	}
+	for pool, lateShare := range maxMinShares(total, lateWanted) {
+		p.supplies[pool].share = shares[pool] + lateShare
+	}
 }
 
-// poolsWithShortage returns the pools whose supply is below the target, the one
+// poolsWithShortage returns the pools whose supply is below their share, the one
 // with the largest shortage first.
 func (p *capacityPlanner) poolsWithShortage() []*poolSupply {
 	var out []*poolSupply
 	for _, s := range p.supplies {
-		if p.shortage(s) > 0 {
+		if s.surplus() < 0 {
 			out = append(out, s)
 		}
 	}
 	slices.SortFunc(out, func(a, b *poolSupply) int {
-		return cmp.Or(cmp.Compare(p.shortage(b), p.shortage(a)), cmp.Compare(a.pool, b.pool))
+		return cmp.Or(cmp.Compare(a.surplus(), b.surplus()), cmp.Compare(a.pool, b.pool))
 	})
 	return out
 }
@@ -186,82 +212,81 @@
 // fillShortage plans moves of machines to a pool until its shortage is small or
 // no machine can be moved there. A machine that still has runs is reserved; a
 // later round moves it.
-func (p *capacityPlanner) fillShortage(s *poolSupply) {
+func (p *capacityPlanner) fillShortage(to *poolSupply) {
 	for len(p.out.Moves) < p.in.MaxMoves {
-		m := p.selectMachine(s)
-		if m == nil || p.shortage(s) < m.CPUMillis*minShortagePercent/100 {
+		source := p.selectSource(to)
+		if source == nil || -to.surplus() < source.movable[0].CPUMillis*minShortagePercent/100 {
 			return
 		}
-		p.claim(m)
-		s.cpuMillis += m.CPUMillis
-		s.machines++
+		m := source.take(0)
+		to.cpuMillis += m.CPUMillis
+		to.machines++
 		if m.Runs > 0 {
 			p.out.Reserve = append(p.out.Reserve, m.Incarnation)
 			continue
 		}
-		p.out.Moves = append(p.out.Moves, Move{Machine: m.ID, To: s.pool, Incarnation: m.Incarnation})
+		p.out.Moves = append(p.out.Moves, Move{Machine: m.ID, To: to.pool, Incarnation: m.Incarnation})
 	}
 }
 
-// selectMachine returns the best machine to move to a pool, nil if none can be
-// moved there.
-func (p *capacityPlanner) selectMachine(to *poolSupply) *Machine {
-	var best *Machine
-	for i := range p.in.Machines {
-		m := &p.in.Machines[i]
-		if p.canMove(m, to) && (best == nil || p.isBetterToMove(m, best)) {
-			best = m
-		}
-	}
-	return best
+// take removes a movable machine from the supply.
+func (s *poolSupply) take(i int) *Machine {
+	m := s.movable[i]
+	s.movable = slices.Delete(s.movable, i, i+1)
+	s.cpuMillis -= m.CPUMillis
+	s.machines--
+	return m
 }
 
-// canMove reports whether a machine may be moved to a pool. A machine that is
-// powered off always may, if it is available. Another one may only when its
-// cooldown is over, it runs no long-running task, and its pool keeps enough
-// supply and machines without it.
-func (p *capacityPlanner) canMove(m *Machine, to *poolSupply) bool {
-	if p.claimed[m.ID] || m.Pool == to.pool || m.Arriving || !m.Available {
-		return false
-	}
-	if p.in.SparePools[m.Pool] {
-		return true
+// selectSource returns the supply from which the next machine is moved to a pool,
+// nil if no machine can be: machines that are powered off come first, then ones
+// without runs, then those of the pool with the largest surplus. A pool keeps its
+// share.
+func (p *capacityPlanner) selectSource(to *poolSupply) *poolSupply {
+	if len(p.spare.movable) > 0 {
+		return p.spare
 	}
-	source := p.supplies[m.Pool]
-	if source == nil || m.LongRunning || !m.CooldownOver || source.machines <= p.minMachines {
-		return false
-	}
-	d := p.in.Demands[m.Pool]
-	requiredCPU := d.CPU()
-	if to.pool == p.in.PowerOffPool {
-		// A machine that was needed in the last seconds is powered off later.
-		requiredCPU = max(requiredCPU, d.Peak)
+	var best *poolSupply
+	for _, s := range p.supplies {
+		if s == to || len(s.movable) == 0 || s.surplus() < s.movable[0].CPUMillis {
+			continue
+		}
+		if best == nil || isBetterSource(s, best) {
+			best = s
+		}
 	}
-	return source.cpuMillis-m.CPUMillis >= requiredCPU*minSourceSupplyPercent/100
+	return best
 }
 
-// isBetterToMove reports whether a is a better machine to move than b. Machines
-// that are powered off come first, then machines without runs, then those of the
-// pool with the larger surplus.
-func (p *capacityPlanner) isBetterToMove(a, b *Machine) bool {
-	if x, y := p.in.SparePools[a.Pool], p.in.SparePools[b.Pool]; x != y {
-		return x
-	}
-	if x, y := a.Runs > 0, b.Runs > 0; x != y {
+func isBetterSource(a, b *poolSupply) bool {
+	if x, y := a.movable[0].Runs > 0, b.movable[0].Runs > 0; x != y {
 		return y
 	}
-	if x, y := p.surplus(a.Pool), p.surplus(b.Pool); x != y {
+	if x, y := a.surplus(), b.surplus(); x != y {
 		return x > y
 	}
-	return a.ID < b.ID
+	return a.pool < b.pool
 }
 
-// surplus returns the CPU by which a pool's supply exceeds its demand, in
-// thousandths of a core.
-func (p *capacityPlanner) surplus(pool string) int64 {
-	s := p.supplies[pool]
-	if s == nil {
-		return 0
+// powerOffIdle moves idle machines that their pool can do without to the spare
+// pool, which powers them off. A machine that was needed in the last seconds is
+// powered off later.
+func (p *capacityPlanner) powerOffIdle() {
+	if p.in.PowerOffPool == "" {
+		return
+	}
+	for _, pool := range slices.Sorted(maps.Keys(p.supplies)) {
+		s := p.supplies[pool]
+		d := p.in.Demands[pool]
+		required := max(s.share, max(d.CPU(), d.Peak)*onSupplyPercent/100)
+		for i := 0; i < len(s.movable) && len(p.out.Moves) < p.in.MaxMoves && s.machines > p.minMachines; {
+			m := s.movable[i]
+			if !m.Idle || m.Runs > 0 || s.cpuMillis-m.CPUMillis < required {
+				i++
+				continue
+			}
+			s.take(i)
+			p.out.Moves = append(p.out.Moves, Move{Machine: m.ID, To: p.in.PowerOffPool, Incarnation: m.Incarnation})
+		}
 	}
-	return s.cpuMillis - p.in.Demands[pool].CPU()
 }
--- a/internal/placement/demand.go
+++ b/internal/placement/demand.go
@@ -7,14 +7,18 @@
 
 // Demand is the CPU demand of a pool's queues, in thousandths of a core.
 type Demand struct {
-	// Running is the CPU of the running tasks.
+	// Running is the CPU of the running tasks of jobs that can still meet their
+	// latency limit, and of long-running tasks.
 	Running int64
-	// Ready is the CPU of the tasks that would start at once if there were enough
-	// free capacity.
+	// Ready is the CPU of the waiting tasks of such jobs that would start at once if
+	// there were enough free capacity.
 	Ready int64
 	// ArrivalRate is the work that became due in the last arrivalWindowMS, divided
 	// by that time: the CPU that keeps up with such work.
 	ArrivalRate int64
+	// Late is the CPU for jobs that can't meet their limit any more. It yields to
+	// the demand of all pools for jobs that can.
+	Late int64
 	// Peak is the highest demand of the last seconds. The caller of Demands
 	// records and sets it; it delays powering off machines.
 	Peak int64
@@ -23,12 +27,17 @@
 	ForecastGrowth int64
 }
 
-// CPU returns the capacity that serves the demand without a queue, in
-// thousandths of a core.
+// CPU returns the capacity, in thousandths of a core, with which all jobs that can
+// meet their latency limit do.
 func (d Demand) CPU() int64 { return max(d.Running+d.Ready, d.ArrivalRate) }
 
-// arrivalWindowMS is the time in milliseconds over which ArrivalRate is measured.
-const arrivalWindowMS = 2000
+const (
+	// arrivalWindowMS is the time in milliseconds over which ArrivalRate is measured.
+	arrivalWindowMS = 2000
+	// lateDrainMS is the time in milliseconds in which Late would do all work of the
+	// jobs that are late.
+	lateDrainMS = 4000
+)
 
 // Demands returns the current demand of each pool that has a queue, with Peak and
 // ForecastGrowth left at 0.
@@ -38,44 +47,72 @@
 		out[q.Pool] = Demand{}
 	}
 	for _, j := range st.ActiveJobs() {
-		pool := st.QueueOf(j).GetPool()
-		d := out[pool]
-		addJobDemand(&d, j, nowUnixMS)
-		out[pool] = d
+		q := st.QueueOf(j)
+		d := out[q.GetPool()]
+		addJobDemand(&d, q, j, nowUnixMS)
+		out[q.GetPool()] = d
 	}
 	return out
 }
 
 // addJobDemand adds the demand of a job's due occurrences, the repetitions of a
 // recurring job.
-func addJobDemand(d *Demand, j *batch.Job, nowUnixMS int64) {
+func addJobDemand(d *Demand, q *apiv1.BatchQueue, j *batch.Job, nowUnixMS int64) {
+	limit := latencyLimitMS(q, j)
 	for k := range j.NumOccurrences() {
 		if !j.IsDue(k, nowUnixMS) {
 			return
 		}
+		slack := slackMS(limit, j, k, nowUnixMS)
 		recent := nowUnixMS-j.DueMS(k) < arrivalWindowMS
 		for s, step := range j.Steps {
-			waiting, running := countTasks(j, k, uint32(s))
-			cpu := batch.ResourcesOnMinion(step).CPUMillis
-			d.Running += running * cpu
-			if waiting > 0 && j.StepReady(k, uint32(s)) {
-				d.Ready += waiting * cpu
-			}
-			if recent {
-				d.ArrivalRate += arrivingCPU(step, cpu)
+			addStepDemand(d, j, k, uint32(s), slack)
+			if recent && (slack >= 0 || step.LongRunning) {
+				d.ArrivalRate += arrivingCPU(step)
 			}
 		}
 	}
 }
 
+// addStepDemand adds the demand of one step of an occurrence that has the given
+// slack, in milliseconds.
+func addStepDemand(d *Demand, j *batch.Job, occurrence, number uint32, slack int64) {
+	step := j.Steps[number]
+	waiting, running := countTasks(j, occurrence, number)
+	cpu := batch.ResourcesOnMinion(step).CPUMillis
+	if !j.StepReady(occurrence, number) {
+		waiting = 0
+	}
+	switch {
+	case step.LongRunning:
+		d.Running += running * cpu
+		d.Ready += waiting * cpu
+	case slack >= 0:
+		d.Running += running * cpu
+		d.Ready += waiting * cpu
+	default:
+		d.Late += running*cpu + spreadCPU(waiting*cpu, int64(step.EstimatedMs), lateDrainMS)
+	}
+}
+
+// spreadCPU returns the CPU that does, within a time, the work of tasks that would
+// take cpu at once if they all ran in parallel. It is at most cpu.
+func spreadCPU(cpu, taskMS, withinMS int64) int64 {
+	if withinMS <= taskMS || withinMS == 0 {
+		return cpu
+	}
+	return cpu * taskMS / withinMS
+}
+
 // arrivingCPU returns the CPU that a step adds to ArrivalRate, in thousandths of
 // a core: its estimated work divided by the arrival window. Tasks of a
 // long-running step don't end, so their whole CPU counts.
-func arrivingCPU(step *apiv1.BatchStep, cpu int64) int64 {
+func arrivingCPU(step *apiv1.BatchStep) int64 {
+	cpu := int64(step.Count) * batch.ResourcesOnMinion(step).CPUMillis
 	if step.LongRunning {
-		return int64(step.Count) * cpu
+		return cpu
 	}
-	return int64(step.Count) * cpu * int64(step.EstimatedMs) / arrivalWindowMS
+	return cpu * int64(step.EstimatedMs) / arrivalWindowMS
 }
 
 // countTasks returns the number of a step's tasks that neither run nor are done,
--- a/internal/placement/rank.go
+++ b/internal/placement/rank.go
@@ -50,11 +50,9 @@
 	// so every moment without them counts.
 	isLongRunning bool
 	priority      uint32
-	// 0: the job can meet its latency limit; 1: it can only end later, but before
-	// lateFactor times the limit; 2: neither.
-	latenessClass int
+	lateness      lateness
 	// The job's value divided by its remaining work, in thousandths. Only set
-	// for jobs of latenessClass 0.
+	// for jobs that can be on time.
 	valuePerWork int64
 	// The time in Unix milliseconds at which the latency limit ends.
 	deadline int64
@@ -68,30 +66,23 @@
 		}
 		return 1
 	}
-	return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.latenessClass, b.latenessClass), cmp.Compare(b.valuePerWork, a.valuePerWork), cmp.Compare(a.deadline, b.deadline))
+	return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.lateness, b.lateness), cmp.Compare(b.valuePerWork, a.valuePerWork), cmp.Compare(a.deadline, b.deadline))
 }
 
-// lateFactor times the latency limit, counted from the due time, is the time
-// after which a job's result has no value any more.
-const lateFactor = 3
-
-// rankJob computes the rank of a job by its first occurrence. The latency limit
-// is the critical path times the queue's stretch (a factor of the queue), plus
-// the queue's target latency.
+// rankJob computes the rank of a job by its first occurrence.
 func (p *planner) rankJob(j *batch.Job) jobRank {
 	q := p.in.State.QueueOf(j)
-	criticalPath := criticalPathMS(j)
-	latencyLimit := criticalPath*int64(q.GetStretchMilli())/1000 + int64(q.GetTargetLatencyMs())
+	limit := latencyLimitMS(q, j)
 	dueMS := j.DueMS(0)
-	r := jobRank{job: j, priority: q.GetPriority(), deadline: dueMS + latencyLimit, isLongRunning: hasLongRunning(j)}
+	r := jobRank{job: j, priority: q.GetPriority(), deadline: dueMS + limit, isLongRunning: hasLongRunning(j)}
 	remaining := p.remainingCriticalPathMS(j)
 	switch {
-	case p.in.NowUnixMS+remaining <= dueMS+latencyLimit:
+	case p.in.NowUnixMS+remaining <= dueMS+limit:
 		r.valuePerWork = p.valuePerWork(j)
-	case p.in.NowUnixMS+remaining <= dueMS+lateFactor*latencyLimit:
-		r.latenessClass = 1
+	case p.in.NowUnixMS+remaining <= dueMS+lateFactor*limit:
+		r.lateness = late
 	default:
-		r.latenessClass = 2
+		r.lateness = worthless
 	}
 	return r
 }
