Keep connections to minions within a budget of file descriptors

Cause: the leader kept up to six connections to each minion for 90 s, and a client of an ended incarnation for a minute.

A minion that doesn't answer gets no stop orders until it does. New setting max_descriptors, gauges of connections and of calls a minion.

Not built: a replica that can't open a file still stops.

--- a/cmd/bergamot-platform/main.go
+++ b/cmd/bergamot-platform/main.go
@@ -33,7 +33,7 @@
 		Section: batchcore.Section, Settings: &apiv1.BatchControlSettings{},
 		Start: func(settings *apiv1.BatchControlSettings) (func() error, error) {
 			d, err := batchcore.Start(c.Settings, settings, batchcore.Adapter{
-				Minions: platform.NewMinionClient(), NewProvider: platform.NewMachineProvider, NewHandler: platform.NewControlHandler,
+				NewMinions: platform.NewMinionClient, NewProvider: platform.NewMachineProvider, NewHandler: platform.NewControlHandler,
 			})
 			if err != nil {
 				return nil, err
--- a/internal/daemon/batchcore/daemon.go
+++ b/internal/daemon/batchcore/daemon.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
 	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
@@ -35,8 +36,9 @@
 
 // Adapter implements a platform's protocol.
 type Adapter struct {
-	// Minions sends calls to minions.
-	Minions dispatch.MinionClient
+	// NewMinions returns a client that sends calls to minions over at most the given
+	// number of connections, and registers its metrics.
+	NewMinions func(connections int, registry prometheus.Registerer) dispatch.MinionClient
 	// NewProvider returns a client of the machine provider at address, or nil if
 	// address is empty.
 	NewProvider func(address string) dispatch.Provider
@@ -108,11 +110,17 @@
 }
 
 func (d *Daemon) startReplica(settings *apiv1.BatchControlSettings, a Adapter, seeds []string) error {
+	limit, err := daemon.DescriptorLimit(settings.MaxDescriptors)
+	if err != nil {
+		return err
+	}
+	budget := daemon.PlanDescriptors(limit)
+	d.Process.Log.WithFields(logrus.Fields{"limit": budget.Limit, "reserved": budget.Reserved, "minion_calls": budget.MinionCalls}).Info("file descriptors divided")
 	stateMachine := state.New()
 	service := batchservice.New(batchservice.Options{
 		StateMachine: stateMachine, Log: d.Process.Log, Registry: d.Process.Registry, ReportAddress: settings.ControlAddress,
 		Dispatch: dispatch.Options{
-			Minions: a.Minions, Clock: clock.Boot{},
+			Minions: a.NewMinions(budget.MinionCalls, d.Process.Registry), Clock: clock.Boot{},
 			Lease: min(daemon.Millis(settings.LeaseMs), daemon.Millis(settings.MaxLeaseMs)), MaxLease: daemon.Millis(settings.MaxLeaseMs), Retention: daemon.Millis(settings.JobRetentionMs),
 			Fleet: dispatch.FleetOptions{
 				Provider: a.NewProvider(settings.ProviderAddress), Holder: settings.ProcessId,
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -62,3 +62,18 @@
 	cancel()
 	<-ended
 }
+
+// Guards against calls to minions that take the descriptors which the log, the
+// snapshots and the other replicas need, at any limit.
+func TestDescriptorsAreReserved(t *testing.T) {
+	g := NewWithT(t)
+	for _, limit := range []int{0, 64, 1024, 4096, 65_536} {
+		b := PlanDescriptors(limit)
+		g.Expect(b.Reserved).To(BeNumerically(">=", minReservedDescriptors))
+		g.Expect(b.MinionCalls).To(BeNumerically(">=", 0))
+		g.Expect(b.MinionCalls).To(BeNumerically("<=", max(limit-b.Reserved, 0)))
+	}
+	limit, err := DescriptorLimit(0)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(DescriptorLimit(100)).To(Equal(min(limit, 100)))
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -128,6 +128,9 @@
 	d.wg.Go(d.fleet.run)
 	<-d.ctx.Done()
 	d.wg.Wait()
+	for _, s := range d.sessionList() {
+		d.opts.Minions.Disconnect(s.target)
+	}
 	d.log.Info("dispatcher stopped")
 }
 
--- a/internal/dispatch/harness_test.go
+++ b/internal/dispatch/harness_test.go
@@ -82,9 +82,12 @@
 	// Numbers of calls out of 100 whose request is lost, whose reply is lost after
 	// they were carried out, and that are carried out seconds later.
 	lostRequestPercent, lostReplyPercent, delayedRequestPercent int
-	starts                                                      int
+	// starts and stops count the starts carried out and the stop orders sent.
+	starts, stops int
 	// endless is set when tasks don't end by themselves.
 	endless bool
+	// disconnected holds the incarnations to which the connections were closed.
+	disconnected map[batch.Incarnation]bool
 	// maxLease is the longest lease that a minion accepts.
 	maxLease time.Duration
 }
@@ -115,7 +118,7 @@
 func newFakeCluster(t *testing.T, seed uint64) *fakeCluster {
 	return &fakeCluster{
 		t: t, rand: rand.New(rand.NewPCG(seed, 1)), minions: map[string]*fakeMinion{},
-		active: map[batch.TaskRef]int{}, acked: map[batch.TaskRef]bool{}, maxLease: testMaxLease,
+		active: map[batch.TaskRef]int{}, acked: map[batch.TaskRef]bool{}, maxLease: testMaxLease, disconnected: map[batch.Incarnation]bool{},
 	}
 }
 
@@ -266,6 +269,9 @@
 }
 
 func (c *fakeCluster) Stop(ctx context.Context, to Target, run batch.RunKey, token uint64) (clockMS int64, err error) {
+	c.mu.Lock()
+	c.stops++
+	c.mu.Unlock()
 	err = c.deliver(ctx, to, func(m *fakeMinion) error {
 		clockMS = m.clock()
 		if refusal := m.fence(token); refusal != nil {
@@ -321,6 +327,12 @@
 
 func (c *fakeCluster) SetSpeed(context.Context, Target, batch.RunKey, int, uint64) error { return nil }
 
+func (c *fakeCluster) Disconnect(to Target) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.disconnected[to.Incarnation] = true
+}
+
 // harness runs the dispatcher of one term after the other over a fake cluster.
 type harness struct {
 	t          *testing.T
--- a/internal/dispatch/incarnations.go
+++ b/internal/dispatch/incarnations.go
@@ -41,6 +41,7 @@
 			continue
 		} else if s != nil {
 			s.cancel()
+			d.opts.Minions.Disconnect(s.target)
 		}
 		if other, known := d.latest[t.Incarnation.ID]; known && other != t.Incarnation.StartedMS {
 			// Requests that are still sent to the earlier incarnation may reach
@@ -126,8 +127,9 @@
 	}
 }
 
-// removeSession removes a session, unless another one has replaced it, and ends
-// its hold calls (the long polls that renew the minion's lease).
+// removeSession removes a session, unless another one has replaced it, ends its
+// hold calls (the long polls that renew the minion's lease) and closes its
+// connections.
 func (d *Dispatcher) removeSession(s *session) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -135,6 +137,7 @@
 		delete(d.sessions, s.target.Incarnation)
 	}
 	s.cancel()
+	d.opts.Minions.Disconnect(s.target)
 }
 
 // handleRestart ends the incarnation of a minion that started again under its
--- a/internal/dispatch/minionclient.go
+++ b/internal/dispatch/minionclient.go
@@ -152,10 +152,13 @@
 	// RefusedInvalid means that the minion does not accept the content of the
 	// order.
 	RefusedInvalid
+	// NotSent means that this process could not send the order, since it lacked a
+	// connection. It says nothing about the minion.
+	NotSent
 )
 
 // refusalNames are also values of a metric's label.
-var refusalNames = [...]string{"", "fenced", "old run", "late", "no room", "ticket", "unhealthy", "other life", "invalid"}
+var refusalNames = [...]string{"", "fenced", "old run", "late", "no room", "ticket", "unhealthy", "other life", "invalid", "not sent"}
 
 // String returns the reason as logs and metrics show it.
 func (r RefusalReason) String() string { return refusalNames[r] }
@@ -185,4 +188,7 @@
 	Hold(ctx context.Context, to Target, o HoldRequest) (*HoldReply, error)
 	// SetSpeed sets the speed of a run in percent of full speed.
 	SetSpeed(ctx context.Context, to Target, run batch.RunKey, percent int, token uint64) error
+	// Disconnect closes the connections to an incarnation that gets no more calls
+	// from this leader.
+	Disconnect(to Target)
 }
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -216,7 +216,8 @@
 }
 
 // sendStop repeats a stop order until the minion confirms it, the run is
-// released or the term ends.
+// released or the term ends. A minion that doesn't answer hold calls gets no stop
+// orders until it does: they would only take connections from other minions.
 func (s *session) sendStop(key batch.RunKey, o *runOrder) {
 	if !s.acquireSlot() {
 		return
@@ -226,13 +227,20 @@
 		if s.stopObsolete(key, o) {
 			return
 		}
-		if s.d.leadershipConfirmed() && s.tryStop(key, o) {
+		if s.isAnswering() && s.d.leadershipConfirmed() && s.tryStop(key, o) {
 			return
 		}
 		sleep(s.d.ctx, retryDelay)
 	}
 }
 
+// isAnswering reports whether the minion answered its last hold call.
+func (s *session) isAnswering() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.answering
+}
+
 // stopObsolete reports whether a stop order is not needed any more.
 func (s *session) stopObsolete(key batch.RunKey, o *runOrder) bool {
 	s.mu.Lock()
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -216,6 +216,10 @@
 		s.d.endIncarnation(ctx, s, "another incarnation answers at its address")
 		return true
 	}
+	if refused && refusal.Reason == NotSent {
+		s.log.WithError(err).Warn("hold call was not sent")
+		return false // the minion is not silent
+	}
 	s.mu.Lock()
 	if refused {
 		s.lease.observeClock(refusal.ClockMS, s.d.clock.Now())
--- a/internal/dispatch/silence_test.go
+++ b/internal/dispatch/silence_test.go
@@ -137,3 +137,33 @@
 		g.Expect(reply.lastAckable()).To(BeNumerically("==", 4))
 	})
 }
+
+// Guards against stop orders to a minion that doesn't answer, which take the
+// connections that other minions need, and against connections that stay open
+// after the minion's incarnation has ended.
+func TestSilentMinionGetsNoStops(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		h := newHarness(t, 1)
+		defer func() { h.endTerm() }()
+		h.endTerm()
+		h.lease, h.cluster.maxLease, h.cluster.endless = 4*time.Second, 6*time.Second, true
+		h.startTerm()
+		m := h.cluster.add("a")
+		h.announce(m)
+		h.submit("job0", 3)
+		time.Sleep(2 * h.cluster.maxLease)
+		h.setUnreachable(m, true)
+		time.Sleep(holdWait + holdGrace + retryDelay)
+		stops := func() int {
+			h.cluster.mu.Lock()
+			defer h.cluster.mu.Unlock()
+			return h.cluster.stops
+		}
+		before := stops()
+		h.propose(&apiv1.BatchCommand{Body: &apiv1.BatchCommand_Cancel{Cancel: &apiv1.CancelBatchJob{JobId: "job0", AnyAccount: true}}})
+		time.Sleep(2 * h.cluster.maxLease)
+		g.Expect(stops()).To(Equal(before))
+		g.Expect(h.cluster.disconnected).To(HaveKey(batch.Incarnation{ID: "a", StartedMS: m.startedMS}))
+	})
+}
