dispatch: plan within a bounded part of the processor

Cause: a planning round followed each change of the state, and each round sorted all minions, allocated a table of their loads and looked at each session; at 1,100 minions rounds took most of the leader's share.

A round is followed by a pause of twice its duration, the state keeps its minions in order, and sessions are compared with the state in one pass.

--- a/internal/batch/minions.go
+++ b/internal/batch/minions.go
@@ -1,6 +1,9 @@
 package batch
 
 import (
+	"slices"
+	"strings"
+
 	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
 )
 
@@ -16,7 +19,7 @@
 		}
 		known := s.minions[m.Life.Id]
 		if known == nil || known.Life.BornUnixMs <= m.Life.BornUnixMs {
-			s.minions[m.Life.Id] = m
+			s.setMinion(m)
 		}
 	}
 	for _, gone := range cmd.Gone {
@@ -25,7 +28,7 @@
 			s.endRun(logTimeMS, &apiv1.EndedRun{Task: r.Ref.Name(), Run: r.Run.Number, End: apiv1.RunEnd_RUN_END_LOST})
 		}
 		if m := s.minions[incarnation.ID]; m != nil && IncarnationOf(m.Life) == incarnation {
-			delete(s.minions, incarnation.ID)
+			s.removeMinion(incarnation.ID)
 		}
 	}
 }
@@ -33,11 +36,32 @@
 // Minion returns the latest incarnation of a minion, nil when it is not known.
 func (s *State) Minion(id string) *apiv1.BatchMinion { return s.minions[id] }
 
-// Minions returns all minions ordered by id.
-func (s *State) Minions() []*apiv1.BatchMinion {
-	out := make([]*apiv1.BatchMinion, 0, len(s.minions))
-	for _, id := range sortedKeys(s.minions) {
-		out = append(out, s.minions[id])
+// Minions returns all minions ordered by id. The caller must not change the slice,
+// and must not use it after the next command.
+func (s *State) Minions() []*apiv1.BatchMinion { return s.orderedMinions }
+
+// setMinion adds a minion, or replaces the record of the same id.
+func (s *State) setMinion(m *apiv1.BatchMinion) {
+	s.minions[m.Life.Id] = m
+	i, known := s.minionIndex(m.Life.Id)
+	if known {
+		s.orderedMinions[i] = m
+		return
 	}
-	return out
+	s.orderedMinions = slices.Insert(s.orderedMinions, i, m)
+}
+
+func (s *State) removeMinion(id string) {
+	delete(s.minions, id)
+	if i, known := s.minionIndex(id); known {
+		s.orderedMinions = slices.Delete(s.orderedMinions, i, i+1)
+	}
+}
+
+// minionIndex returns the position of an id among the ordered minions, and reports
+// whether it is there.
+func (s *State) minionIndex(id string) (int, bool) {
+	return slices.BinarySearchFunc(s.orderedMinions, id, func(m *apiv1.BatchMinion, id string) int {
+		return strings.Compare(m.Life.Id, id)
+	})
 }
--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -41,6 +41,8 @@
 	// minions holds the latest known incarnation (lifetime of the process) of each
 	// minion, by id.
 	minions map[string]*apiv1.BatchMinion
+	// orderedMinions holds the same, ordered by id.
+	orderedMinions []*apiv1.BatchMinion
 	// loads holds the load of each incarnation that has runs.
 	loads map[Incarnation]*Load
 	// usage holds the resources of the active runs by client account.
@@ -126,9 +128,7 @@
 	for _, id := range sortedKeys(s.jobs) {
 		snap.Jobs = append(snap.Jobs, s.jobs[id].BatchJob)
 	}
-	for _, id := range sortedKeys(s.minions) {
-		snap.Minions = append(snap.Minions, s.minions[id])
-	}
+	snap.Minions = slices.Clone(s.orderedMinions)
 	for _, n := range sortedKeys(s.waves) {
 		snap.Waves = append(snap.Waves, s.waves[n])
 	}
@@ -146,7 +146,7 @@
 		s.zonesOut[z] = true
 	}
 	for _, m := range snap.GetMinions() {
-		s.minions[m.Life.Id] = m
+		s.setMinion(m)
 	}
 	for _, w := range snap.GetWaves() {
 		s.waves[w.Number] = w
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -11,8 +11,13 @@
 	"bergamotdrum.example/bergamotdrum/internal/state"
 )
 
+// planPauseFactor is how many times its duration a planning round is followed by a
+// pause. Rounds get longer with the size of the fleet, and each plans all that
+// changed during the pause, so planning takes a bounded part of the processor.
+const planPauseFactor = 2
+
 // planLoop runs a planning round after each change of the batch state, and at
-// least every planInterval.
+// least every planInterval when rounds are short.
 func (d *Dispatcher) planLoop() {
 	timer := time.NewTicker(planInterval)
 	defer timer.Stop()
@@ -23,7 +28,9 @@
 		case <-d.opts.StateMachine.BatchChanged():
 		case <-timer.C:
 		}
+		start := d.clock.Now()
 		d.round()
+		sleep(d.ctx, min(planPauseFactor*(d.clock.Now()-start), planInterval))
 	}
 }
 
@@ -32,20 +39,7 @@
 // start orders once they see the commit.
 func (d *Dispatcher) round() {
 	start := d.clock.Now()
-	var targets []Target
-	revisions := map[batch.Incarnation]uint64{}
-	d.opts.StateMachine.Read(func(st *state.State) {
-		targets = targetsOf(st.Batch)
-		for _, t := range targets {
-			revisions[t.Incarnation] = st.Batch.RevisionOf(t.Incarnation)
-		}
-	})
-	d.openSessions(targets)
-	for _, s := range d.sessionList() {
-		if revision, ok := revisions[s.target.Incarnation]; ok && revision != s.syncedRevision() {
-			d.syncSession(s)
-		}
-	}
+	d.syncSessions()
 	starts := d.plan()
 	d.metrics.planSeconds.Observe((d.clock.Now() - start).Seconds())
 	if len(starts) > 0 && d.leadershipConfirmed() {
@@ -53,12 +47,33 @@
 	}
 }
 
+// syncSessions opens the sessions that are missing and updates those whose
+// committed load has changed.
+func (d *Dispatcher) syncSessions() {
+	var targets []Target
+	d.opts.StateMachine.Read(func(st *state.State) { targets = targetsOf(st.Batch) })
+	d.openSessions(targets)
+	sessions := d.sessionList()
+	var changed []*session
+	d.opts.StateMachine.Read(func(st *state.State) {
+		for _, s := range sessions {
+			if st.Batch.RevisionOf(s.target.Incarnation) != s.syncedRevision() {
+				changed = append(changed, s)
+			}
+		}
+	})
+	for _, s := range changed {
+		d.syncSession(s)
+	}
+}
+
 // targetsOf returns every incarnation, that is, lifetime of a minion's process,
 // that is recorded or has runs. An earlier incarnation gets the address of its
 // minion's present one.
 func targetsOf(st *batch.State) []Target {
-	var out []Target
-	for _, m := range st.Minions() {
+	minions := st.Minions()
+	out := make([]Target, 0, len(minions))
+	for _, m := range minions {
 		out = append(out, Target{Incarnation: batch.IncarnationOf(m.Life), Address: m.Address})
 	}
 	for _, inc := range st.LoadedIncarnations() {
