placement: let pools take turns when starts are scarce

Cause: a planning round takes jobs by priority and lateness over all pools and stops at the number of orders that the leader can have unsent. At 1,100 workers that number binds: a flood of small jobs for two pools took all of it, and the machines of another pool stood idle while its jobs became late.

The jobs of the pools alternate now, in the order that each pool had. TestFloodOfOnePoolSparesAnother fails without the change (no start).

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -90,7 +90,7 @@
 func Plan(in Input) []*apiv1.StartedRun {
 	p := &planner{in: in, candidates: map[string][]*candidate{}, startedUsage: map[string]batch.Usage{}, unplaceable: map[string]batch.Usage{}}
 	p.collectMinions()
-	for _, j := range p.jobOrder() {
+	for _, j := range p.alternatePools(p.jobOrder()) {
 		if len(p.starts) >= in.MaxStarts {
 			break
 		}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -243,3 +243,25 @@
 	h.submit("small", "q", newStep(2, 3000))
 	g.Expect(minionsByJob(h.plan())["small"]).To(ConsistOf("m1", "m2"))
 }
+
+// Load: a flood of small jobs for one pool, and a few large ones of lower priority
+// for another, while the leader can send only some of the orders. Guards against
+// machines of the second pool that stay idle until the flood is over.
+func TestFloodOfOnePoolSparesAnother(t *testing.T) {
+	g := NewWithT(t)
+	h := newHarness(nil)
+	h.apply(&apiv1.BatchCommand{Body: &apiv1.BatchCommand_PutCatalog{PutCatalog: &apiv1.Catalog{
+		Version: 2, Pools: []*apiv1.BatchPool{{Name: "p"}, {Name: "other"}},
+		Queues: []*apiv1.BatchQueue{{Name: "q", Pool: "p", MaxAttempts: 3, StretchMilli: 1500}, {Name: "low", Pool: "other", Priority: 1, MaxAttempts: 3}},
+	}}})
+	h.addMinion("m", 64_000)
+	h.addMinion("n", 64_000)
+	minion := h.state.Minion("n")
+	minion.Pool = "other"
+	for i := range 50 {
+		h.submit(fmt.Sprintf("flood%02d", i), "q", newStep(2, 100))
+	}
+	h.submit("large", "low", newStep(3, 10_000))
+	starts := Plan(Input{State: h.state, NowUnixMS: nowMS, Health: h.health, MaxStarts: 10})
+	g.Expect(minionsByJob(starts)["large"]).To(HaveLen(3))
+}
--- a/internal/placement/rank.go
+++ b/internal/placement/rank.go
@@ -29,6 +29,30 @@
 	return jobs
 }
 
+// alternatePools reorders jobs so that the pools take turns, one job each, and
+// keeps the order within each pool. When the starts of a round don't suffice for
+// all, many small jobs of one pool don't keep the machines of another idle.
+func (p *planner) alternatePools(jobs []*batch.Job) []*batch.Job {
+	byPool := map[string][]*batch.Job{}
+	var pools []string
+	for _, j := range jobs {
+		pool := p.in.State.QueueOf(j).GetPool()
+		if byPool[pool] == nil {
+			pools = append(pools, pool)
+		}
+		byPool[pool] = append(byPool[pool], j)
+	}
+	out := make([]*batch.Job, 0, len(jobs))
+	for i := 0; len(out) < len(jobs); i++ {
+		for _, pool := range pools {
+			if i < len(byPool[pool]) {
+				out = append(out, byPool[pool][i])
+			}
+		}
+	}
+	return out
+}
+
 // hasStartableTasks reports whether some step of the job has waiting tasks, and
 // the steps that it depends on are done. It doesn't check whether the occurrence
 // (one repetition of a recurring job) is due.
