dispatch: fewer passes over the minions in a planning round

Cause: each planning round listed all minions and compared them with the sessions, although they rarely change, and rounds took up to a third of the leader's time (pause of twice a round).

--- a/internal/batch/minions.go
+++ b/internal/batch/minions.go
@@ -40,9 +40,14 @@
 // and must not use it after the next command.
 func (s *State) Minions() []*apiv1.BatchMinion { return s.orderedMinions }
 
+// MinionsRevision returns a number that increases whenever a minion is recorded or
+// removed. It is local to the process and not replicated.
+func (s *State) MinionsRevision() uint64 { return s.minionsRevision }
+
 // setMinion adds a minion, or replaces the record of the same id.
 func (s *State) setMinion(m *apiv1.BatchMinion) {
 	s.minions[m.Life.Id] = m
+	s.minionsRevision++
 	i, known := s.minionIndex(m.Life.Id)
 	if known {
 		s.orderedMinions[i] = m
@@ -53,6 +58,7 @@
 
 func (s *State) removeMinion(id string) {
 	delete(s.minions, id)
+	s.minionsRevision++
 	if i, known := s.minionIndex(id); known {
 		s.orderedMinions = slices.Delete(s.orderedMinions, i, i+1)
 	}
--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -42,7 +42,8 @@
 	// minion, by id.
 	minions map[string]*apiv1.BatchMinion
 	// orderedMinions holds the same, ordered by id.
-	orderedMinions []*apiv1.BatchMinion
+	orderedMinions  []*apiv1.BatchMinion
+	minionsRevision uint64
 	// loads holds the load of each incarnation that has runs.
 	loads map[Incarnation]*Load
 	// usage holds the resources of the active runs by client account.
@@ -136,11 +137,11 @@
 }
 
 // Restore replaces the state by a snapshot. It keeps references to the snapshot,
-// so the caller must not use that afterwards. The revision does not start over.
+// so the caller must not use that afterwards. Revisions do not start over.
 func (s *State) Restore(snap *apiv1.BatchSnapshot) {
-	revision := s.revision
+	revision, minionsRevision := s.revision, s.minionsRevision
 	*s = *New()
-	s.revision = revision
+	s.revision, s.minionsRevision = revision, minionsRevision+1
 	s.catalog = newCatalog(snap.GetCatalog())
 	for _, z := range snap.GetZonesOut() {
 		s.zonesOut[z] = true
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -87,6 +87,11 @@
 	latest map[string]int64
 	wg     sync.WaitGroup
 
+	// minionsRevision is the revision of the minions for which the planning loop last
+	// looked for missing sessions, at targetsReadAt. Only that loop uses the two.
+	minionsRevision uint64
+	targetsReadAt   time.Duration
+
 	// unsentStarts counts the committed starts whose order is not sent yet.
 	unsentStarts atomic.Int64
 
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -12,9 +12,10 @@
 )
 
 // planPauseFactor is how many times its duration a planning round is followed by a
-// pause. Rounds get longer with the size of the fleet, and each plans all that
-// changed during the pause, so planning takes a bounded part of the processor.
-const planPauseFactor = 2
+// pause, in which its starts are committed. Rounds get longer with the size of the
+// fleet, and each plans all that changed during the pause, so planning takes a
+// bounded part of the processor.
+const planPauseFactor = 5
 
 // planLoop runs a planning round after each change of the batch state, and at
 // least every planInterval when rounds are short.
@@ -28,30 +29,40 @@
 		case <-d.opts.StateMachine.BatchChanged():
 		case <-timer.C:
 		}
-		start := d.clock.Now()
-		d.round()
-		sleep(d.ctx, min(planPauseFactor*(d.clock.Now()-start), planInterval))
+		sleep(d.ctx, d.round())
 	}
 }
 
 // round updates the sessions, the leader's exchanges with minions, from the
 // committed state, then plans and commits new starts. The sessions send the
-// start orders once they see the commit.
-func (d *Dispatcher) round() {
+// start orders once they see the commit. round returns how long to pause before the
+// next one.
+func (d *Dispatcher) round() time.Duration {
 	start := d.clock.Now()
 	d.syncSessions()
 	starts := d.plan()
-	d.metrics.planSeconds.Observe((d.clock.Now() - start).Seconds())
+	planned := d.clock.Now()
+	d.metrics.planSeconds.Observe((planned - start).Seconds())
 	if len(starts) > 0 && d.leadershipConfirmed() {
 		d.commitStarts(starts)
 	}
+	return min(planPauseFactor*(planned-start), planInterval) - (d.clock.Now() - planned)
 }
 
 // syncSessions opens the sessions that are missing and updates those whose
-// committed load has changed.
+// committed load has changed. Missing ones are looked for when the minions have
+// changed, and every planInterval, since a session ends without a change of the
+// minions when the commit of its end fails.
 func (d *Dispatcher) syncSessions() {
 	var targets []Target
-	d.opts.StateMachine.Read(func(st *state.State) { targets = targetsOf(st.Batch) })
+	now := d.clock.Now()
+	d.opts.StateMachine.Read(func(st *state.State) {
+		revision := st.Batch.MinionsRevision()
+		if revision != d.minionsRevision || now-d.targetsReadAt >= planInterval {
+			targets = targetsOf(st.Batch)
+			d.minionsRevision, d.targetsReadAt = revision, now
+		}
+	})
 	d.openSessions(targets)
 	sessions := d.sessionList()
 	var changed []*session
