batchservice: a process that is cut off refuses calls at once

Cause: an entry that no control replica answers searched 1.5 s for the leader on each call, although other entries could serve the caller, and stayed in rotation for 2 s. It also asked one replica after the other, so that several dead ones in a row looked like a cut.

After 1.5 s without an answer of any replica a call is refused at once as not run (503). While none answers, all replicas are asked at the same time; an answered call counts as contact.

TestCutOffProcessRefusesCallsAtOnce fails without the check.

--- a/internal/batchservice/barrier_test.go
+++ b/internal/batchservice/barrier_test.go
@@ -3,15 +3,18 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
 
 	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
 	"bergamotdrum.example/bergamotdrum/internal/result"
+	"bergamotdrum.example/bergamotdrum/internal/rpc"
 	_ "bergamotdrum.example/bergamotdrum/internal/testseed"
 )
 
@@ -98,6 +101,40 @@
 	g.Expect(tracker.addresses()).To(Equal([]string{"a:1", "b:1", "other:1"}))
 }
 
+// cutOffClient fails each call like a network that loses all packets.
+type cutOffClient struct{}
+
+func (cutOffClient) Call(ctx context.Context, address, _ string, _, _ proto.Message) error {
+	<-ctx.Done()
+	return &rpc.TransportError{Address: address, Err: ctx.Err()}
+}
+
+// Guards against callers that wait for a search for the leader in a process that is
+// cut off from all replicas, while another process could serve them.
+func TestCutOffProcessRefusesCallsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		tracker := NewLeaderTracker(cutOffClient{}, []string{"seed:1", "seed:2"}, discardLogger())
+		tracker.recordOutcome(nil)
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		running.Go(func() { tracker.Run(ctx) })
+		time.Sleep(2 * isolationTimeout)
+		start := time.Now()
+		c := NewClient(tracker)
+		_, err := c.Get(t.Context(), &apiv1.QueueCall{})
+		for _, err := range []error{err, c.Submit(t.Context(), &apiv1.QueueCall{}, &apiv1.BatchJob{})} {
+			g.Expect(result.CodeOf(err)).To(Equal(apiv1.ResultCode_RESULT_CODE_NO_QUORUM))
+			g.Expect(result.From(err).NotRun).To(BeTrue())
+		}
+		g.Expect(time.Since(start)).To(BeZero())
+		tracker.recordOutcome(nil)
+		g.Expect(tracker.CheckConnected()).To(Succeed())
+		cancel()
+		running.Wait()
+	})
+}
+
 // Guards against using the port of a seed address, which is a control port, as
 // the rpc port.
 func TestSeedsUseTheRPCPort(t *testing.T) {
--- a/internal/batchservice/leadertracker.go
+++ b/internal/batchservice/leadertracker.go
@@ -11,8 +11,10 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
 
 	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+	"bergamotdrum.example/bergamotdrum/internal/result"
 	"bergamotdrum.example/bergamotdrum/internal/session"
 )
 
@@ -28,6 +30,9 @@
 	// leaderContactTimeout is the time without news of a leader after which the
 	// process is not ready.
 	leaderContactTimeout = 2 * time.Second
+	// isolationTimeout is the time without an answer of any replica after which the
+	// process is taken to be cut off.
+	isolationTimeout = 1500 * time.Millisecond
 )
 
 // LeaderTracker keeps a control client up to date with the leader and the
@@ -41,6 +46,9 @@
 	// lastContactMS is the Unix time in milliseconds at which a replica last
 	// named a leader, or 0.
 	lastContactMS atomic.Int64
+	// lastAnswerMS is the Unix time in milliseconds at which any replica last answered,
+	// whether or not it named a leader; 0 before.
+	lastAnswerMS atomic.Int64
 
 	mu      sync.Mutex
 	seeds   []string
@@ -59,6 +67,47 @@
 // ControlClient returns the client whose calls go to the tracked leader.
 func (t *LeaderTracker) ControlClient() *session.ControlClient { return t.control }
 
+// CheckConnected returns an error when no replica has answered for
+// isolationTimeout, so that the process is likely to be cut off from all of them.
+func (t *LeaderTracker) CheckConnected() error {
+	if at := t.lastAnswerMS.Load(); at != 0 && time.Since(time.UnixMilli(at)) > isolationTimeout {
+		return fmt.Errorf("no control replica has answered for %s", isolationTimeout)
+	}
+	return nil
+}
+
+// Invoke implements Invoker. While the process is cut off from all replicas, a call
+// is refused at once, as not run: another process may reach the leader, and a search
+// would only use up the caller's time.
+func (t *LeaderTracker) Invoke(ctx context.Context, method string, req, resp proto.Message) error {
+	if err := t.CheckConnected(); err != nil {
+		return errCutOff(method, err)
+	}
+	return t.recordOutcome(t.control.Invoke(ctx, method, req, resp))
+}
+
+// Query implements Invoker, as Invoke does.
+func (t *LeaderTracker) Query(ctx context.Context, method string, req, resp proto.Message) error {
+	if err := t.CheckConnected(); err != nil {
+		return errCutOff(method, err)
+	}
+	return t.recordOutcome(t.control.Query(ctx, method, req, resp))
+}
+
+func errCutOff(method string, err error) error {
+	return result.NotRun(apiv1.ResultCode_RESULT_CODE_NO_QUORUM, "%s was not sent: %v", method, err)
+}
+
+// recordOutcome counts an answer of the leader as one of a replica and returns err.
+func (t *LeaderTracker) recordOutcome(err error) error {
+	switch result.CodeOf(err) {
+	case apiv1.ResultCode_RESULT_CODE_NO_QUORUM, apiv1.ResultCode_RESULT_CODE_OUTCOME_UNKNOWN:
+	default:
+		t.lastAnswerMS.Store(time.Now().UnixMilli())
+	}
+	return err
+}
+
 // SetSeeds replaces the seeds' rpc addresses. Members that are already known
 // stay.
 func (t *LeaderTracker) SetSeeds(seeds []string) {
@@ -79,8 +128,7 @@
 // Run asks members and seeds in turn for the leader until ctx ends.
 func (t *LeaderTracker) Run(ctx context.Context) {
 	for next := 0; ctx.Err() == nil; next++ {
-		addresses := t.addresses()
-		t.identify(ctx, addresses[next%len(addresses)])
+		t.identifyNext(ctx, next)
 		select {
 		case <-ctx.Done():
 		case <-time.After(identifyInterval):
@@ -88,6 +136,21 @@
 	}
 }
 
+// identifyNext asks one replica for the leader, or all at once if the last one asked
+// did not answer in time.
+func (t *LeaderTracker) identifyNext(ctx context.Context, next int) {
+	addresses := t.addresses()
+	if at := t.lastAnswerMS.Load(); time.Since(time.UnixMilli(at)) < 2*identifyInterval {
+		t.identify(ctx, addresses[next%len(addresses)])
+		return
+	}
+	var wg sync.WaitGroup
+	for _, address := range addresses {
+		wg.Go(func() { t.identify(ctx, address) })
+	}
+	wg.Wait()
+}
+
 // addresses returns the known members and the seeds without duplicates.
 func (t *LeaderTracker) addresses() []string {
 	t.mu.Lock()
@@ -106,6 +169,7 @@
 		t.log.WithError(err).WithField("address", address).Debug("replica cannot be reached")
 		return
 	}
+	t.lastAnswerMS.Store(time.Now().UnixMilli())
 	t.Observe(info, address)
 }
 
--- a/internal/daemon/batchfront/daemon.go
+++ b/internal/daemon/batchfront/daemon.go
@@ -88,7 +88,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
 	d.callerServer = daemon.NewHTTPServer(a.NewCallerHandler(HandlerOptions{
-		Client: batchservice.NewClient(d.leaderTracker.ControlClient()), Log: d.Process.Log,
+		Client: batchservice.NewClient(d.leaderTracker), Log: d.Process.Log,
 		SearchTimeout: daemon.Millis(d.settings.SearchTimeoutMs), MaxBodyBytes: int64(d.settings.MaxBodyBytes),
 	}))
 	readyServer := daemon.NewHTTPServer(a.NewReadinessHandler(d.Process.CheckReady))
