--- a/internal/dispatch/fakecluster_test.go
+++ b/internal/dispatch/fakecluster_test.go
@@ -8,7 +8,6 @@
 	"testing"
 	"time"
 
-
 	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
 	"bergamotdrum.example/bergamotdrum/internal/batch"
 	"bergamotdrum.example/bergamotdrum/internal/state"
