batchservice: measure contact with the leader apart from the time of day

Cause: the leader tracker compared wall-clock times. When the time of day jumped ahead, the process counted as cut off, and not ready, until the next answer; when it jumped back, a process that is cut off counted as connected for as long as the jump. The times are counted from the start of the process now.

--- a/internal/batchservice/leadertracker.go
+++ b/internal/batchservice/leadertracker.go
@@ -43,12 +43,11 @@
 	control   *session.ControlClient
 	rpcClient session.RPCClient
 	log       *logrus.Entry
-	// lastContactMS is the Unix time in milliseconds at which a replica last
-	// named a leader, or 0.
-	lastContactMS atomic.Int64
-	// lastAnswerMS is the Unix time in milliseconds at which any replica last answered,
-	// whether or not it named a leader; 0 before.
-	lastAnswerMS atomic.Int64
+	started   time.Time
+	// lastContact is when a replica last named a leader, lastAnswer when any replica
+	// last answered. Both are time.Durations since started, which don't follow jumps
+	// of the time of day, and 0 before the first time.
+	lastContact, lastAnswer atomic.Int64
 
 	mu      sync.Mutex
 	seeds   []string
@@ -61,7 +60,7 @@
 func NewLeaderTracker(rpcClient session.RPCClient, seeds []string, log *logrus.Entry) *LeaderTracker {
 	control := session.NewControlClient(rpcClient, seeds)
 	control.SetAttemptTimeout(attemptTimeout)
-	return &LeaderTracker{control: control, rpcClient: rpcClient, seeds: seeds, log: log}
+	return &LeaderTracker{control: control, rpcClient: rpcClient, seeds: seeds, log: log, started: time.Now()}
 }
 
 // ControlClient returns the client whose calls go to the tracked leader.
@@ -70,7 +69,7 @@
 // CheckConnected returns an error when no replica has answered for
 // isolationTimeout, so that the process is likely to be cut off from all of them.
 func (t *LeaderTracker) CheckConnected() error {
-	if at := t.lastAnswerMS.Load(); at != 0 && time.Since(time.UnixMilli(at)) > isolationTimeout {
+	if t.lastAnswer.Load() != 0 && t.age(&t.lastAnswer) > isolationTimeout {
 		return fmt.Errorf("no control replica has answered for %s", isolationTimeout)
 	}
 	return nil
@@ -103,11 +102,19 @@
 	switch result.CodeOf(err) {
 	case apiv1.ResultCode_RESULT_CODE_NO_QUORUM, apiv1.ResultCode_RESULT_CODE_OUTCOME_UNKNOWN:
 	default:
-		t.lastAnswerMS.Store(time.Now().UnixMilli())
+		t.record(&t.lastAnswer)
 	}
 	return err
 }
 
+// record sets a time to now.
+func (t *LeaderTracker) record(at *atomic.Int64) { at.Store(int64(max(time.Since(t.started), 1))) }
+
+// age returns how long ago a recorded time was.
+func (t *LeaderTracker) age(at *atomic.Int64) time.Duration {
+	return time.Since(t.started) - time.Duration(at.Load())
+}
+
 // SetSeeds replaces the seeds' rpc addresses. Members that are already known
 // stay.
 func (t *LeaderTracker) SetSeeds(seeds []string) {
@@ -119,7 +126,7 @@
 // CheckReady returns an error unless a replica named a leader within the last
 // leaderContactTimeout.
 func (t *LeaderTracker) CheckReady() error {
-	if at := t.lastContactMS.Load(); at == 0 || time.Since(time.UnixMilli(at)) > leaderContactTimeout {
+	if t.lastContact.Load() == 0 || t.age(&t.lastContact) > leaderContactTimeout {
 		return fmt.Errorf("no leader of the control group is known")
 	}
 	return nil
@@ -140,7 +147,7 @@
 // did not answer in time.
 func (t *LeaderTracker) identifyNext(ctx context.Context, next int) {
 	addresses := t.addresses()
-	if at := t.lastAnswerMS.Load(); time.Since(time.UnixMilli(at)) < 2*identifyInterval {
+	if t.age(&t.lastAnswer) < 2*identifyInterval {
 		t.identify(ctx, addresses[next%len(addresses)])
 		return
 	}
@@ -169,7 +176,7 @@
 		t.log.WithError(err).WithField("address", address).Debug("replica cannot be reached")
 		return
 	}
-	t.lastAnswerMS.Store(time.Now().UnixMilli())
+	t.record(&t.lastAnswer)
 	t.Observe(info, address)
 }
 
@@ -185,7 +192,7 @@
 	changed := t.leader != info.LeaderAddress || t.term != info.Term
 	t.leader, t.term, t.members = info.LeaderAddress, info.Term, info.GroupAddresses
 	t.mu.Unlock()
-	t.lastContactMS.Store(time.Now().UnixMilli())
+	t.record(&t.lastContact)
 	if !changed {
 		return
 	}
