--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -51,6 +51,7 @@
 func (c benchMinions) Stop(context.Context, Target, batch.RunKey, uint64) (int64, error) {
 	return time.Now().UnixMilli(), nil
 }
+
 func (c benchMinions) SetSpeed(context.Context, Target, batch.RunKey, int, uint64) error { return nil }
 func (c benchMinions) Disconnect(Target)                                                 {}
 
