--- a/internal/placement/rank.go
+++ b/internal/placement/rank.go
@@ -102,7 +102,7 @@
 	remaining := p.remainingCriticalPathMS(j)
 	switch {
 	case p.in.NowUnixMS+remaining <= dueMS+limit:
-		r.valuePerWork = p.valuePerWork(j)
+		r.lateness, r.valuePerWork = onTime, p.valuePerWork(j)
 	case p.in.NowUnixMS+remaining <= dueMS+lateFactor*limit:
 		r.lateness = late
 	default:
