--- a/internal/batch/minions.go
+++ b/internal/batch/minions.go
@@ -10,8 +10,8 @@
 // observeMinions records minions (worker processes) that announced themselves,
 // and incarnations (lifetimes of a minion's process) that are gone, which means
 // that they have ended. An announcement of an earlier incarnation than the
-// recorded one, or one without an id, is ignored. Runs (executions of tasks) on an incarnation that is
-// gone end as lost.
+// recorded one, or one without an id, is ignored. Runs (executions of tasks) on an
+// incarnation that is gone end as lost.
 func (s *State) observeMinions(logTimeMS int64, cmd *apiv1.ObserveMinions) {
 	for _, m := range cmd.Minions {
 		if m.Life.GetId() == "" {
--- a/internal/dispatch/minionclient.go
+++ b/internal/dispatch/minionclient.go
@@ -81,8 +81,9 @@
 	Running []RunStatus
 	// Ended lists the ends that are not acknowledged yet.
 	Ended []ReportedEnd
-	// Unreadable is the error of the first row of Running or Ended that could not
-	// be read, nil when there is none. A run that is not listed may be in such a row.
+	// Unreadable has the errors of the first rows of Running and of Ended that could
+	// not be read, nil when there are none. A run that is not listed may be in such a
+	// row.
 	Unreadable error
 	// AckableEnd is set with Unreadable: the number of the last end before the first
 	// unreadable one. Later ends must not be acknowledged, since the minion would
--- a/internal/placement/demand.go
+++ b/internal/placement/demand.go
@@ -16,8 +16,8 @@
 	// ArrivalRate is the work that became due in the last arrivalWindowMS, divided
 	// by that time: the CPU that keeps up with such work.
 	ArrivalRate int64
-	// Late is the CPU for jobs that can't meet their limit any more. It yields to
-	// the demand of all pools for jobs that can.
+	// Late is the CPU for jobs that can't meet their latency limit any more. It yields
+	// to the demand of all pools for jobs that can.
 	Late int64
 	// Peak is the highest demand of the last seconds. The caller of Demands
 	// records and sets it; it delays powering off machines.
