replica, storage: failing tests of disks that are full for a while

The replica opens its folder through an interface, and the log writes through a variable, for these tests only; nothing else changes.

--- /dev/null
+++ b/internal/replica/full_disk_test.go
@@ -0,0 +1,129 @@
+package replica
+
+import (
+	"context"
+	"fmt"
+	"io/fs"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+	"bergamotdrum.example/bergamotdrum/internal/result"
+	"bergamotdrum.example/bergamotdrum/internal/storage"
+)
+
+// limitedFolder is a data folder on a disk that takes no more bytes while full is
+// set.
+type limitedFolder struct {
+	dataFolder
+	full *atomic.Bool
+}
+
+func (m *member) openFolder(path string) (dataFolder, *storage.Contents, error) {
+	folder, contents, err := openFolder(path)
+	return &limitedFolder{folder, &m.diskFull}, contents, err
+}
+
+func (f *limitedFolder) check() error {
+	if f.full.Load() {
+		return &fs.PathError{Op: "write", Path: "log", Err: syscall.ENOSPC}
+	}
+	return nil
+}
+
+func (f *limitedFolder) Save(hs *apiv1.HardState, entries []*apiv1.LogEntry, sync bool) error {
+	if err := f.check(); err != nil && (sync || len(entries) > 0) {
+		return err
+	}
+	return f.dataFolder.Save(hs, entries, sync)
+}
+
+func (f *limitedFolder) WriteSnapshot(s *apiv1.Snapshot) error {
+	if err := f.check(); err != nil {
+		return err
+	}
+	return f.dataFolder.WriteSnapshot(s)
+}
+
+func (f *limitedFolder) UseSnapshot(meta *apiv1.SnapshotMeta, replaceLog bool) error {
+	if err := f.check(); err != nil {
+		return err
+	}
+	return f.dataFolder.UseSnapshot(meta, replaceLog)
+}
+
+// Guards against replicas that stay stopped after their disk was full for a while,
+// so that full disks one after the other cost the group its quorum for good.
+func TestGroupKeepsQuorumWhenDisksAreFullInTurn(t *testing.T) {
+	c := newCluster(t, 5)
+	authors := c.proposeMany("before", 2)
+	for i, m := range c.members {
+		m.diskFull.Store(true)
+		authors = append(authors, c.proposeMany(fmt.Sprintf("full-%d", i), 60)...)
+		m.diskFull.Store(false)
+		c.expectApplied(m, authors)
+	}
+	for _, m := range c.members {
+		c.expectApplied(m, authors)
+	}
+}
+
+// Guards against a group that never recovers when all its disks were full at once,
+// and against an answer "not run" for a command that is committed later.
+func TestGroupRecoversWhenAllDisksWereFull(t *testing.T) {
+	c := newCluster(t, 3)
+	c.propose("before")
+	leader := c.leader()
+	for _, m := range c.members {
+		m.diskFull.Store(true)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	_, err := leader.node.Propose(ctx, publish("during"))
+	c.g.Expect(err).To(HaveOccurred())
+	notRun := result.From(err).NotRun
+	for _, m := range c.members {
+		m.diskFull.Store(false)
+	}
+	c.propose("after")
+	for _, m := range c.members {
+		c.expectApplied(m, []string{"before", "after"})
+		if notRun {
+			c.g.Expect(m.stateMachine.applied()).NotTo(ContainElement("during"))
+		}
+	}
+}
+
+// Guards against a leader that still seems to lead, and keeps its OnLeader function
+// running, while its disk is full.
+func TestLeaderWithFullDiskIsReplaced(t *testing.T) {
+	c := newCluster(t, 3)
+	c.propose("before")
+	leader := c.leader()
+	leader.diskFull.Store(true)
+	c.propose("during")
+	c.g.Eventually(leader.running.Load).Should(BeZero())
+	c.g.Expect(leader.node.Status().LeaderID).NotTo(Equal(leader.node.Status().ReplicaID))
+	leader.diskFull.Store(false)
+	c.expectApplied(leader, []string{"before", "during"})
+}
+
+// Guards against a single replica that no longer runs its OnLeader function after its
+// disk was full.
+func TestOnlyVoterLeadsAgainAfterFullDisk(t *testing.T) {
+	c := newCluster(t, 1)
+	c.propose("before")
+	m := c.leader()
+	m.diskFull.Store(true)
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	_, err := m.node.Propose(ctx, publish("during"))
+	c.g.Expect(err).To(HaveOccurred())
+	m.diskFull.Store(false)
+	c.propose("after")
+	c.g.Eventually(m.running.Load).Should(BeEquivalentTo(1))
+}
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -33,7 +33,7 @@
 type Node struct {
 	opts   Options
 	log    *logrus.Entry
-	folder *storage.Folder
+	folder dataFolder
 	core   *consensus.Core
 
 	inbox     chan *apiv1.RaftBatch
@@ -76,7 +76,7 @@
 	if err := o.setDefaults(); err != nil {
 		return nil, err
 	}
-	folder, contents, err := storage.Open(o.DataFolder)
+	folder, contents, err := o.openFolder(o.DataFolder)
 	if err != nil {
 		return nil, err
 	}
@@ -92,7 +92,7 @@
 	return n, nil
 }
 
-func newNode(o Options, folder *storage.Folder) *Node {
+func newNode(o Options, folder dataFolder) *Node {
 	ctx, cancel := context.WithCancel(context.Background())
 	stopped := make(chan struct{})
 	close(stopped)
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -18,6 +18,7 @@
 	"bergamotdrum.example/bergamotdrum/internal/clock"
 	"bergamotdrum.example/bergamotdrum/internal/consensus"
 	"bergamotdrum.example/bergamotdrum/internal/rpc"
+	"bergamotdrum.example/bergamotdrum/internal/storage"
 )
 
 const (
@@ -42,6 +43,20 @@
 	Restore(*apiv1.StateSnapshot) error
 }
 
+// dataFolder is the part of a storage.Folder that a replica uses.
+type dataFolder interface {
+	ReplicaID() uint64
+	ClusterID() uint64
+	SetClusterID(id uint64) error
+	Save(hs *apiv1.HardState, entries []*apiv1.LogEntry, sync bool) error
+	WriteSnapshot(s *apiv1.Snapshot) error
+	UseSnapshot(meta *apiv1.SnapshotMeta, replaceLog bool) error
+	ReadSnapshot() (*apiv1.Snapshot, error)
+	Close()
+}
+
+func openFolder(path string) (dataFolder, *storage.Contents, error) { return storage.Open(path) }
+
 // Options configures a replica.
 type Options struct {
 	DataFolder string
@@ -76,6 +91,8 @@
 	Log       *logrus.Entry // discarded when nil
 	// Registry gets the replica's metrics; it may be nil.
 	Registry prometheus.Registerer
+	// openFolder opens the data folder, with storage.Open when nil.
+	openFolder func(path string) (dataFolder, *storage.Contents, error)
 	// OnLeader is called in a goroutine when this replica has become leader and
 	// has applied the first entry of its term, and so all earlier ones. Its ctx
 	// ends when the replica no longer leads. The next call starts only after the
@@ -102,6 +119,9 @@
 	if o.SnapshotEntries == 0 {
 		o.SnapshotEntries = defaultSnapshotEntries
 	}
+	if o.openFolder == nil {
+		o.openFolder = openFolder
+	}
 	if o.Clock == nil {
 		o.Clock = clock.Boot{}
 	}
--- a/internal/storage/files.go
+++ b/internal/storage/files.go
@@ -1,6 +1,7 @@
 package storage
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -24,6 +25,14 @@
 // to read them back, such as the size. It is a variable for tests, too.
 var syncData = func(f *os.File) error { return unix.Fdatasync(int(f.Fd())) }
 
+// writeData appends data to a file. It is a variable for tests, too.
+var writeData = func(f *os.File, data []byte) (int, error) { return f.Write(data) }
+
+// IsDiskFull reports whether a write failed because its disk takes no more bytes.
+func IsDiskFull(err error) bool {
+	return errors.Is(err, unix.ENOSPC) || errors.Is(err, unix.EDQUOT)
+}
+
 // syncFolder makes the creation, renaming and removal of files in a directory
 // durable.
 func syncFolder(path string) error {
--- /dev/null
+++ b/internal/storage/full_disk_test.go
@@ -0,0 +1,62 @@
+package storage
+
+import (
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+)
+
+// Guards against a log that is damaged by the part of a record that fitted on a full
+// disk, and against a vote that is lost because its first write failed.
+func TestLogGoesOnAfterWriteToFullDisk(t *testing.T) {
+	g := NewWithT(t)
+	path, _ := createWithEntries(t)
+	f, _, err := Open(path)
+	g.Expect(err).NotTo(HaveOccurred())
+	write := writeData
+	t.Cleanup(func() { writeData = write })
+	writeData = func(f *os.File, data []byte) (int, error) {
+		n, _ := f.Write(data[:len(data)/2])
+		return n, &os.PathError{Op: "write", Err: syscall.ENOSPC}
+	}
+	hs, entries := &apiv1.HardState{Term: 2, Vote: 7}, []*apiv1.LogEntry{newEntry(4, 2, "four")}
+	g.Expect(f.Save(hs, nil, false)).To(Succeed())
+	for range 2 {
+		g.Expect(IsDiskFull(f.Save(nil, entries, true))).To(BeTrue())
+	}
+	writeData = write
+	g.Expect(f.Save(nil, entries, true)).To(Succeed())
+	f.Close()
+	contents, err := reopen(t, path)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(entryData(contents)).To(Equal([]string{"one", "two", "three", "four"}))
+	g.Expect(contents.HardState.Vote).To(Equal(uint64(7)))
+}
+
+// Guards against a snapshot that the log refers to although a full disk kept it from
+// being recorded.
+func TestSnapshotIsUsedOnceDiskHasSpace(t *testing.T) {
+	g := NewWithT(t)
+	path, _ := createWithEntries(t)
+	f, _, err := Open(path)
+	g.Expect(err).NotTo(HaveOccurred())
+	meta := &apiv1.SnapshotMeta{Index: 2, Term: 1}
+	g.Expect(f.WriteSnapshot(&apiv1.Snapshot{Meta: meta})).To(Succeed())
+	temp := filepath.Join(path, segmentName(2)+tempSuffix)
+	g.Expect(os.Symlink("/dev/full", temp)).To(Succeed())
+	g.Expect(IsDiskFull(f.UseSnapshot(meta, false))).To(BeTrue())
+	_, err = f.ReadSnapshot()
+	g.Expect(err).To(HaveOccurred())
+	g.Expect(os.Remove(temp)).To(Succeed())
+	g.Expect(f.UseSnapshot(meta, false)).To(Succeed())
+	f.Close()
+	contents, err := reopen(t, path)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(contents.Snapshot.Meta.Index).To(Equal(uint64(2)))
+	g.Expect(entryData(contents)).To(Equal([]string{"three"}))
+}
--- a/internal/storage/wal.go
+++ b/internal/storage/wal.go
@@ -88,7 +88,7 @@
 	if err := w.encode(entries); err != nil {
 		return err
 	}
-	if _, err := w.file.Write(w.buf); err != nil {
+	if _, err := writeData(w.file, w.buf); err != nil {
 		return fmt.Errorf("write log: %w", err)
 	}
 	w.size += int64(len(w.buf))
