replica: wait for space on a full disk instead of stopping

Cause: any failed write stopped the replica for good, since it is unknown what reached the disk, and its process went on without it. A full disk is no such case: the write has no effect, and the disk takes bytes again later. Full disks one after the other stopped three of five replicas, the rest had no quorum, and no cancellation could be committed until all processes were started again.

Ruled out: a cancellation that was committed and lost (no call was answered 200 before the restart), and a new leader that plans before it has applied its log (OnLeader is called after the first own entry).

Change: the replica repeats the write of the same Ready until the disk takes it. Meanwhile it is like one that is cut off: it doesn't lead, drops messages, and refuses calls as not run. A temporary file that could not be written is removed, as it would take the last space. Metric bergamot_replica_disk_full.

--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -102,8 +102,7 @@
 		return err
 	}
 	if err := n.folder.UseSnapshot(meta, true); err != nil {
-		// It is unknown whether the record is on disk, so the replica must stop.
-		n.err = err
+		n.failUnlessDiskFull(err)
 		return err
 	}
 	n.clusterID, n.applied = f.ClusterId, initialIndex
--- a/internal/replica/metrics.go
+++ b/internal/replica/metrics.go
@@ -5,9 +5,9 @@
 )
 
 type metrics struct {
-	term, role, commit, applied  prometheus.Gauge
-	proposals, dropped           prometheus.Counter
-	syncSeconds, snapshotSeconds prometheus.Histogram
+	term, role, commit, applied, diskFull prometheus.Gauge
+	proposals, dropped                    prometheus.Counter
+	syncSeconds, snapshotSeconds          prometheus.Histogram
 }
 
 func newMetrics(registry prometheus.Registerer) *metrics {
@@ -27,13 +27,14 @@
 		role:            gauge("role", "0 follower, 1 pre-candidate, 2 candidate, 3 leader."),
 		commit:          gauge("commit_index", "Highest index known to be committed."),
 		applied:         gauge("applied_index", "Highest index applied."),
+		diskFull:        gauge("disk_full", "1 while the replica waits for space on its disk, otherwise 0."),
 		proposals:       counter("proposals_total", "Proposals appended by this replica as leader."),
 		dropped:         counter("dropped_messages_total", "Messages dropped because a peer's queue was full."),
 		syncSeconds:     histogram("sync_seconds", "Time to write and sync one batch of the log."),
 		snapshotSeconds: histogram("snapshot_seconds", "Time to marshal the state, during which nothing else is applied."),
 	}
 	if registry != nil {
-		registry.MustRegister(m.term, m.role, m.commit, m.applied, m.proposals, m.dropped, m.syncSeconds, m.snapshotSeconds)
+		registry.MustRegister(m.term, m.role, m.commit, m.applied, m.diskFull, m.proposals, m.dropped, m.syncSeconds, m.snapshotSeconds)
 	}
 	return m
 }
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -56,6 +56,8 @@
 	leaderTerm         uint64             // zero while this replica doesn't lead
 	cancelOnLeader     context.CancelFunc // nil while there is nothing to cancel
 	onLeaderDone       chan struct{}      // closed when the last OnLeader call has returned
+	stepDownDue        bool               // after a wait for space on a full disk
+	resumeOnLeader     bool               // OnLeader ran when that wait began
 	lastTick           time.Duration
 
 	incomingSnapshot snapshotAssembler
@@ -161,7 +163,7 @@
 
 // Err returns the failure that stopped the replica, or nil after Stop. It must
 // not be called before Done is closed. A failed write or sync stops the replica,
-// because it is unknown what reached the disk.
+// because it is unknown what reached the disk. For space on a full disk it waits.
 func (n *Node) Err() error { return n.err }
 
 // Status returns the state after the last round of the loop.
@@ -189,7 +191,7 @@
 			call()
 		}
 		n.takeQueued()
-		if err := n.processReadies(); err != nil {
+		if err := n.processReadies(); err != nil && n.ctx.Err() == nil {
 			n.err = err
 			n.log.WithError(err).Error("replica stops")
 			return
@@ -264,7 +266,7 @@
 	n.stopOnLeader()
 	n.failPending()
 	n.cancel()
-	n.publishStopped()
+	n.publishWithoutLeader()
 	close(n.done)
 	<-n.onLeaderDone
 	// The senders and the snapshot writer use the folder until they end.
@@ -272,9 +274,9 @@
 	n.folder.Close()
 }
 
-// publishStopped publishes a status without a leader, so that a stopped replica
-// doesn't seem to lead.
-func (n *Node) publishStopped() {
+// publishWithoutLeader publishes a status without a leader, so that a replica that
+// has stopped or waits for space on its disk doesn't seem to lead.
+func (n *Node) publishWithoutLeader() {
 	st := n.Status()
 	st.Role, st.LeaderID, st.LeaderAddress = consensus.Follower, 0, ""
 	n.status.Store(&st)
--- a/internal/replica/ready.go
+++ b/internal/replica/ready.go
@@ -8,6 +8,7 @@
 
 	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
 	"bergamotdrum.example/bergamotdrum/internal/consensus"
+	"bergamotdrum.example/bergamotdrum/internal/storage"
 )
 
 // receive passes a batch of messages from another replica to the core, the Raft
@@ -37,7 +38,7 @@
 		return false
 	}
 	if err := n.folder.SetClusterID(b.ClusterId); err != nil {
-		n.err = err
+		n.failUnlessDiskFull(err)
 		return false
 	}
 	n.clusterID = b.ClusterId
@@ -69,14 +70,28 @@
 		n.finishBarrier(r)
 	}
 	n.core.Advance()
+	if n.stepDownDue {
+		n.stepDownAfterFullDisk()
+	}
 	n.updateLeadership()
 	return nil
 }
 
-// persist makes the state of a Ready durable. It writes the hard state after the
-// snapshot, since its commit index would otherwise refer to entries that the
-// snapshot replaces.
+// persist makes the state of a Ready durable. It waits for space when the disk is
+// full. Any other error stops the replica, because it is unknown what reached the
+// disk.
 func (n *Node) persist(rd *consensus.Ready) error {
+	err := n.store(rd)
+	if storage.IsDiskFull(err) {
+		err = n.waitForSpace(rd, err)
+	}
+	return err
+}
+
+// store writes and syncs the state of a Ready. It may be repeated after an error
+// that storage.IsDiskFull reports. It writes the hard state after the snapshot, since
+// its commit index would otherwise refer to entries that the snapshot replaces.
+func (n *Node) store(rd *consensus.Ready) error {
 	start := n.opts.Clock.Now()
 	if rd.Snapshot != nil {
 		if err := n.folder.WriteSnapshot(rd.Snapshot); err != nil {
--- a/internal/replica/snapshots.go
+++ b/internal/replica/snapshots.go
@@ -49,8 +49,8 @@
 		return // a newer one was installed from the leader
 	}
 	if err := n.folder.UseSnapshot(meta, false); err != nil {
-		n.err = err
-		return
+		n.failUnlessDiskFull(err)
+		return // the log still has all entries, and the next snapshot is due as usual
 	}
 	n.core.Compact(meta, meta.Index-min(meta.Index, retainedEntries))
 }
--- a/internal/storage/files.go
+++ b/internal/storage/files.go
@@ -49,25 +49,36 @@
 // either complete or unchanged.
 func writeFile(folder, name string, data []byte) error {
 	path := filepath.Join(folder, name)
-	f, err := os.OpenFile(path+tempSuffix, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
-	if err != nil {
+	if err := writeTempFile(path+tempSuffix, data); err != nil {
 		return err
 	}
-	if _, err := f.Write(data); err != nil {
-		f.Close()
+	if err := os.Rename(path+tempSuffix, path); err != nil {
 		return err
 	}
-	if err := syncFile(f); err != nil {
-		f.Close()
+	return syncFolder(folder)
+}
+
+// writeTempFile creates or replaces a file and syncs it. After an error it removes
+// the file, which would take the last space of a full disk.
+func writeTempFile(path string, data []byte) (err error) {
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
+	if err != nil {
 		return err
 	}
-	if err := f.Close(); err != nil {
+	defer func() {
+		if err != nil {
+			err = errors.Join(err, os.Remove(path))
+		}
+	}()
+	if _, err := writeData(f, data); err != nil {
+		f.Close()
 		return err
 	}
-	if err := os.Rename(path+tempSuffix, path); err != nil {
+	if err := syncFile(f); err != nil {
+		f.Close()
 		return err
 	}
-	return syncFolder(folder)
+	return f.Close()
 }
 
 // lockFolder takes an exclusive lock on the folder, so that no two processes
--- a/internal/storage/full_disk_test.go
+++ b/internal/storage/full_disk_test.go
@@ -30,11 +30,16 @@
 		g.Expect(IsDiskFull(f.Save(nil, entries, true))).To(BeTrue())
 	}
 	writeData = write
+	// A snapshot from the leader starts a segment before the write is repeated, and a
+	// torn record is damage in all but the last segment.
+	meta := &apiv1.SnapshotMeta{Index: 2, Term: 1}
+	g.Expect(f.WriteSnapshot(&apiv1.Snapshot{Meta: meta})).To(Succeed())
+	g.Expect(f.UseSnapshot(meta, false)).To(Succeed())
 	g.Expect(f.Save(nil, entries, true)).To(Succeed())
 	f.Close()
 	contents, err := reopen(t, path)
 	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(entryData(contents)).To(Equal([]string{"one", "two", "three", "four"}))
+	g.Expect(entryData(contents)).To(Equal([]string{"three", "four"}))
 	g.Expect(contents.HardState.Vote).To(Equal(uint64(7)))
 }
 
@@ -52,7 +57,7 @@
 	g.Expect(IsDiskFull(f.UseSnapshot(meta, false))).To(BeTrue())
 	_, err = f.ReadSnapshot()
 	g.Expect(err).To(HaveOccurred())
-	g.Expect(os.Remove(temp)).To(Succeed())
+	g.Expect(temp).NotTo(BeAnExistingFile(), "it would take the last space")
 	g.Expect(f.UseSnapshot(meta, false)).To(Succeed())
 	f.Close()
 	contents, err := reopen(t, path)
--- a/internal/storage/wal.go
+++ b/internal/storage/wal.go
@@ -39,7 +39,9 @@
 	segments  []segment
 	file      *os.File
 	size      int64
-	hardState *apiv1.HardState
+	// hasFailedWrite is set when bytes after size may be left of a failed write.
+	hasFailedWrite bool
+	hardState      *apiv1.HardState
 	// hardStatePending is set while hardState has not been written to the log.
 	hardStatePending bool
 	snapshot         *apiv1.SnapshotMeta
@@ -72,6 +74,9 @@
 // hard state alone is written only with sync set, otherwise with the next
 // entries: a power loss could drop an unsynced write and keep a later one, and
 // replay would take the gap for corruption, not for a torn tail.
+//
+// After an error save may be repeated when the disk was full: the next write removes
+// what the failed one has left.
 func (w *wal) save(hs *apiv1.HardState, entries []*apiv1.LogEntry, sync bool) error {
 	if hs != nil {
 		w.hardState, w.hardStatePending = hs, true
@@ -85,19 +90,46 @@
 		}
 	}
 	w.buf = w.buf[:0]
+	withHardState := w.hardStatePending
 	if err := w.encode(entries); err != nil {
 		return err
 	}
+	if err := w.write(sync); err != nil {
+		w.hardStatePending = withHardState
+		return err
+	}
+	w.size += int64(len(w.buf))
+	return nil
+}
+
+// write writes w.buf at the end of the current segment, and syncs it with sync set.
+// It first removes what a write that failed has left there.
+func (w *wal) write(sync bool) error {
+	if err := w.removeFailedWrite(); err != nil {
+		return err
+	}
+	w.hasFailedWrite = true
 	if _, err := writeData(w.file, w.buf); err != nil {
 		return fmt.Errorf("write log: %w", err)
 	}
-	w.size += int64(len(w.buf))
-	if !sync {
+	if sync {
+		if err := syncData(w.file); err != nil {
+			return fmt.Errorf("sync log: %w", err)
+		}
+	}
+	w.hasFailedWrite = false
+	return nil
+}
+
+// removeFailedWrite removes what a write that failed has left in the current segment.
+func (w *wal) removeFailedWrite() error {
+	if !w.hasFailedWrite {
 		return nil
 	}
-	if err := syncData(w.file); err != nil {
-		return fmt.Errorf("sync log: %w", err)
+	if err := w.file.Truncate(w.size); err != nil {
+		return fmt.Errorf("remove incomplete record from log: %w", err)
 	}
+	w.hasFailedWrite = false
 	return nil
 }
 
@@ -145,6 +177,9 @@
 func (w *wal) rotate(replaceLog bool) error {
 	next := segment{sequence: 1}
 	if w.file != nil {
+		if err := w.removeFailedWrite(); err != nil {
+			return err
+		}
 		if err := syncFile(w.file); err != nil {
 			return err
 		}
@@ -200,8 +235,10 @@
 // startAtSnapshot records a snapshot in a new segment and removes the oldest
 // segments, as far as the snapshot covers all their entries.
 func (w *wal) startAtSnapshot(meta *apiv1.SnapshotMeta, replaceLog bool) error {
+	earlier := w.snapshot
 	w.snapshot = meta
 	if err := w.rotate(replaceLog); err != nil {
+		w.snapshot = earlier
 		return err
 	}
 	n := 0
