daemon: end the process when its replica has stopped

Cause: a control process whose replica had stopped after a failed write went on as if it ran: it answered calls and readiness checks, and nothing started the replica again.

Change: Program ends with an error when the daemon's indispensable part has stopped, so that the service manager starts the process again, which reads the folder anew.

TestProgramEndsWhenItsServiceHasFailed fails without the new case (no end within 20 s) and passes with it.

--- a/cmd/bergamot-control/main.go
+++ b/cmd/bergamot-control/main.go
@@ -14,12 +14,8 @@
 		Description: "Runs one replica of the control group.",
 		Section:     "control",
 		Settings:    &apiv1.ControlSettings{},
-		Start: func(settings *apiv1.ControlSettings) (func() error, error) {
-			d, err := control.Start(settings)
-			if err != nil {
-				return nil, err
-			}
-			return d.Stop, nil
+		Start: func(settings *apiv1.ControlSettings) (daemon.Service, error) {
+			return control.Start(settings)
 		},
 	}.Main()
 }
--- a/cmd/bergamot-entry/main.go
+++ b/cmd/bergamot-entry/main.go
@@ -14,12 +14,8 @@
 		Description: "Runs an entry process: HTTP for callers and targets, and scheduler shards.",
 		Section:     "entry",
 		Settings:    &apiv1.EntrySettings{},
-		Start: func(settings *apiv1.EntrySettings) (func() error, error) {
-			d, err := entry.Start(settings)
-			if err != nil {
-				return nil, err
-			}
-			return d.Stop, nil
+		Start: func(settings *apiv1.EntrySettings) (daemon.Service, error) {
+			return entry.Start(settings)
 		},
 	}.Main()
 }
--- a/cmd/bergamot-platform/main.go
+++ b/cmd/bergamot-platform/main.go
@@ -31,14 +31,10 @@
 func (c *coreCommand) Run() error {
 	return daemon.Program[*apiv1.BatchControlSettings]{
 		Section: batchcore.Section, Settings: &apiv1.BatchControlSettings{},
-		Start: func(settings *apiv1.BatchControlSettings) (func() error, error) {
-			d, err := batchcore.Start(c.Settings, settings, batchcore.Adapter{
+		Start: func(settings *apiv1.BatchControlSettings) (daemon.Service, error) {
+			return batchcore.Start(c.Settings, settings, batchcore.Adapter{
 				NewMinions: platform.NewMinionClient, NewProvider: platform.NewMachineProvider, NewHandler: platform.NewControlHandler,
 			})
-			if err != nil {
-				return nil, err
-			}
-			return d.Stop, nil
 		},
 	}.Run(c.Settings, c.Check)
 }
@@ -49,12 +45,8 @@
 func (c *frontCommand) Run() error {
 	return daemon.Program[*apiv1.BatchFrontSettings]{
 		Section: batchfront.Section, Settings: &apiv1.BatchFrontSettings{},
-		Start: func(settings *apiv1.BatchFrontSettings) (func() error, error) {
-			d, err := batchfront.Start(c.Settings, settings, batchfront.Adapter{NewCallerHandler: platform.NewCallerHandler, NewReadinessHandler: platform.NewReadinessHandler})
-			if err != nil {
-				return nil, err
-			}
-			return d.Stop, nil
+		Start: func(settings *apiv1.BatchFrontSettings) (daemon.Service, error) {
+			return batchfront.Start(c.Settings, settings, batchfront.Adapter{NewCallerHandler: platform.NewCallerHandler, NewReadinessHandler: platform.NewReadinessHandler})
 		},
 	}.Run(c.Settings, c.Check)
 }
--- a/internal/daemon/batchcore/daemon.go
+++ b/internal/daemon/batchcore/daemon.go
@@ -201,6 +201,9 @@
 	d.leaderTracker.SetSeeds(seeds)
 }
 
+// Failed implements daemon.Service. The replica stops by itself after a failed write.
+func (d *Daemon) Failed() <-chan struct{} { return d.Node.Done() }
+
 // Stop waits up to stopTimeout for HTTP requests in flight, then stops the
 // replica. The data folder keeps the replica's state for the next start.
 func (d *Daemon) Stop() error {
--- a/internal/daemon/batchfront/daemon.go
+++ b/internal/daemon/batchfront/daemon.go
@@ -117,6 +117,9 @@
 	d.leaderTracker.SetSeeds(seeds)
 }
 
+// Failed implements daemon.Service.
+func (d *Daemon) Failed() <-chan struct{} { return nil }
+
 // Stop shuts down gracefully: it fails readiness, disables keep-alive on callers'
 // connections, waits ready_delay for the load balancer to notice, and waits up
 // to drain_timeout for requests in flight.
--- a/internal/daemon/control/daemon.go
+++ b/internal/daemon/control/daemon.go
@@ -159,6 +159,9 @@
 	d.Process.SetReady(true)
 }
 
+// Failed implements daemon.Service. The replica stops by itself after a failed write.
+func (d *Daemon) Failed() <-chan struct{} { return d.Node.Done() }
+
 // Stop fails readiness, waits up to stopTimeout for operators' requests, and
 // stops the replica. The data folder keeps the replica's state for the next
 // start.
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -77,3 +77,33 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(DescriptorLimit(100)).To(Equal(min(limit, 100)))
 }
+
+// failedService is a daemon whose indispensable part has stopped.
+type failedService struct{ failed, stopped chan struct{} }
+
+func (s *failedService) Failed() <-chan struct{} { return s.failed }
+
+func (s *failedService) Stop() error {
+	close(s.stopped)
+	return nil
+}
+
+// Guards against a process that goes on, and counts as running, after its replica has
+// stopped for good.
+func TestProgramEndsWhenItsServiceHasFailed(t *testing.T) {
+	g := NewWithT(t)
+	path := filepath.Join(t.TempDir(), "client.ini")
+	text := "[client]\noperator_addresses = 10.0.0.1:1\noperator_name = ada\noperator_key_file = ada.key\n"
+	g.Expect(os.WriteFile(path, []byte(text), 0o600)).To(Succeed())
+	service := &failedService{failed: make(chan struct{}), stopped: make(chan struct{})}
+	ended := make(chan error, 1)
+	go func() {
+		ended <- Program[*apiv1.ClientSettings]{
+			Section: "client", Settings: &apiv1.ClientSettings{},
+			Start: func(*apiv1.ClientSettings) (Service, error) { return service, nil },
+		}.Run(path, false)
+	}()
+	close(service.failed)
+	g.Eventually(ended).WithTimeout(20 * time.Second).Should(Receive(MatchError(errServiceFailed)))
+	g.Expect(service.stopped).To(BeClosed())
+}
--- a/internal/daemon/entry/daemon.go
+++ b/internal/daemon/entry/daemon.go
@@ -156,6 +156,9 @@
 	})
 }
 
+// Failed implements daemon.Service.
+func (d *Daemon) Failed() <-chan struct{} { return nil }
+
 // Stop shuts down gracefully: it fails readiness, waits ready_delay for the load
 // balancer to notice, drains the requests in flight, hands over the shards and
 // closes the session. The shards serve other entry processes until the drain is
--- a/internal/daemon/program.go
+++ b/internal/daemon/program.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"errors"
 	"fmt"
 	"os"
 
@@ -15,10 +16,20 @@
 	// Section is the INI section that is decoded into Settings.
 	Section  string
 	Settings S
-	// Start starts the daemon and returns a function that stops it gracefully.
-	Start func(S) (stop func() error, err error)
+	Start    func(S) (Service, error)
 }
 
+// Service is a daemon that was started.
+type Service interface {
+	// Stop stops the daemon gracefully.
+	Stop() error
+	// Failed returns a channel that is closed when a part without which the daemon is
+	// of no use has stopped by itself; nil when there is no such part.
+	Failed() <-chan struct{}
+}
+
+var errServiceFailed = errors.New("a part of the program has failed, see its log; the program ends so that it is started again")
+
 // Main parses the command line and runs the program until SIGTERM or SIGINT. It
 // exits with status 1 on failure.
 func (p Program[S]) Main() {
@@ -34,7 +45,7 @@
 }
 
 // Run validates the settings and, unless check is set, runs the daemon until
-// SIGTERM or SIGINT.
+// SIGTERM or SIGINT, or until it has failed.
 func (p Program[S]) Run(path string, check bool) error {
 	if err := LoadSettings(path, p.Section, p.Settings); err != nil {
 		return err
@@ -45,10 +56,14 @@
 	}
 	ctx, cancel := SignalContext()
 	defer cancel()
-	stop, err := p.Start(p.Settings)
+	service, err := p.Start(p.Settings)
 	if err != nil {
 		return err
 	}
-	<-ctx.Done()
-	return stop()
+	select {
+	case <-ctx.Done():
+		return service.Stop()
+	case <-service.Failed():
+		return errors.Join(errServiceFailed, service.Stop())
+	}
 }
