replica: end the loop when stopped during the wait for space

Cause: since the replica waits for space, its loop went on when Stop came during the wait, although the Ready was not stored.

Change: any error ends the loop; only one without a stop is a failure.

TestStopDuringWaitForSpaceEndsLoop fails without the change and passes with it.

--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -73,6 +73,7 @@
 	running, appliedAtStart atomic.Int32
 	// diskFull makes all writes to the data folder fail for lack of space.
 	diskFull atomic.Bool
+	saves    atomic.Int32 // attempts to write to the log
 	server   *rpc.Server
 	client   *rpc.Client
 }
--- a/internal/replica/full_disk_test.go
+++ b/internal/replica/full_disk_test.go
@@ -20,12 +20,13 @@
 // set.
 type limitedFolder struct {
 	dataFolder
-	full *atomic.Bool
+	full  *atomic.Bool
+	saves *atomic.Int32
 }
 
 func (m *member) openFolder(path string) (dataFolder, *storage.Contents, error) {
 	folder, contents, err := openFolder(path)
-	return &limitedFolder{folder, &m.diskFull}, contents, err
+	return &limitedFolder{folder, &m.diskFull, &m.saves}, contents, err
 }
 
 func (f *limitedFolder) check() error {
@@ -36,6 +37,7 @@
 }
 
 func (f *limitedFolder) Save(hs *apiv1.HardState, entries []*apiv1.LogEntry, sync bool) error {
+	f.saves.Add(1)
 	if err := f.check(); err != nil && (sync || len(entries) > 0) {
 		return err
 	}
@@ -127,3 +129,26 @@
 	c.propose("after")
 	c.g.Eventually(m.running.Load).Should(BeEquivalentTo(1))
 }
+
+// Guards against a loop that goes on after a stop during the wait for space: it would
+// store entries without the snapshot or the hard state that came before them.
+func TestStopDuringWaitForSpaceEndsLoop(t *testing.T) {
+	c := newCluster(t, 1)
+	m := c.leader()
+	wrote := 0
+	for range 12 {
+		m.diskFull.Store(true)
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		_, err := m.node.Propose(ctx, publish("during"))
+		cancel()
+		c.g.Expect(err).To(HaveOccurred())
+		before := m.saves.Load()
+		c.stop(m)
+		wrote += int(m.saves.Load() - before)
+		m.diskFull.Store(false)
+		c.start(m)
+		c.leader()
+	}
+	// The wait's own next attempt may come just before the stop.
+	c.g.Expect(wrote).To(BeNumerically("<=", 1))
+}
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -191,9 +191,12 @@
 			call()
 		}
 		n.takeQueued()
-		if err := n.processReadies(); err != nil && n.ctx.Err() == nil {
+		err := n.processReadies()
+		if err != nil && n.ctx.Err() == nil {
 			n.err = err
 			n.log.WithError(err).Error("replica stops")
+		}
+		if err != nil {
 			return
 		}
 	}
