--- a/internal/replica/full_disk_test.go
+++ b/internal/replica/full_disk_test.go
@@ -142,6 +142,7 @@
 		_, err := m.node.Propose(ctx, publish("during"))
 		cancel()
 		c.g.Expect(err).To(HaveOccurred())
+		time.Sleep(2 * m.node.opts.tick()) // so that the loop has more to do than to end
 		before := m.saves.Load()
 		c.stop(m)
 		wrote += int(m.saves.Load() - before)
