storage: never store a commit index before the entries it covers

Cause: a write that starts a segment put the new hard state, with its commit index, into the start of the segment, which is synced before the entries of the same write. When the process ended in between, or waited on a full disk and was killed, the entries that the new ones replace counted as committed after the restart, so replicas could apply different commands. It needs a segment boundary (8 MiB), entries that are replaced, and a kill.

TestCommitIndexIsNotStoredBeforeItsEntries failed before (commit index 1 with the entry of term 1) and passes now.

--- a/internal/storage/full_disk_test.go
+++ b/internal/storage/full_disk_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
 
@@ -65,3 +66,35 @@
 	g.Expect(contents.Snapshot.Meta.Index).To(Equal(uint64(2)))
 	g.Expect(entryData(contents)).To(Equal([]string{"three"}))
 }
+
+// Guards against a commit index on disk that is ahead of the entries it covers: after
+// a restart, the entries that they replace would count as committed.
+func TestCommitIndexIsNotStoredBeforeItsEntries(t *testing.T) {
+	for _, cause := range []error{syscall.ENOSPC, syscall.EIO} {
+		g := NewWithT(t)
+		path := t.TempDir()
+		f, _, err := Open(path)
+		g.Expect(err).NotTo(HaveOccurred())
+		replaced := newEntry(1, 1, string(make([]byte, segmentBytes)))
+		g.Expect(f.Save(&apiv1.HardState{Term: 1}, []*apiv1.LogEntry{replaced}, true)).To(Succeed())
+		write := writeData
+		writeData = func(f *os.File, data []byte) (int, error) {
+			if strings.HasSuffix(f.Name(), tempSuffix) {
+				return write(f, data)
+			}
+			return 0, cause // the start of a segment fitted, the entry doesn't
+		}
+		err = f.Save(&apiv1.HardState{Term: 2, Commit: 1}, []*apiv1.LogEntry{newEntry(1, 2, "new")}, true)
+		g.Expect(err).To(MatchError(cause))
+		// A snapshot that was being written may start a segment, too.
+		meta := &apiv1.SnapshotMeta{}
+		g.Expect(f.WriteSnapshot(&apiv1.Snapshot{Meta: meta})).To(Succeed())
+		g.Expect(f.UseSnapshot(meta, false)).To(Succeed())
+		writeData = write
+		f.Close()
+		contents, err := reopen(t, path)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(contents.Entries).To(HaveLen(1))
+		g.Expect(contents.HardState.Commit).To(BeZero(), "entry 1 of term 1 would be applied")
+	}
+}
--- a/internal/storage/wal.go
+++ b/internal/storage/wal.go
@@ -78,30 +78,38 @@
 // After an error save may be repeated when the disk was full: the next write removes
 // what the failed one has left.
 func (w *wal) save(hs *apiv1.HardState, entries []*apiv1.LogEntry, sync bool) error {
-	if hs != nil {
-		w.hardState, w.hardStatePending = hs, true
-	}
-	if len(entries) == 0 && (!sync || !w.hardStatePending) {
+	if len(entries) == 0 && (!sync || hs == nil && !w.hardStatePending) {
+		w.setHardState(hs)
 		return nil
 	}
+	// A segment starts with the hard state, so the new one, whose commit index may
+	// cover the new entries, must not be set yet.
 	if w.size >= segmentBytes {
 		if err := w.rotate(false); err != nil {
 			return fmt.Errorf("start log segment: %w", err)
 		}
 	}
+	earlier, pending := w.hardState, w.hardStatePending
+	w.setHardState(hs)
 	w.buf = w.buf[:0]
-	withHardState := w.hardStatePending
 	if err := w.encode(entries); err != nil {
 		return err
 	}
 	if err := w.write(sync); err != nil {
-		w.hardStatePending = withHardState
+		w.hardState, w.hardStatePending = earlier, pending
 		return err
 	}
 	w.size += int64(len(w.buf))
 	return nil
 }
 
+// setHardState makes hs, unless it is nil, the hard state to write next.
+func (w *wal) setHardState(hs *apiv1.HardState) {
+	if hs != nil {
+		w.hardState, w.hardStatePending = hs, true
+	}
+}
+
 // write writes w.buf at the end of the current segment, and syncs it with sync set.
 // It first removes what a write that failed has left there.
 func (w *wal) write(sync bool) error {
