storage: tell a full disk from a lack of space with unknown effect

Cause: any error for lack of space counted as a write without effect, also when a segment was renamed into place and only the sync of its folder failed. The log then went on in the segment before, and after a restart the hard state at the start of the new one won: a vote could be lost.

Change: ErrDiskFull marks the writes that leave the folder as before; all others stop the replica as ever.

TestSegmentOfUnknownEffectIsNoFullDisk: with the former check the error counted as a full disk.

--- a/internal/replica/full_disk.go
+++ b/internal/replica/full_disk.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"errors"
 	"time"
 
 	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
@@ -27,7 +28,7 @@
 	n.publishWithoutLeader()
 	retry := time.NewTicker(fullDiskRetryInterval)
 	defer retry.Stop()
-	for storage.IsDiskFull(err) {
+	for errors.Is(err, storage.ErrDiskFull) {
 		select {
 		case <-n.ctx.Done():
 			return err
@@ -46,10 +47,10 @@
 }
 
 // failUnlessDiskFull stops the replica after a failed write, because it is unknown
-// what reached the disk. A write to a full disk has no effect, so the caller may go on
+// what reached the disk. A write that fails with ErrDiskFull has no effect, so the caller may go on
 // as before it.
 func (n *Node) failUnlessDiskFull(err error) {
-	if !storage.IsDiskFull(err) {
+	if !errors.Is(err, storage.ErrDiskFull) {
 		n.err = err
 		return
 	}
--- a/internal/replica/full_disk_test.go
+++ b/internal/replica/full_disk_test.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"fmt"
-	"io/fs"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
@@ -31,7 +29,7 @@
 
 func (f *limitedFolder) check() error {
 	if f.full.Load() {
-		return &fs.PathError{Op: "write", Path: "log", Err: syscall.ENOSPC}
+		return fmt.Errorf("write log: %w", storage.ErrDiskFull)
 	}
 	return nil
 }
--- a/internal/replica/ready.go
+++ b/internal/replica/ready.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 
 	"google.golang.org/protobuf/proto"
@@ -82,14 +83,14 @@
 // disk.
 func (n *Node) persist(rd *consensus.Ready) error {
 	err := n.store(rd)
-	if storage.IsDiskFull(err) {
+	if errors.Is(err, storage.ErrDiskFull) {
 		err = n.waitForSpace(rd, err)
 	}
 	return err
 }
 
 // store writes and syncs the state of a Ready. It may be repeated after an error
-// that storage.IsDiskFull reports. It writes the hard state after the snapshot, since
+// that wraps storage.ErrDiskFull. It writes the hard state after the snapshot, since
 // its commit index would otherwise refer to entries that the snapshot replaces.
 func (n *Node) store(rd *consensus.Ready) error {
 	start := n.opts.Clock.Now()
--- a/internal/storage/files.go
+++ b/internal/storage/files.go
@@ -28,9 +28,18 @@
 // writeData appends data to a file. It is a variable for tests, too.
 var writeData = func(f *os.File, data []byte) (int, error) { return f.Write(data) }
 
-// IsDiskFull reports whether a write failed because its disk takes no more bytes.
-func IsDiskFull(err error) bool {
-	return errors.Is(err, unix.ENOSPC) || errors.Is(err, unix.EDQUOT)
+// ErrDiskFull means that the disk takes no more bytes and that the folder is as
+// before. It isn't used where a lack of space leaves an unknown effect, such as when a
+// renamed file can't be made durable.
+var ErrDiskFull = errors.New("disk is full")
+
+// markDiskFull wraps the error of a write without effect with ErrDiskFull if it is for
+// lack of space.
+func markDiskFull(err error) error {
+	if errors.Is(err, unix.ENOSPC) || errors.Is(err, unix.EDQUOT) {
+		return fmt.Errorf("%w: %w", ErrDiskFull, err)
+	}
+	return err
 }
 
 // syncFolder makes the creation, renaming and removal of files in a directory
@@ -50,10 +59,10 @@
 func writeFile(folder, name string, data []byte) error {
 	path := filepath.Join(folder, name)
 	if err := writeTempFile(path+tempSuffix, data); err != nil {
-		return err
+		return markDiskFull(err)
 	}
 	if err := os.Rename(path+tempSuffix, path); err != nil {
-		return err
+		return markDiskFull(err)
 	}
 	return syncFolder(folder)
 }
--- a/internal/storage/folder.go
+++ b/internal/storage/folder.go
@@ -199,8 +199,8 @@
 // Save appends a Raft hard state (the term, the vote and the commit index) and
 // entries to the log; hs may be nil and entries empty. With sync set it returns
 // once they are durable. Without it, a hard state that comes without entries may be
-// written as late as with the next entries. After an error that IsDiskFull reports,
-// the folder is as before.
+// written as late as with the next entries. After ErrDiskFull the folder is as
+// before.
 func (f *Folder) Save(hs *apiv1.HardState, entries []*apiv1.LogEntry, sync bool) error {
 	return f.wal.save(hs, entries, sync)
 }
--- a/internal/storage/full_disk_test.go
+++ b/internal/storage/full_disk_test.go
@@ -28,7 +28,7 @@
 	hs, entries := &apiv1.HardState{Term: 2, Vote: 7}, []*apiv1.LogEntry{newEntry(4, 2, "four")}
 	g.Expect(f.Save(hs, nil, false)).To(Succeed())
 	for range 2 {
-		g.Expect(IsDiskFull(f.Save(nil, entries, true))).To(BeTrue())
+		g.Expect(f.Save(nil, entries, true)).To(MatchError(ErrDiskFull))
 	}
 	writeData = write
 	// A snapshot from the leader starts a segment before the write is repeated, and a
@@ -55,7 +55,7 @@
 	g.Expect(f.WriteSnapshot(&apiv1.Snapshot{Meta: meta})).To(Succeed())
 	temp := filepath.Join(path, segmentName(2)+tempSuffix)
 	g.Expect(os.Symlink("/dev/full", temp)).To(Succeed())
-	g.Expect(IsDiskFull(f.UseSnapshot(meta, false))).To(BeTrue())
+	g.Expect(f.UseSnapshot(meta, false)).To(MatchError(ErrDiskFull))
 	_, err = f.ReadSnapshot()
 	g.Expect(err).To(HaveOccurred())
 	g.Expect(temp).NotTo(BeAnExistingFile(), "it would take the last space")
@@ -98,3 +98,26 @@
 		g.Expect(contents.HardState.Commit).To(BeZero(), "entry 1 of term 1 would be applied")
 	}
 }
+
+// Guards against a vote that is lost: a segment whose file can't be made durable is on
+// disk, so the log must not go on in the one before as if it were not.
+func TestSegmentOfUnknownEffectIsNoFullDisk(t *testing.T) {
+	g := NewWithT(t)
+	path, _ := createWithEntries(t)
+	f, _, err := Open(path)
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(f.Close)
+	meta := &apiv1.SnapshotMeta{Index: 2, Term: 1}
+	g.Expect(f.WriteSnapshot(&apiv1.Snapshot{Meta: meta})).To(Succeed())
+	sync := syncFile
+	t.Cleanup(func() { syncFile = sync })
+	syncFile = func(f *os.File) error {
+		if info, err := f.Stat(); err != nil || info.IsDir() {
+			return &os.PathError{Op: "sync", Err: syscall.ENOSPC}
+		}
+		return sync(f)
+	}
+	err = f.UseSnapshot(meta, false)
+	g.Expect(err).To(MatchError(syscall.ENOSPC))
+	g.Expect(err).NotTo(MatchError(ErrDiskFull))
+}
--- a/internal/storage/snapshot.go
+++ b/internal/storage/snapshot.go
@@ -37,8 +37,8 @@
 // UseSnapshot makes the log start after a snapshot that WriteSnapshot has
 // written, then removes older segments and snapshots. With replaceLog set, as
 // for a snapshot that the leader sent, it drops all entries of the log;
-// otherwise it keeps those after the snapshot. After an error that IsDiskFull
-// reports, the log is as before.
+// otherwise it keeps those after the snapshot. After ErrDiskFull the log is
+// as before.
 func (f *Folder) UseSnapshot(meta *apiv1.SnapshotMeta, replaceLog bool) error {
 	f.snapshotMu.Lock()
 	defer f.snapshotMu.Unlock()
--- a/internal/storage/wal.go
+++ b/internal/storage/wal.go
@@ -75,8 +75,8 @@
 // entries: a power loss could drop an unsynced write and keep a later one, and
 // replay would take the gap for corruption, not for a torn tail.
 //
-// After an error save may be repeated when the disk was full: the next write removes
-// what the failed one has left.
+// After ErrDiskFull save may be repeated: the next write removes what the failed one
+// has left.
 func (w *wal) save(hs *apiv1.HardState, entries []*apiv1.LogEntry, sync bool) error {
 	if len(entries) == 0 && (!sync || hs == nil && !w.hardStatePending) {
 		w.setHardState(hs)
@@ -118,11 +118,11 @@
 	}
 	w.hasFailedWrite = true
 	if _, err := writeData(w.file, w.buf); err != nil {
-		return fmt.Errorf("write log: %w", err)
+		return fmt.Errorf("write log: %w", markDiskFull(err))
 	}
 	if sync {
 		if err := syncData(w.file); err != nil {
-			return fmt.Errorf("sync log: %w", err)
+			return fmt.Errorf("sync log: %w", markDiskFull(err))
 		}
 	}
 	w.hasFailedWrite = false
@@ -135,7 +135,7 @@
 		return nil
 	}
 	if err := w.file.Truncate(w.size); err != nil {
-		return fmt.Errorf("remove incomplete record from log: %w", err)
+		return fmt.Errorf("remove incomplete record from log: %w", markDiskFull(err))
 	}
 	w.hasFailedWrite = false
 	return nil
