--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -72,10 +72,10 @@
 	// were applied when the first call began.
 	running, appliedAtStart atomic.Int32
 	// diskFull makes all writes to the data folder fail for lack of space.
-	diskFull atomic.Bool
-	saves    atomic.Int32 // attempts to write to the log
-	server   *rpc.Server
-	client   *rpc.Client
+	diskFull, freedBySnapshot atomic.Bool
+	saves                     atomic.Int32 // attempts to write to the log
+	server                    *rpc.Server
+	client                    *rpc.Client
 }
 
 // cluster is a group of replicas in one process, which call each other over TCP.
--- a/internal/replica/full_disk.go
+++ b/internal/replica/full_disk.go
@@ -34,6 +34,11 @@
 			return err
 		case <-retry.C:
 			err = n.store(rd)
+		case w := <-n.writtenSnapshots:
+			n.recordDuringWait(w)
+			if n.err != nil {
+				return n.err
+			}
 		case <-n.inbox:
 		case p := <-n.proposals:
 			p.done <- outcome{err: errDiskFull()}
@@ -41,14 +46,24 @@
 			b.done <- errDiskFull()
 		}
 	}
-	n.stepDownDue = true
+	n.hasWaited = true
 	n.log.WithField("waited_ms", (n.opts.Clock.Now() - start).Milliseconds()).Info("disk has space again")
 	return err
 }
 
+// recordDuringWait records a snapshot that was written when the disk became full,
+// which removes older segments. The core takes no calls before Advance, so it drops
+// the entries later.
+func (n *Node) recordDuringWait(w writtenSnapshot) {
+	n.snapshotInProgress = false
+	if n.recordSnapshot(w) {
+		n.compactAfterWait = w.meta
+	}
+}
+
 // failUnlessDiskFull stops the replica after a failed write, because it is unknown
-// what reached the disk. A write that fails with ErrDiskFull has no effect, so the caller may go on
-// as before it.
+// what reached the disk. A write that fails with ErrDiskFull has no effect, so the
+// caller may go on as before it.
 func (n *Node) failUnlessDiskFull(err error) {
 	if !errors.Is(err, storage.ErrDiskFull) {
 		n.err = err
@@ -61,11 +76,15 @@
 	return result.NotRun(apiv1.ResultCode_RESULT_CODE_NOT_LEADER, "this replica cannot lead while its disk is full")
 }
 
-// stepDownAfterFullDisk gives up the leadership after a wait for space, during which
+// finishWait gives up the leadership after a wait for space, during which
 // OnLeader was stopped. The only voter of a group stays leader, so OnLeader is called
 // again.
-func (n *Node) stepDownAfterFullDisk() {
-	n.stepDownDue = false
+func (n *Node) finishWait() {
+	n.hasWaited = false
+	if n.compactAfterWait != nil {
+		n.compact(n.compactAfterWait)
+		n.compactAfterWait = nil
+	}
 	n.core.StepDown()
 	if n.resumeOnLeader && n.core.Role() == consensus.Leader {
 		n.startOnLeader()
--- a/internal/replica/full_disk_test.go
+++ b/internal/replica/full_disk_test.go
@@ -18,13 +18,16 @@
 // set.
 type limitedFolder struct {
 	dataFolder
-	full  *atomic.Bool
-	saves *atomic.Int32
+	// freedBySnapshot makes the use of a snapshot free the disk, as the removal of
+	// older segments does.
+	freedBySnapshot *atomic.Bool
+	full            *atomic.Bool
+	saves           *atomic.Int32
 }
 
 func (m *member) openFolder(path string) (dataFolder, *storage.Contents, error) {
 	folder, contents, err := openFolder(path)
-	return &limitedFolder{folder, &m.diskFull, &m.saves}, contents, err
+	return &limitedFolder{folder, &m.freedBySnapshot, &m.diskFull, &m.saves}, contents, err
 }
 
 func (f *limitedFolder) check() error {
@@ -43,13 +46,16 @@
 }
 
 func (f *limitedFolder) WriteSnapshot(s *apiv1.Snapshot) error {
-	if err := f.check(); err != nil {
+	if err := f.check(); err != nil && !f.freedBySnapshot.Load() {
 		return err
 	}
 	return f.dataFolder.WriteSnapshot(s)
 }
 
 func (f *limitedFolder) UseSnapshot(meta *apiv1.SnapshotMeta, replaceLog bool) error {
+	if f.freedBySnapshot.Load() {
+		f.full.Store(false)
+	}
 	if err := f.check(); err != nil {
 		return err
 	}
@@ -151,3 +157,23 @@
 	// The wait's own next attempt may come just before the stop.
 	c.g.Expect(wrote).To(BeNumerically("<=", 1))
 }
+
+// Guards against a replica that waits for space for ever although its own snapshot,
+// which was being written when the disk became full, would free it.
+func TestSnapshotFreesSpaceDuringWait(t *testing.T) {
+	c := newCluster(t, 1)
+	m := c.leader()
+	for i := range 200 {
+		if m.node.runInLoop(t.Context(), func() {
+			if m.node.snapshotInProgress {
+				m.freedBySnapshot.Store(true)
+				m.diskFull.Store(true)
+			}
+		}); m.diskFull.Load() {
+			break
+		}
+		c.propose(fmt.Sprint(i))
+	}
+	c.g.Expect(m.diskFull.Load()).To(BeTrue())
+	c.propose("after")
+}
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -40,6 +40,8 @@
 	proposals chan *proposal
 	barriers  chan *barrier
 	loopCalls chan func()
+	// writtenSnapshots has room for the one snapshot that may be in progress.
+	writtenSnapshots chan writtenSnapshot
 
 	// The following are used by the loop only. The maps hold calls that wait for
 	// an outcome: proposals by log index, barriers by barrier id, which is the
@@ -56,8 +58,9 @@
 	leaderTerm         uint64             // zero while this replica doesn't lead
 	cancelOnLeader     context.CancelFunc // nil while there is nothing to cancel
 	onLeaderDone       chan struct{}      // closed when the last OnLeader call has returned
-	stepDownDue        bool               // after a wait for space on a full disk
+	hasWaited          bool               // for space on a full disk, with the present Ready
 	resumeOnLeader     bool               // OnLeader ran when that wait began
+	compactAfterWait   *apiv1.SnapshotMeta
 	lastTick           time.Duration
 
 	incomingSnapshot snapshotAssembler
@@ -105,6 +108,7 @@
 		proposals:        make(chan *proposal, requestQueueCapacity),
 		barriers:         make(chan *barrier, requestQueueCapacity),
 		loopCalls:        make(chan func()),
+		writtenSnapshots: make(chan writtenSnapshot, 1),
 		pendingProposals: map[uint64]*proposal{},
 		pendingBarriers:  map[uint64]*barrier{},
 		senders:          map[string]*sender{},
@@ -189,6 +193,8 @@
 			n.startBarrier(b)
 		case call := <-n.loopCalls:
 			call()
+		case w := <-n.writtenSnapshots:
+			n.useSnapshot(w)
 		}
 		n.takeQueued()
 		err := n.processReadies()
--- a/internal/replica/ready.go
+++ b/internal/replica/ready.go
@@ -71,8 +71,8 @@
 		n.finishBarrier(r)
 	}
 	n.core.Advance()
-	if n.stepDownDue {
-		n.stepDownAfterFullDisk()
+	if n.hasWaited {
+		n.finishWait()
 	}
 	n.updateLeadership()
 	return nil
--- a/internal/replica/snapshots.go
+++ b/internal/replica/snapshots.go
@@ -30,27 +30,44 @@
 	n.snapshotInProgress = true
 	s := &apiv1.Snapshot{Meta: n.core.SnapshotMetaAt(n.applied), Data: data}
 	n.folderUsers.Go(func() {
-		err := n.folder.WriteSnapshot(s)
-		// An error means that the loop has ended, and the snapshot isn't needed.
-		_ = n.runInLoop(n.ctx, func() { n.useSnapshot(s.Meta, err) })
+		n.writtenSnapshots <- writtenSnapshot{s.Meta, n.folder.WriteSnapshot(s)}
 	})
 }
 
-// useSnapshot makes the log start at a snapshot whose file was written, or failed
-// with err, and drops older entries from memory.
-func (n *Node) useSnapshot(meta *apiv1.SnapshotMeta, err error) {
+// writtenSnapshot is a snapshot whose file was written, or failed with err.
+type writtenSnapshot struct {
+	meta *apiv1.SnapshotMeta
+	err  error
+}
+
+// useSnapshot makes the log start at a written snapshot and drops older entries from
+// memory.
+func (n *Node) useSnapshot(w writtenSnapshot) {
 	n.snapshotInProgress = false
-	if err != nil {
-		// The log still has all entries, and the next snapshot is due as usual.
-		n.log.WithError(err).Error("cannot write a snapshot")
-		return
+	if n.recordSnapshot(w) {
+		n.compact(w.meta)
 	}
-	if meta.Index <= n.core.SnapshotIndex() {
-		return // a newer one was installed from the leader
+}
+
+// recordSnapshot makes the stored log start at a written snapshot, and reports whether
+// it does. Otherwise the log still has all entries, and the next snapshot is due as
+// usual.
+func (n *Node) recordSnapshot(w writtenSnapshot) bool {
+	if w.err != nil {
+		n.log.WithError(w.err).Error("cannot write a snapshot")
+		return false
+	}
+	if w.meta.Index <= n.core.SnapshotIndex() {
+		return false // a newer one was installed from the leader
 	}
-	if err := n.folder.UseSnapshot(meta, false); err != nil {
+	if err := n.folder.UseSnapshot(w.meta, false); err != nil {
 		n.failUnlessDiskFull(err)
-		return // the log still has all entries, and the next snapshot is due as usual
+		return false
 	}
+	return true
+}
+
+// compact drops the entries before a recorded snapshot from memory.
+func (n *Node) compact(meta *apiv1.SnapshotMeta) {
 	n.core.Compact(meta, meta.Index-min(meta.Index, retainedEntries))
 }
--- a/internal/storage/folder.go
+++ b/internal/storage/folder.go
@@ -104,7 +104,11 @@
 		return nil, err
 	}
 	f.wal = r.wal
-	return r.contents()
+	contents, err := r.contents()
+	if err != nil {
+		return nil, err
+	}
+	return contents, f.removeUnusedSnapshots()
 }
 
 // create initializes a folder without an identity. The first segment is written
--- a/internal/storage/full_disk_test.go
+++ b/internal/storage/full_disk_test.go
@@ -121,3 +121,21 @@
 	g.Expect(err).To(MatchError(syscall.ENOSPC))
 	g.Expect(err).NotTo(MatchError(ErrDiskFull))
 }
+
+// Guards against a snapshot that nobody uses and that takes the space which the log
+// needs, after its process ended before it was recorded.
+func TestUnusedSnapshotIsRemovedAtOpen(t *testing.T) {
+	g := NewWithT(t)
+	path, _ := createWithEntries(t)
+	f, _, err := Open(path)
+	g.Expect(err).NotTo(HaveOccurred())
+	used, unused := &apiv1.SnapshotMeta{Index: 1, Term: 1}, &apiv1.SnapshotMeta{Index: 2, Term: 1}
+	g.Expect(f.WriteSnapshot(&apiv1.Snapshot{Meta: used})).To(Succeed())
+	g.Expect(f.UseSnapshot(used, false)).To(Succeed())
+	g.Expect(f.WriteSnapshot(&apiv1.Snapshot{Meta: unused})).To(Succeed())
+	f.Close()
+	contents, err := reopen(t, path)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(contents.Snapshot.Meta.Index).To(Equal(used.Index))
+	g.Expect(filepath.Join(path, snapshotName(unused.Index))).NotTo(BeAnExistingFile())
+}
--- a/internal/storage/snapshot.go
+++ b/internal/storage/snapshot.go
@@ -81,6 +81,23 @@
 	return s, nil
 }
 
+// removeUnusedSnapshots removes the snapshot files that the log doesn't refer to. The
+// process that wrote them ended before it could use them, and on a full disk they take
+// the space that the log needs.
+func (f *Folder) removeUnusedSnapshots() error {
+	names, err := listNames(f.path, snapshotSuffix)
+	if err != nil {
+		return fmt.Errorf("list snapshots: %w", err)
+	}
+	unused := slices.DeleteFunc(names, func(name string) bool {
+		return f.wal.snapshot != nil && name == snapshotName(f.wal.snapshot.Index)
+	})
+	if err := removeFiles(f.path, unused); err != nil {
+		return fmt.Errorf("remove unused snapshots: %w", err)
+	}
+	return nil
+}
+
 // removeSnapshotsBefore removes the snapshot files with a lower index.
 func (f *Folder) removeSnapshotsBefore(index uint64) error {
 	names, err := listNames(f.path, snapshotSuffix)
