--- a/internal/batch/runs.go
+++ b/internal/batch/runs.go
@@ -361,6 +361,20 @@
 // fails, at least 1.
 func maxAttempts(j *Job) uint32 { return max(j.AcceptedQueue.GetMaxAttempts(), 1) }
 
+// Crashes returns how often a minion has crashed under the task or, if its step is
+// a gang, under the gang.
+func (j *Job) Crashes(ref TaskRef) uint32 {
+	o := j.occurrences[ref.Occurrence]
+	if o == nil {
+		return 0
+	}
+	st := o.Steps[ref.Step]
+	if j.Steps[ref.Step].Gang {
+		return st.GangCrashes
+	}
+	return st.Tasks[ref.Index].Crashes
+}
+
 // String returns the form used in logs and status pages, which is
 // job.occurrence.step.index#number.
 func (k RunKey) String() string { return fmt.Sprintf("%s#%d", k.TaskRef, k.Number) }
