batch: give up a task under which three minions crashed

A task may crash each minion that starts it.

An end RUN_END_CRASHED now counts against the task, or once per run number against its gang, and at the third the job fails.

The model test drew ends mostly of runs that don't exist; half of them are now those of active runs. It compares the crashes of a task after each end. The checker of the soak test takes a job as rightly failed too when two minions crashed under a task; ends by machine orders don't count for that.

--- a/internal/batch/model_test.go
+++ b/internal/batch/model_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"slices"
 	"testing"
 
 	"google.golang.org/protobuf/proto"
@@ -18,6 +19,7 @@
 	running map[TaskRef]map[uint32]string // incarnation by run number
 	done    map[TaskRef]bool
 	lastRun map[TaskRef]uint32
+	crashes map[TaskRef]uint32 // of minions under the task
 }
 
 // Guards against committed states that violate the invariants in the package
@@ -31,9 +33,9 @@
 			return res
 		}
 		apply(&apiv1.BatchCommand{Body: &apiv1.BatchCommand_PutCatalog{PutCatalog: testCatalog(1)}})
-		want := &reference{running: map[TaskRef]map[uint32]string{}, done: map[TaskRef]bool{}, lastRun: map[TaskRef]uint32{}}
+		want := &reference{running: map[TaskRef]map[uint32]string{}, done: map[TaskRef]bool{}, lastRun: map[TaskRef]uint32{}, crashes: map[TaskRef]uint32{}}
 		for i := range rapid.IntRange(1, 60).Draw(t, "commands") {
-			cmd := drawCommand(t, i)
+			cmd := drawCommand(t, i, want.activeRuns())
 			res := apply(cmd)
 			want.apply(t, s, cmd, res)
 			checkCounters(t, s)
@@ -44,8 +46,21 @@
 	})
 }
 
+// activeRuns returns the runs that have not ended, in order.
+func (r *reference) activeRuns() []RunKey {
+	var out []RunKey
+	for task, runs := range r.running {
+		for number := range runs {
+			out = append(out, RunKey{task, number})
+		}
+	}
+	slices.SortFunc(out, compareRuns)
+	return out
+}
+
 // drawCommand draws one command about one of three jobs and one of three minions.
-func drawCommand(t *rapid.T, i int) *apiv1.BatchCommand {
+// An end is that of an active run, or of any.
+func drawCommand(t *rapid.T, i int, active []RunKey) *apiv1.BatchCommand {
 	n := rapid.IntRange(0, 2).Draw(t, "n")
 	job, minion := fmt.Sprint("j", n), fmt.Sprint("m", rapid.IntRange(0, 2).Draw(t, "minion"))
 	task := ref(job, uint32(rapid.IntRange(0, 1).Draw(t, "step")), uint32(rapid.IntRange(0, 1).Draw(t, "index")))
@@ -69,7 +84,12 @@
 	case 3:
 		return &apiv1.BatchCommand{Body: &apiv1.BatchCommand_Cancel{Cancel: &apiv1.CancelBatchJob{JobId: job, AnyAccount: i%2 == 0}}}
 	case 4, 5:
-		end := apiv1.RunEnd(rapid.IntRange(1, 8).Draw(t, "end"))
+		// Crashes are drawn more often, since only the third one ends the job.
+		if len(active) > 0 && rapid.Bool().Draw(t, "is active") {
+			key := rapid.SampledFrom(active).Draw(t, "active")
+			task, run = key.TaskRef, key.Number
+		}
+		end := min(apiv1.RunEnd(rapid.IntRange(1, 16).Draw(t, "end")), crashed)
 		return &apiv1.BatchCommand{Body: &apiv1.BatchCommand_UpdateRuns{UpdateRuns: &apiv1.UpdateRuns{
 			Ends: []*apiv1.EndedRun{{Task: task.Name(), Run: run, End: end}},
 		}}}
@@ -83,13 +103,7 @@
 // committed start against the commands before.
 func (r *reference) apply(t *rapid.T, s *State, cmd *apiv1.BatchCommand, res *apiv1.BatchResult) {
 	update := cmd.GetUpdateRuns()
-	for _, e := range update.GetEnds() {
-		task := RefOf(e.Task)
-		if _, ok := r.running[task][e.Run]; ok {
-			delete(r.running[task], e.Run)
-			r.done[task] = r.done[task] || e.End == done
-		}
-	}
+	r.applyEnds(t, s, update.GetEnds())
 	for _, gone := range cmd.GetObserveMinions().GetGone() {
 		for task := range r.running {
 			for run, incarnation := range r.running[task] {
@@ -118,6 +132,8 @@
 		t.Fatalf("%s reused run %d", task, st.Run)
 	case Ended(j.State):
 		t.Fatalf("%s started after its job ended", task)
+	case r.crashes[task] >= MaxCrashes:
+		t.Fatalf("%s started after %d crashes", task, r.crashes[task])
 	case task.Step == 1 && (!r.done[ref(task.Job, 0, 0)] || !r.done[ref(task.Job, 0, 1)]):
 		t.Fatalf("%s started before step 0 was done", task)
 	}
@@ -127,6 +143,24 @@
 	r.running[task][st.Run], r.lastRun[task] = st.Minion.String(), st.Run
 }
 
+// applyEnds updates the reference with ends of runs and compares the crashes of
+// their tasks.
+func (r *reference) applyEnds(t *rapid.T, s *State, ends []*apiv1.EndedRun) {
+	for _, e := range ends {
+		task := RefOf(e.Task)
+		if _, ok := r.running[task][e.Run]; ok {
+			delete(r.running[task], e.Run)
+			if e.End == crashed && !r.done[task] {
+				r.crashes[task]++
+			}
+			if j := s.Job(task.Job); !Ended(j.State) && j.Crashes(task) != r.crashes[task] {
+				t.Fatalf("%s: %d crashes, counted %d", task, r.crashes[task], j.Crashes(task))
+			}
+			r.done[task] = r.done[task] || e.End == done
+		}
+	}
+}
+
 // checkCounters compares the derived counters that decide about starts with sums
 // over the runs, and the sums with the capacities of the minions and the limits
 // of the client accounts.
--- a/internal/batch/runs.go
+++ b/internal/batch/runs.go
@@ -263,12 +263,14 @@
 }
 
 // updateRuns records ends of runs, then starts. The result lists the indices of
-// the starts that were refused.
+// the starts that were refused, and the tasks that were given up after crashes.
 func (s *State) updateRuns(logTimeMS int64, cmd *apiv1.UpdateRuns) *apiv1.UpdateRunsResult {
+	res := &apiv1.UpdateRunsResult{}
 	for _, e := range cmd.Ends {
-		s.endRun(logTimeMS, e)
+		if s.endRun(logTimeMS, e) {
+			res.GivenUp = append(res.GivenUp, e.Task)
+		}
 	}
-	res := &apiv1.UpdateRunsResult{}
 	refusedGangs := map[TaskRef]bool{}
 	for i, st := range cmd.Starts {
 		if reason := s.startRun(logTimeMS, cmd.Term, st, refusedGangs); reason != "" {
@@ -278,23 +280,25 @@
 	return res
 }
 
-// endRun records the end of a run. It does nothing for a run that is not active,
-// since its end was recorded before.
-func (s *State) endRun(logTimeMS int64, e *apiv1.EndedRun) {
+// endRun records the end of a run, and reports whether its job failed because too
+// many minions had crashed under the task. It does nothing for a run that is not
+// active, since its end was recorded before.
+func (s *State) endRun(logTimeMS int64, e *apiv1.EndedRun) (givenUp bool) {
 	ref := RefOf(e.Task)
 	j := s.jobs[ref.Job]
 	if j == nil {
-		return
+		return false
 	}
 	step, st, task := j.task(ref)
 	if task == nil {
-		return
+		return false
 	}
 	i := slices.IndexFunc(task.Runs, func(r *apiv1.BatchRun) bool { return r.Number == e.Run })
 	if i < 0 {
-		return
+		return false
 	}
-	s.untrack(j, ref, task.Runs[i])
+	run := task.Runs[i]
+	s.untrack(j, ref, run)
 	task.Runs = slices.Delete(task.Runs, i, i+1)
 	if e.Checkpoint != "" {
 		task.Checkpoint = e.Checkpoint
@@ -306,8 +310,10 @@
 	case apiv1.RunEnd_RUN_END_FAILED:
 		s.failTask(logTimeMS, j, step, st, task, e.Run)
 	}
+	givenUp = s.countCrash(logTimeMS, j, step, st, task, run, e.End)
 	j.recount(ref.Occurrence, ref.Step)
 	j.compact()
+	return givenUp
 }
 
 // finishTask marks a task done after one of its runs was done. One member that
@@ -361,20 +367,6 @@
 // fails, at least 1.
 func maxAttempts(j *Job) uint32 { return max(j.AcceptedQueue.GetMaxAttempts(), 1) }
 
-// Crashes returns how often a minion has crashed under the task or, if its step is
-// a gang, under the gang.
-func (j *Job) Crashes(ref TaskRef) uint32 {
-	o := j.occurrences[ref.Occurrence]
-	if o == nil {
-		return 0
-	}
-	st := o.Steps[ref.Step]
-	if j.Steps[ref.Step].Gang {
-		return st.GangCrashes
-	}
-	return st.Tasks[ref.Index].Crashes
-}
-
 // String returns the form used in logs and status pages, which is
 // job.occurrence.step.index#number.
 func (k RunKey) String() string { return fmt.Sprintf("%s#%d", k.TaskRef, k.Number) }
--- a/test/soak/checker_test.go
+++ b/test/soak/checker_test.go
@@ -57,8 +57,13 @@
 	// run is acknowledged.
 	rerunAfterDone map[int]bool
 	failures       int
+	crashes        int // of minions while they ran the task
 }
 
+// minCrashes is the number of crashes of minions under a task from which the task
+// may be given up.
+const minCrashes = 2
+
 func newChecker() *checker {
 	return &checker{jobs: map[string]*jobRecord{}, runningCPU: map[string]int{}, cpuLimits: map[string]int{}, zoneOutSince: map[string]time.Time{}}
 }
@@ -152,6 +157,9 @@
 	task := &j.steps[key.step].tasks[key.index]
 	task.activeRuns--
 	c.runningCPU[j.account] -= j.steps[key.step].cpu
+	if outcome == endCrashed {
+		task.crashes++
+	}
 	if outcome != endDone {
 		return
 	}
@@ -200,7 +208,7 @@
 	case state == "cancelled" && !canceled:
 		c.addViolationLocked("job %s is shown as cancelled without a request to cancel it", id)
 	case state == "failed" && !j.canFailLocked():
-		c.addViolationLocked("job %s is shown as failed although none of its tasks has reached the maximum of failures", id)
+		c.addViolationLocked("job %s is shown as failed although none of its tasks has reached the maximum of failures or crashes", id)
 	case state == "completed":
 		j.completed = true
 		for s := range j.steps {
@@ -215,12 +223,14 @@
 }
 
 // canFailLocked reports whether the job has a task whose acknowledged failures
-// and active runs together reach the maximum of failures. No other job may be
-// shown as failed. The caller holds the checker's mu.
+// and active runs together reach the maximum of failures, or under which minCrashes
+// minions crashed. No other job may be shown as failed. The caller holds the
+// checker's mu.
 func (j *jobRecord) canFailLocked() bool {
 	for s := range j.steps {
 		for i := range j.steps[s].tasks {
-			if j.steps[s].tasks[i].failures+j.steps[s].tasks[i].activeRuns >= j.maxFailures {
+			t := &j.steps[s].tasks[i]
+			if t.failures+t.activeRuns >= j.maxFailures || t.crashes >= minCrashes {
 				return true
 			}
 		}
--- a/test/soak/cluster_test.go
+++ b/test/soak/cluster_test.go
@@ -228,7 +228,7 @@
 	}
 	for _, m := range c.minions {
 		m.listener.Close()
-		m.crash()
+		m.crash(endTakenDown)
 	}
 	for _, l := range c.allLinks() {
 		l.close()
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -180,7 +180,7 @@
 	}
 	f.log("crash %s for %v", m.id, d)
 	f.cluster.provider.state[i] = "down"
-	m.crash()
+	m.crash(endCrashed)
 	f.wg.Go(func() {
 		time.Sleep(d)
 		f.cluster.provider.mu.Lock()
--- a/test/soak/minion_test.go
+++ b/test/soak/minion_test.go
@@ -16,6 +16,8 @@
 const (
 	endDone         = "done"
 	endFailed       = "failed"
+	endCrashed      = "crashed"
+	endTakenDown    = "taken down"
 	endStopped      = "stopped"
 	endLeaseExpired = "lapsed"
 )
@@ -113,15 +115,16 @@
 }
 
 // crash ends the incarnation with all of its runs and resets its connections, so
-// that an order that is on its way does not reach the next incarnation.
-func (m *minion) crash() {
+// that an order that is on its way does not reach the next incarnation. The outcome
+// of the runs tells a crash from the end of the machine by an order.
+func (m *minion) crash(outcome string) {
 	m.link.reset()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.up = false
 	for name, r := range m.running {
 		key, _ := parseTaskName(name)
-		m.checker.runEnded(key, r.run, "crashed")
+		m.checker.runEnded(key, r.run, outcome)
 	}
 	m.running = map[string]*runState{}
 }
--- a/test/soak/provider_test.go
+++ b/test/soak/provider_test.go
@@ -169,7 +169,7 @@
 // caller holds mu.
 func (p *machineProvider) takeDown(i int, state, pool string) {
 	m := p.cluster.minions[i]
-	m.crash()
+	m.crash(endTakenDown)
 	p.state[i] = state
 	time.AfterFunc(orderDuration, func() {
 		p.mu.Lock()
