dispatch: recognize crashes of minions and count them

A run lost with its minion ended as lost, also when the minion certainly crashed. In the logs a deadly task crashes its minion about 10 ms after its start, and 3.4 s later a minion with another id answers at the address.

Runs that may have begun now end by a crash when the process certainly ended: a later incarnation answers under the id, another id answers at the address (421), or the lease expired and the last hold call was refused by the host. They stay lost when - the minion was recorded as draining, or it isn't known whether it was, because no state of this term had it as its minion's latest incarnation; - an order of this leader for its machine may have been carried out, or a maintenance of it was committed after the incarnation began. Of a minion that no list of the term had on a machine, any such maintenance counts; - machines are managed and the minion answered no hold call of this term, since an earlier leader may have moved it, and moves are not committed; - only the lease expired; - the start order was never sent, or was refused by another incarnation or by the host, or a stop was confirmed. What isn't known counts as no crash. The line "minion incarnation ended" has the field crashed, bergamot_batch_minions_crashed_total counts, and a job that is given up is logged with job, task and crashes.

TestRandomFaults required that all 12 jobs complete although its restarts may crash one task's minions three times. The check stays; the fault injector no longer restarts a minion that runs a task with two crashes, and makes it reachable instead.

--- a/internal/batch/waves.go
+++ b/internal/batch/waves.go
@@ -63,6 +63,21 @@
 	return down
 }
 
+// MaintenanceOrderedSince reports whether the maintenance of a machine was ordered,
+// or may have been, at or after a time in Unix milliseconds. An empty machine stands
+// for any.
+func (s *State) MaintenanceOrderedSince(machine string, sinceMS int64) bool {
+	for _, w := range s.waves {
+		for _, sv := range w.Services {
+			ordered := sv.State != apiv1.MachineServiceState_MACHINE_SERVICE_STATE_UNSPECIFIED && sv.OrderedUnixMs >= sinceMS
+			if ordered && (machine == "" || sv.Machine == machine) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // DownInWave returns how many machines of a wave are in down, the set of machines
 // that are down for any wave.
 func DownInWave(w *apiv1.MaintenanceWave, down map[string]bool) uint32 {
--- /dev/null
+++ b/internal/dispatch/crashes.go
@@ -0,0 +1,120 @@
+package dispatch
+
+import (
+	"errors"
+	"syscall"
+
+	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+	"bergamotdrum.example/bergamotdrum/internal/batch"
+	"bergamotdrum.example/bergamotdrum/internal/state"
+)
+
+// endNotice is what is known of an incarnation, one lifetime of a minion's
+// process, that may make it end without a crash.
+type endNotice struct {
+	// recorded is set when the state had the incarnation as its minion's latest one
+	// at some time of the term. Otherwise it isn't known whether the minion was
+	// draining.
+	recorded bool
+	// draining is set when the minion announced that it is about to end.
+	draining bool
+	// ordered is set when an order of this leader that ends the incarnation with its
+	// machine may have been carried out.
+	ordered bool
+	// machine is the machine that the minion was last listed on, empty when no list
+	// of the term had it.
+	machine string
+}
+
+// connectionRefused reports whether a call failed because no process listens at
+// the minion's address. A host that is cut off or frozen doesn't refuse connections.
+func connectionRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
+// hasCrashed reports whether a session's incarnation, whose process has certainly
+// ended, crashed: it neither announced its end, nor may it have been ended by an
+// order for its machine. What isn't known counts as no crash.
+func (d *Dispatcher) hasCrashed(s *session) bool {
+	inc := s.target.Incarnation
+	d.mu.Lock()
+	notice := s.notice
+	d.mu.Unlock()
+	maintained := false
+	d.opts.StateMachine.Read(func(st *state.State) {
+		if m := st.Batch.Minion(inc.ID); m != nil && batch.IncarnationOf(m.Life) == inc {
+			notice.recorded = true
+			notice.draining = notice.draining || m.Draining
+		}
+		maintained = st.Batch.MaintenanceOrderedSince(notice.machine, inc.StartedMS)
+	})
+	if !notice.recorded || notice.draining {
+		return false
+	}
+	// Moves are not committed. A minion that answered during this term was not
+	// ended by an earlier leader's move before.
+	mayHaveMoved := d.opts.Fleet.Provider != nil && !s.hasAnswered()
+	return !notice.ordered && !maintained && !mayHaveMoved
+}
+
+// hasAnswered reports whether a hold call of the session, the long poll that lists
+// the minion's runs, was answered.
+func (s *session) hasAnswered() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.answeredAt > 0
+}
+
+// markOrdered records that an order is about to end an incarnation with its
+// machine. It returns false when that was recorded before.
+func (d *Dispatcher) markOrdered(inc batch.Incarnation) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := d.sessions[inc]
+	if s == nil || s.notice.ordered {
+		return false
+	}
+	s.notice.ordered = true
+	return true
+}
+
+// unmarkOrdered reverses markOrdered after the provider refused the order.
+func (d *Dispatcher) unmarkOrdered(inc batch.Incarnation) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if s := d.sessions[inc]; s != nil {
+		s.notice.ordered = false
+	}
+}
+
+// recordMachines records the machines that minions are listed on.
+func (d *Dispatcher) recordMachines(list []Machine) {
+	byMinion := make(map[string]string, len(list))
+	for _, m := range list {
+		byMinion[m.MinionID] = m.ID
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for inc, s := range d.sessions {
+		if machine, ok := byMinion[inc.ID]; ok {
+			s.notice.machine = machine
+		}
+	}
+}
+
+// endOnClosing returns how a run ends when its incarnation has ended.
+func (o *runOrder) endOnClosing(crashed bool) apiv1.RunEnd {
+	switch {
+	case o.endInNextIncarnation != apiv1.RunEnd_RUN_END_UNSPECIFIED:
+		return o.endInNextIncarnation
+	case crashed && o.mayHaveBegun && o.state != orderStopped:
+		return apiv1.RunEnd_RUN_END_CRASHED
+	}
+	return apiv1.RunEnd_RUN_END_LOST
+}
+
+// logGivenUp logs the jobs that failed because minions crashed under a task.
+func (d *Dispatcher) logGivenUp(tasks []*apiv1.TaskName) {
+	for _, t := range tasks {
+		d.log.WithField("job_id", t.JobId).WithField("task", batch.RefOf(t).String()).WithField("crashes", batch.MaxCrashes).
+			Warn("job failed: too many minions crashed under its task")
+	}
+}
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -10,6 +10,7 @@
 
 	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
 	"bergamotdrum.example/bergamotdrum/internal/batch"
+	"bergamotdrum.example/bergamotdrum/internal/state"
 	_ "bergamotdrum.example/bergamotdrum/internal/testseed"
 )
 
@@ -139,7 +140,7 @@
 	h.cluster.lostRequestPercent, h.cluster.lostReplyPercent, h.cluster.delayedRequestPercent = 0, 0, 0
 	h.cluster.mu.Unlock()
 	for i := range 3 {
-		h.announce(h.cluster.add(fmt.Sprint("m", i)))
+		h.restart(fmt.Sprint("m", i))
 	}
 	time.Sleep(calmTime)
 	if n := h.completed(jobs); n != jobs {
@@ -147,6 +148,31 @@
 	}
 }
 
+// restart starts a minion again, unless that might be the crash at which one of its
+// tasks is given up. In any case it makes the minion reachable.
+func (h *harness) restart(id string) {
+	// No run is committed between the look at the crashes and the restart.
+	h.node.mu.Lock()
+	last := false
+	h.node.machine.Read(func(s *state.State) {
+		for _, inc := range s.Batch.LoadedIncarnations() {
+			for _, r := range s.Batch.LoadOf(inc).Runs() {
+				last = last || inc.ID == id && r.Job.Crashes(r.Ref) >= batch.MaxCrashes-1
+			}
+		}
+	})
+	if last {
+		h.node.mu.Unlock()
+		h.cluster.mu.Lock()
+		defer h.cluster.mu.Unlock()
+		h.cluster.minions[id].unreachable = false
+		return
+	}
+	m := h.cluster.add(id)
+	h.node.mu.Unlock()
+	h.announce(m)
+}
+
 // injectFault makes a random minion unreachable, reachable or restart, or changes
 // the leader, in one of three calls.
 func (h *harness) injectFault() {
@@ -162,7 +188,7 @@
 	h.cluster.mu.Unlock()
 	switch roll {
 	case 2:
-		h.announce(h.cluster.add(id))
+		h.restart(id)
 	case 3:
 		h.endTerm()
 		h.startTerm()
--- a/internal/dispatch/endqueue.go
+++ b/internal/dispatch/endqueue.go
@@ -66,8 +66,9 @@
 // committing an end twice has no effect.
 func (d *Dispatcher) commitWithRetry(cmd *apiv1.UpdateRuns) bool {
 	for d.ctx.Err() == nil {
-		_, err := d.propose(d.ctx, &apiv1.BatchCommand{Body: &apiv1.BatchCommand_UpdateRuns{UpdateRuns: cmd}})
+		res, err := d.propose(d.ctx, &apiv1.BatchCommand{Body: &apiv1.BatchCommand_UpdateRuns{UpdateRuns: cmd}})
 		if err == nil {
+			d.logGivenUp(res.GetRuns().GetGivenUp())
 			return true
 		}
 		if d.ctx.Err() == nil {
--- a/internal/dispatch/fakecluster_test.go
+++ b/internal/dispatch/fakecluster_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -86,6 +87,11 @@
 	disconnected map[batch.Incarnation]bool
 	// maxLease is the longest lease that a minion accepts.
 	maxLease time.Duration
+	// deadly holds the tasks that crash their minion shortly after they start;
+	// deadlyStarts counts their starts, and afterCrash, if set, is called then.
+	deadly       map[batch.TaskRef]bool
+	deadlyStarts int
+	afterCrash   func(m *fakeMinion)
 }
 
 // fakeMinion is one incarnation of a minion, a lifetime of its process. It
@@ -93,11 +99,13 @@
 // lease on its own clock, lists ends until they are acknowledged, and refuses a
 // run that was stopped before. The cluster's mu guards it.
 type fakeMinion struct {
-	cluster      *fakeCluster
-	id           string
-	startedMS    int64
-	started      time.Time
-	unreachable  bool
+	cluster     *fakeCluster
+	id, address string
+	startedMS   int64
+	started     time.Time
+	unreachable bool
+	// crashed is set when the process has ended: connections are refused.
+	crashed      bool
 	token        uint64
 	leaseUntilMS int64
 	running      map[batch.RunKey]time.Time
@@ -115,19 +123,24 @@
 	return &fakeCluster{
 		t: t, rand: rand.New(rand.NewPCG(seed, 1)), minions: map[string]*fakeMinion{},
 		active: map[batch.TaskRef]int{}, acked: map[batch.TaskRef]bool{}, maxLease: testMaxLease, disconnected: map[batch.Incarnation]bool{},
+		deadly: map[batch.TaskRef]bool{},
 	}
 }
 
 // add starts an incarnation of a minion. An earlier incarnation with the same id
 // ends.
-func (c *fakeCluster) add(id string) *fakeMinion {
+func (c *fakeCluster) add(id string) *fakeMinion { return c.addAt(id, id) }
+
+// addAt is like add, for a minion that has another address than its id. An
+// earlier incarnation at the address ends.
+func (c *fakeCluster) addAt(address, id string) *fakeMinion {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	m := &fakeMinion{cluster: c, id: id, startedMS: time.Now().UnixMilli(), started: time.Now(), running: map[batch.RunKey]time.Time{}, highest: map[batch.TaskRef]uint32{}}
-	if old := c.minions[id]; old != nil {
+	m := &fakeMinion{cluster: c, id: id, address: address, startedMS: time.Now().UnixMilli(), started: time.Now(), running: map[batch.RunKey]time.Time{}, highest: map[batch.TaskRef]uint32{}}
+	if old := c.minions[address]; old != nil {
 		old.kill()
 	}
-	c.minions[id] = m
+	c.minions[address] = m
 	return m
 }
 
@@ -139,10 +152,18 @@
 	m.running = map[batch.RunKey]time.Time{}
 }
 
+// crash ends the minion's process.
+func (m *fakeMinion) crash() {
+	m.cluster.mu.Lock()
+	defer m.cluster.mu.Unlock()
+	m.kill()
+	m.crashed = true
+}
+
 // record returns the minion as it announces itself.
 func (m *fakeMinion) record() *apiv1.BatchMinion {
 	return &apiv1.BatchMinion{
-		Life: &apiv1.MinionLife{Id: m.id, BornUnixMs: m.startedMS}, Address: m.id, Pool: "p", AvailabilityZone: "z",
+		Life: &apiv1.MinionLife{Id: m.id, BornUnixMs: m.startedMS}, Address: m.address, Pool: "p", AvailabilityZone: "z",
 		Capacity: &apiv1.Resources{CpuMillis: 4000, MemoryMb: 4000},
 	}
 }
@@ -196,6 +217,9 @@
 		c.mu.Unlock()
 		<-ctx.Done()
 		return ctx.Err()
+	case m.crashed:
+		c.mu.Unlock()
+		return syscall.ECONNREFUSED
 	case roll < c.lostRequestPercent+c.delayedRequestPercent:
 		// A minion that restarts has no memory of earlier calls, so a delayed call
 		// is dropped when the incarnation that received it has ended.
@@ -257,6 +281,15 @@
 	m.cluster.active[ref]++
 	m.cluster.starts++
 	m.running[o.Run] = time.Now()
+	if m.cluster.deadly[ref] {
+		m.cluster.deadlyStarts++
+		time.AfterFunc(10*time.Millisecond, func() {
+			m.crash()
+			if m.cluster.afterCrash != nil {
+				m.cluster.afterCrash(m)
+			}
+		})
+	}
 	return nil
 }
 
--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -180,6 +180,7 @@
 		f.machines[m.ID] = m
 	}
 	f.listedAt, f.listOutdated = now, false
+	f.d.recordMachines(list)
 	return true
 }
 
@@ -279,7 +280,11 @@
 	if c.commitFirst && !f.commitMaintenance(c.wave, c.maintenance) || !f.d.leadershipConfirmed() {
 		return errNotSent
 	}
+	first := f.d.markOrdered(c.incarnation)
 	err := f.callProvider(c)
+	if first && outcomeOf(err).refused {
+		f.d.unmarkOrdered(c.incarnation)
+	}
 	if err == nil {
 		f.endIncarnation(c.incarnation)
 	}
@@ -345,7 +350,7 @@
 	s := f.d.sessions[inc]
 	f.d.mu.Unlock()
 	if s != nil {
-		f.d.endIncarnation(f.d.ctx, s, "its machine was moved or taken down for maintenance")
+		f.d.endIncarnation(f.d.ctx, s, "its machine was moved or taken down for maintenance", false)
 	}
 }
 
--- a/internal/dispatch/incarnations.go
+++ b/internal/dispatch/incarnations.go
@@ -33,13 +33,19 @@
 
 // openSessions opens a session for each target that has none, and a new one for
 // a target whose address has changed. The planning loop calls it.
-func (d *Dispatcher) openSessions(targets []Target) {
+func (d *Dispatcher) openSessions(targets []sessionTarget) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, t := range targets {
-		if s := d.sessions[t.Incarnation]; s != nil && s.target.Address == t.Address {
-			continue
-		} else if s != nil {
+		notice := endNotice{recorded: t.recorded, draining: t.draining}
+		if s := d.sessions[t.Incarnation]; s != nil {
+			notice.recorded = notice.recorded || s.notice.recorded
+			notice.draining = notice.draining || s.notice.draining
+			notice.ordered, notice.machine = s.notice.ordered, s.notice.machine
+			s.notice = notice
+			if s.target.Address == t.Address {
+				continue
+			}
 			s.cancel()
 			d.opts.Minions.Disconnect(s.target)
 		}
@@ -50,7 +56,8 @@
 			d.endedIncarnations.Add(1)
 		}
 		d.latest[t.Incarnation.ID] = max(d.latest[t.Incarnation.ID], t.Incarnation.StartedMS)
-		s := newSession(d, t)
+		s := newSession(d, t.Target)
+		s.notice = notice
 		ctx, cancel := context.WithCancel(d.ctx)
 		s.cancel = cancel
 		d.sessions[t.Incarnation] = s
@@ -90,10 +97,11 @@
 }
 
 // endIncarnation releases all runs on an incarnation that has certainly ended:
-// it commits their ends, so that the tasks may run elsewhere.
-func (d *Dispatcher) endIncarnation(ctx context.Context, s *session, reason string) {
+// it commits their ends, so that the tasks may run elsewhere. processEnded is set
+// when its process has certainly ended too, and not by an order of this leader.
+func (d *Dispatcher) endIncarnation(ctx context.Context, s *session, reason string, processEnded bool) {
 	if d.beginClosing(s) {
-		d.finishClosing(ctx, s, reason)
+		d.finishClosing(ctx, s, reason, processEnded)
 	}
 }
 
@@ -111,13 +119,17 @@
 }
 
 // finishClosing commits the ends of the session's runs and that its incarnation
-// has ended, and removes the session. A run ends as lost, unless the minion's
-// next incarnation reported another end. If a commit fails, a new session finds
-// the end of the incarnation again.
-func (d *Dispatcher) finishClosing(ctx context.Context, s *session, reason string) {
+// has ended, and removes the session. A run ends as lost or by a crash, unless the
+// minion's next incarnation reported another end. If a commit fails, a new session
+// finds the end of the incarnation again.
+func (d *Dispatcher) finishClosing(ctx context.Context, s *session, reason string, processEnded bool) {
 	defer d.removeSession(s)
-	ends := s.releaseAll()
-	s.log.WithFields(logrus.Fields{"reason": reason, "lost_runs": len(ends)}).Warn("minion incarnation ended")
+	crashed := processEnded && d.hasCrashed(s)
+	if crashed {
+		d.metrics.minionsCrashed.Inc()
+	}
+	ends := s.releaseAll(crashed)
+	s.log.WithFields(logrus.Fields{"reason": reason, "lost_runs": len(ends), "crashed": crashed}).Warn("minion incarnation ended")
 	if len(ends) > 0 && !d.commitEnds(ctx, ends) {
 		return
 	}
@@ -157,7 +169,7 @@
 		d.stopUntilAnswered(bounded, next, key)
 	}
 	d.waitUntilNotRunning(bounded, s, next)
-	d.finishClosing(ctx, s, "the minion restarted")
+	d.finishClosing(ctx, s, "the minion restarted", true)
 }
 
 // tokenFor returns the fencing token for orders to an incarnation, which may not
@@ -233,18 +245,14 @@
 
 // releaseAll marks all runs as released and returns the ends to commit for those
 // that were not.
-func (s *session) releaseAll() []*apiv1.EndedRun {
+func (s *session) releaseAll(crashed bool) []*apiv1.EndedRun {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var ends []*apiv1.EndedRun
 	for key, o := range s.orders {
 		if !o.released {
 			o.released = true
-			end := apiv1.RunEnd_RUN_END_LOST
-			if o.endInNextIncarnation != apiv1.RunEnd_RUN_END_UNSPECIFIED {
-				end = o.endInNextIncarnation
-			}
-			ends = append(ends, &apiv1.EndedRun{Task: key.Name(), Run: key.Number, End: end, Checkpoint: o.checkpoint})
+			ends = append(ends, &apiv1.EndedRun{Task: key.Name(), Run: key.Number, End: o.endOnClosing(crashed), Checkpoint: o.checkpoint})
 		}
 	}
 	return ends
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -15,6 +15,7 @@
 	startsCommitted prometheus.Counter
 	runsEnded       *prometheus.CounterVec
 	startsRefused   *prometheus.CounterVec
+	minionsCrashed  prometheus.Counter
 	startSeconds    prometheus.Histogram
 	planSeconds     prometheus.Histogram
 }
@@ -34,6 +35,9 @@
 		startsRefused: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "bergamot_batch_starts_refused_total", Help: "Start orders that minions refused, by reason.",
 		}, []string{"reason"}),
+		minionsCrashed: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "bergamot_batch_minions_crashed_total", Help: "Incarnations of minions that crashed.",
+		}),
 		startSeconds: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "bergamot_batch_start_order_seconds", Help: "Time from a start order to its answer.",
 			Buckets: prometheus.ExponentialBuckets(0.001, 2, 12),
@@ -44,7 +48,7 @@
 		}),
 	}
 	if r != nil {
-		r.MustRegister(m.startsCommitted, m.runsEnded, m.startsRefused, m.startSeconds, m.planSeconds)
+		r.MustRegister(m.startsCommitted, m.runsEnded, m.startsRefused, m.minionsCrashed, m.startSeconds, m.planSeconds)
 	}
 	return &Metrics{m}
 }
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -58,7 +58,7 @@
 		if o == nil {
 			o = &runOrder{isLongRunning: r.isLongRunning}
 			if r.inherited {
-				o.state = orderUncertain
+				o.state, o.mayHaveBegun = orderUncertain, true
 			}
 			s.orders[r.key] = o
 		}
@@ -165,7 +165,7 @@
 		s.launchDue()
 		return StartOrder{}, false
 	}
-	o.sentAt = now
+	o.sentAt, o.mayHaveBegun = now, true
 	start.Token = s.token
 	start.LeaseUntilMS = s.lease.extend(now, s.d.opts.Lease)
 	return start, true
@@ -180,6 +180,9 @@
 		s.launchDue()
 		return apiv1.RunEnd_RUN_END_UNSPECIFIED
 	}
+	if connectionRefused(err) {
+		o.mayHaveBegun = false // an order is sent once, and this one had no connection
+	}
 	refusal, ok := errors.AsType[*Refusal](err)
 	if !ok || refusal.Reason == RefusedFenced || refusal.Reason == RefusedStaleRun {
 		// A stale run may be one that has just ended, which the next hold reply
@@ -189,7 +192,7 @@
 		return apiv1.RunEnd_RUN_END_UNSPECIFIED
 	}
 	if refusal.Reason == RefusedOtherIncarnation {
-		o.state = orderUncertain
+		o.state, o.mayHaveBegun = orderUncertain, false
 		return apiv1.RunEnd_RUN_END_UNSPECIFIED
 	}
 	s.lease.observeClock(refusal.ClockMS, now)
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -54,7 +54,7 @@
 // changed, and every planInterval, since a session ends without a change of the
 // minions when the commit of its end fails.
 func (d *Dispatcher) syncSessions() {
-	var targets []Target
+	var targets []sessionTarget
 	now := d.clock.Now()
 	d.opts.StateMachine.Read(func(st *state.State) {
 		revision := st.Batch.MinionsRevision()
@@ -78,19 +78,28 @@
 	}
 }
 
+// sessionTarget is an incarnation, one lifetime of a minion's process, that needs a
+// session.
+type sessionTarget struct {
+	Target
+	// recorded is set when it is its minion's latest recorded incarnation, draining
+	// when that is about to end.
+	recorded, draining bool
+}
+
 // targetsOf returns every incarnation, that is, lifetime of a minion's process,
 // that is recorded or has runs. An earlier incarnation gets the address of its
 // minion's present one.
-func targetsOf(st *batch.State) []Target {
+func targetsOf(st *batch.State) []sessionTarget {
 	minions := st.Minions()
-	out := make([]Target, 0, len(minions))
+	out := make([]sessionTarget, 0, len(minions))
 	for _, m := range minions {
-		out = append(out, Target{Incarnation: batch.IncarnationOf(m.Life), Address: m.Address})
+		out = append(out, sessionTarget{Target{Incarnation: batch.IncarnationOf(m.Life), Address: m.Address}, true, m.Draining})
 	}
 	for _, inc := range st.LoadedIncarnations() {
 		m := st.Minion(inc.ID)
 		if m != nil && batch.IncarnationOf(m.Life) != inc {
-			out = append(out, Target{Incarnation: inc, Address: m.Address})
+			out = append(out, sessionTarget{Target: Target{Incarnation: inc, Address: m.Address}})
 		}
 	}
 	return out
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -81,6 +81,9 @@
 	// endInNextIncarnation is how the run ended when a delayed start order was
 	// carried out by the minion's next incarnation, that is, after a restart.
 	endInNextIncarnation apiv1.RunEnd
+	// mayHaveBegun is set when the start order was sent, by this leader or possibly
+	// by an earlier one, or the minion listed the run as running.
+	mayHaveBegun bool
 	// sentAt is when the start order was sent, zero before.
 	sentAt time.Duration
 }
@@ -115,8 +118,9 @@
 	backoffUntil time.Duration
 	health       healthRecord
 	// closing is set when the incarnation has ended and its end is being
-	// committed. The dispatcher's mu guards it.
+	// committed. The dispatcher's mu guards closing and notice.
 	closing bool
+	notice  endNotice
 }
 
 func newSession(d *Dispatcher, t Target) *session {
@@ -213,7 +217,7 @@
 func (s *session) handleHoldError(ctx context.Context, err error) bool {
 	refusal, refused := errors.AsType[*Refusal](err)
 	if refused && refusal.Reason == RefusedOtherIncarnation {
-		s.d.endIncarnation(ctx, s, "another incarnation answers at its address")
+		s.d.endIncarnation(ctx, s, "another incarnation answers at its address", true)
 		return true
 	}
 	if refused && refusal.Reason == NotSent {
@@ -239,7 +243,7 @@
 		s.d.handleRestart(ctx, s, startedMS)
 		return true
 	}
-	s.d.endIncarnation(ctx, s, "its lease has expired")
+	s.d.endIncarnation(ctx, s, "its lease has expired", connectionRefused(err))
 	return true
 }
 
@@ -305,6 +309,7 @@
 	if o.state == orderUnsent || o.state == orderUncertain {
 		o.state, o.answeredAt = orderStarted, now
 	}
+	o.mayHaveBegun = true
 	o.checkpoint = r.Checkpoint
 	o.lastStatus = r
 }
