dispatch: don't hold a settled long-running task responsible for a crash

Change: a crash doesn't count for a long-running run that the minion listed as running for half a second before.

TestSettledLongRunningTaskIsNotHeldResponsible failed before.

--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -3,12 +3,18 @@
 import (
 	"errors"
 	"syscall"
+	"time"
 
 	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
 	"bergamotdrum.example/bergamotdrum/internal/batch"
 	"bergamotdrum.example/bergamotdrum/internal/state"
 )
 
+// settledAge is how long a long-running task is seen to run until it isn't held
+// responsible for a later crash of its minion. Unlike other tasks it spends nearly all
+// of its time past its start, so it is the neighbor of many causes.
+const settledAge = 500 * time.Millisecond
+
 // endNotice is what is known of an incarnation, one lifetime of a minion's
 // process, that may make it end without a crash.
 type endNotice struct {
@@ -105,10 +111,10 @@
 	switch {
 	case o.endInNextIncarnation != apiv1.RunEnd_RUN_END_UNSPECIFIED:
 		return o.endInNextIncarnation
-	case crashed && o.mayHaveBegun && o.state != orderStopped:
-		return apiv1.RunEnd_RUN_END_CRASHED
+	case !crashed || !o.mayHaveBegun || o.state == orderStopped || o.isLongRunning && o.settled:
+		return apiv1.RunEnd_RUN_END_LOST
 	}
-	return apiv1.RunEnd_RUN_END_LOST
+	return apiv1.RunEnd_RUN_END_CRASHED
 }
 
 // logGivenUp logs the jobs that failed because minions crashed under a task.
--- a/internal/dispatch/crashes_test.go
+++ b/internal/dispatch/crashes_test.go
@@ -204,3 +204,23 @@
 		}
 	})
 }
+
+// Guards against a long-running task that is given up because it ran beside several
+// tasks that crashed its minions, long after it had started itself.
+func TestSettledLongRunningTaskIsNotHeldResponsible(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		h := newHarness(t, 1)
+		defer h.endTerm()
+		s := newSession(h.dispatcher, Target{Incarnation: batch.Incarnation{ID: "a", StartedMS: 1}})
+		run := batch.RunKey{TaskRef: batch.TaskRef{Job: "job0"}, Number: 1}
+		for _, isLongRunning := range []bool{true, false} {
+			o := &runOrder{state: orderStarted, isLongRunning: isLongRunning}
+			s.orders[run] = o
+			s.observeRunning(RunStatus{Run: run}, time.Second)
+			g.Expect(o.endOnClosing(true)).To(Equal(apiv1.RunEnd_RUN_END_CRASHED))
+			s.observeRunning(RunStatus{Run: run}, time.Second+settledAge)
+			g.Expect(o.endOnClosing(true) == apiv1.RunEnd_RUN_END_CRASHED).To(Equal(!isLongRunning))
+		}
+	})
+}
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -86,6 +86,10 @@
 	mayHaveBegun bool
 	// sentAt is when the start order was sent, zero before.
 	sentAt time.Duration
+	// firstListedAt is when a hold reply first listed the run as running, zero before.
+	firstListedAt time.Duration
+	// settled is set when a hold reply listed the run settledAge after firstListedAt.
+	settled bool
 }
 
 // session communicates with one incarnation of a minion, one lifetime of its
@@ -310,6 +314,10 @@
 		o.state, o.answeredAt = orderStarted, now
 	}
 	o.mayHaveBegun = true
+	if o.firstListedAt == 0 {
+		o.firstListedAt = now
+	}
+	o.settled = o.settled || now-o.firstListedAt >= settledAge
 	o.checkpoint = r.Checkpoint
 	o.lastStatus = r
 }
