placement: isolate fewer neighbors, and let isolated tasks start sooner

The culprit of a crash ran beside up to 20 other suspects and took all of them into isolation; at most a quarter of a pool served them, also when its minions were empty; and a long-running task with two crashes kept its minion for itself for 60 s.

Change: at most four suspects on a minion, half of a pool for isolated tasks where no minion has to drain, and 3 s of trial for a long-running task, as a deadly task crashes its minion when it starts.

--- a/internal/placement/isolation.go
+++ b/internal/placement/isolation.go
@@ -23,12 +23,16 @@
 const (
 	// isolationCrashes is the number of crashes from which a task is isolated.
 	isolationCrashes = 2
+	// maxSuspects bounds the suspects on one minion. The culprit among the suspects of
+	// a crash takes so many others into isolation, which costs far more than a wait.
+	maxSuspects = 4
 	// setAsideDivisor divides the candidates of a pool into those that may be closed
 	// to other work at the same time, because an isolated task runs or is to run there.
-	setAsideDivisor = 4
+	// emptyDivisor does so for candidates without finite runs, which need not drain.
+	setAsideDivisor, emptyDivisor = 4, 2
 	// trialMS is the time after which a long-running task counts as one that doesn't
 	// crash its minion. Since it never ends, it would isolate its minion for ever.
-	trialMS = 60_000
+	trialMS = 3_000
 	// overdueMS is the time by which a run exceeds its estimate when its end is no
 	// longer considered known.
 	overdueMS = 60_000
@@ -106,7 +110,7 @@
 func (p *planner) bestForSuspect(step *apiv1.BatchStep, ref batch.TaskRef, pool []*candidate) *candidate {
 	var best *candidate
 	for _, c := range pool {
-		if c.canRun(step, ref) && (best == nil || p.isBetterForSuspect(c, best, step, ref)) {
+		if c.canRun(step, ref) && p.suspectsBeside(c, step, ref) < maxSuspects && (best == nil || p.isBetterForSuspect(c, best, step, ref)) {
 			best = c
 		}
 	}
@@ -251,18 +255,25 @@
 // would be closed. A gang that needs more than that is allowed them when no others
 // are closed, and later units wait until then, since it would never start otherwise.
 func (p *planner) setAsideFor(j *batch.Job, unit batch.TaskRef, pool []*candidate, closed int) int {
-	limit := max(len(pool)/setAsideDivisor, 1)
+	most := max(len(pool)/emptyDivisor, 1)
 	step := j.Steps[unit.Step]
 	tasks := uint32(1)
 	if step.Gang {
 		tasks = step.Count
 	}
-	if closed >= limit || !p.in.State.WithinAccountLimit(j, step, int64(tasks)) {
+	if closed >= most || !p.in.State.WithinAccountLimit(j, step, int64(tasks)) {
 		return closed
 	}
 	chosen := p.soonestEmpty(p.eligible(step, unit, pool, tasks), step, unit, tasks)
-	if closed > 0 && closed+len(chosen) > limit {
-		return limit
+	limit := most
+	if slices.ContainsFunc(chosen, func(c *candidate) bool { return p.summarize(c).finite > 0 }) {
+		limit = max(len(pool)/setAsideDivisor, 1)
+	}
+	switch {
+	case closed > 0 && closed+len(chosen) > limit && step.Gang:
+		return most
+	case closed > 0 && closed+len(chosen) > limit:
+		return closed
 	}
 	for _, c := range chosen {
 		c.closed, c.summary.openTo = true, &unit
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -167,6 +167,9 @@
 			return
 		}
 		c := p.chooseMinion(j, step, ref, pool)
+		if c == nil && j.Crashes(ref) > 0 {
+			continue // others of the step may fit beside suspects
+		}
 		if c == nil {
 			p.markUnplaceable(step, pool)
 			return
