dispatch: check the minion again before an order is sent

Cause: a start is committed against the recorded capacity of its minion, but its order can be sent seconds later, when a minion that didn't answer for a while answers again. What the minion announced in between was not looked at: the order brought a minion that had shrunk over its capacity, or started a task on one that drains.

Ruled out: the commit itself compares the runs with the recorded capacity (minionRefusal), a minion whose runs exceed a shrunken capacity gets no new ones, and its runs are not stopped; grown capacity is used within a planning interval. TestStartsFollowCapacity pins this and passed before the change.

Seen before the change: TestUnsentStartGivesWayWhenRoomShrinks: "job1.0.0.0#1 brings a to 4000 of 3000 millicores"; 4 runs on the minion where 3 are expected. TestUnsentStartGivesWayWhenMinionDrains: 4 runs where 2 are expected.

Change: prepareStart adds up the runs that may be running on the minion, what is being stopped included, and the run to be started. If they exceed the recorded capacity, or if the minion drains, its zone is out of service, or its pool or labels no longer fit, the run is stopped and released only on the confirmed stop, as for other orders that may no longer be sent. Runs whose orders are sent first stay. The fake minions don't guard their capacity and fail the test when a start brings them over it, with 4.5 s of grace after they have shrunk.

An order that the network carries out late stays outside what the leader can prevent.

--- a/internal/batch/starts.go
+++ b/internal/batch/starts.go
@@ -71,11 +71,28 @@
 	if m == nil || IncarnationOf(m.Life) != incarnation {
 		return "minion is not known"
 	}
+	if reason := s.Exclusion(j, step, m); reason != "" {
+		return reason
+	}
 	load := s.loads[incarnation]
 	var used Usage
 	if load != nil {
 		used = load.Used
 	}
+	switch {
+	case step.MaxPerMinion > 0 && load.StepRuns(ref) >= step.MaxPerMinion:
+		return "minion runs max_per_minion tasks of the step"
+	case !used.Add(ResourcesOnMinion(step), 1).Within(m.Capacity):
+		return "minion lacks capacity"
+	case !s.WithinAccountLimit(j, step, 1):
+		return "account is at its limit"
+	}
+	return ""
+}
+
+// Exclusion returns why no task of the step may start on the minion, whatever runs
+// there, empty when nothing rules it out.
+func (s *State) Exclusion(j *Job, step *apiv1.BatchStep, m *apiv1.BatchMinion) string {
 	switch {
 	case m.Draining:
 		return "minion is draining"
@@ -85,12 +102,6 @@
 		return "minion is in another pool"
 	case step.RequiredLabel != "" && !slices.Contains(m.Labels, step.RequiredLabel):
 		return "minion lacks the required label"
-	case step.MaxPerMinion > 0 && load.StepRuns(ref) >= step.MaxPerMinion:
-		return "minion runs max_per_minion tasks of the step"
-	case !used.Add(ResourcesOnMinion(step), 1).Within(m.Capacity):
-		return "minion lacks capacity"
-	case !s.WithinAccountLimit(j, step, 1):
-		return "account is at its limit"
 	}
 	return ""
 }
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -105,9 +105,10 @@
 	})
 }
 
-// Guards against tasks that run twice and jobs that are lost when requests and
-// replies are lost, orders are carried out seconds late, minions become
-// unreachable or restart, and the leader changes. The fake cluster checks each
+// Guards against tasks that run twice, jobs that are lost and starts that bring a
+// minion over its capacity when requests and replies are lost, orders are carried
+// out seconds late, minions become unreachable, restart, shrink or grow, and the
+// leader changes. The fake cluster checks each
 // start.
 func TestRandomFaults(t *testing.T) {
 	for seed := range uint64(25) {
@@ -147,8 +148,8 @@
 	}
 }
 
-// injectFault makes a random minion unreachable, reachable or restart, or changes
-// the leader, in one of three calls.
+// injectFault makes a random minion unreachable, reachable or restart, changes its
+// capacity, or changes the leader, in one of two calls.
 func (h *harness) injectFault() {
 	h.cluster.mu.Lock()
 	roll, id := h.cluster.rand.IntN(12), fmt.Sprint("m", h.cluster.rand.IntN(3))
@@ -159,8 +160,12 @@
 	case 1:
 		m.unreachable = false
 	}
+	cpuMillis := uint32(h.cluster.rand.IntN(5)) * taskCPUMillis
 	h.cluster.mu.Unlock()
 	switch roll {
+	case 4, 5:
+		h.setCapacity(m, cpuMillis)
+		h.announce(m)
 	case 2:
 		h.announce(h.cluster.add(id))
 	case 3:
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -184,22 +184,26 @@
 	return res.GetBatch(), nil
 }
 
-// startOrder returns the start order of a run, without token and lease. It
-// returns false when the job is unknown or ended, or has no such step.
-func (d *Dispatcher) startOrder(key batch.RunKey) (o StartOrder, ok bool) {
+// startOrder returns the start order of a run on an incarnation, without token
+// and lease, and the present capacity of the minion. It returns false when the
+// job is unknown or ended, or has no such step, or when the incarnation is no
+// longer recorded or may not get the run any more: a minion may have changed since
+// the start was committed.
+func (d *Dispatcher) startOrder(key batch.RunKey, inc batch.Incarnation) (o StartOrder, capacity *apiv1.Resources, ok bool) {
 	d.opts.StateMachine.Read(func(st *state.State) {
 		j := st.Batch.Job(key.Job)
 		if j == nil || batch.Ended(j.State) {
 			return
 		}
 		step, checkpoint := j.StepAndCheckpoint(key.TaskRef)
-		if step == nil {
+		m := st.Batch.Minion(inc.ID)
+		if step == nil || m == nil || batch.IncarnationOf(m.Life) != inc || st.Batch.Exclusion(j, step, m) != "" {
 			return
 		}
 		o = StartOrder{Run: key, Specification: j.Specification, Checkpoint: checkpoint}
-		ok = true
+		capacity, ok = m.Capacity, true
 	})
-	return o, ok
+	return o, capacity, ok
 }
 
 // forgetLoop removes jobs that ended longer than Options.Retention ago.
--- a/internal/dispatch/fakecluster_test.go
+++ b/internal/dispatch/fakecluster_test.go
@@ -65,7 +65,8 @@
 
 // fakeCluster holds fake minions, applies the faults of the network between them
 // and the leader, and knows what is true about each task. It fails the test when
-// a task starts while it runs, or after its end was acknowledged.
+// a task starts while it runs, or after its end was acknowledged, or brings a
+// minion over its room.
 type fakeCluster struct {
 	t       *testing.T
 	mu      sync.Mutex
@@ -109,6 +110,9 @@
 	// end up to it that is acknowledged later doesn't count, since the leader may
 	// have released the run when the lease expired.
 	lastEndBeforeLapse uint64
+	room               roomHistory
+	// late is set while an order is carried out late.
+	late bool
 }
 
 func newFakeCluster(t *testing.T, seed uint64) *fakeCluster {
@@ -123,7 +127,7 @@
 func (c *fakeCluster) add(id string) *fakeMinion {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	m := &fakeMinion{cluster: c, id: id, startedMS: time.Now().UnixMilli(), started: time.Now(), running: map[batch.RunKey]time.Time{}, highest: map[batch.TaskRef]uint32{}}
+	m := &fakeMinion{cluster: c, id: id, startedMS: time.Now().UnixMilli(), started: time.Now(), running: map[batch.RunKey]time.Time{}, highest: map[batch.TaskRef]uint32{}, room: newRoomHistory()}
 	if old := c.minions[id]; old != nil {
 		old.kill()
 	}
@@ -143,7 +147,7 @@
 func (m *fakeMinion) record() *apiv1.BatchMinion {
 	return &apiv1.BatchMinion{
 		Life: &apiv1.MinionLife{Id: m.id, BornUnixMs: m.startedMS}, Address: m.id, Pool: "p", AvailabilityZone: "z",
-		Capacity: &apiv1.Resources{CpuMillis: 4000, MemoryMb: 4000},
+		Capacity: m.room.announced(),
 	}
 }
 
@@ -204,7 +208,9 @@
 			c.mu.Lock()
 			defer c.mu.Unlock()
 			if c.minions[to.Address] == m && !m.unreachable {
+				m.late = true
 				_ = do(m)
+				m.late = false
 			}
 		})
 		c.mu.Unlock()
@@ -257,6 +263,7 @@
 	m.cluster.active[ref]++
 	m.cluster.starts++
 	m.running[o.Run] = time.Now()
+	m.checkRoom(o.Run)
 	return nil
 }
 
--- a/internal/dispatch/harness_test.go
+++ b/internal/dispatch/harness_test.go
@@ -86,8 +86,8 @@
 	h.propose(&apiv1.BatchCommand{Body: &apiv1.BatchCommand_Submit{Submit: &apiv1.BatchJob{
 		Id: id, Queue: "q", AcceptedQueue: q,
 		Steps: []*apiv1.BatchStep{
-			{Count: tasks, Resources: &apiv1.Resources{CpuMillis: 1000}, EstimatedMs: 400},
-			{Count: 1, Resources: &apiv1.Resources{CpuMillis: 1000}, EstimatedMs: 400, After: []uint32{0}},
+			{Count: tasks, Resources: &apiv1.Resources{CpuMillis: taskCPUMillis}, EstimatedMs: 400},
+			{Count: 1, Resources: &apiv1.Resources{CpuMillis: taskCPUMillis}, EstimatedMs: 400, After: []uint32{0}},
 		},
 	}}})
 }
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -30,6 +30,8 @@
 	// inherited is set when an earlier leader committed the run.
 	inherited     bool
 	isLongRunning bool
+	// resources is what the run takes of the minion's capacity.
+	resources batch.Usage
 }
 
 // committedLoad lists the runs that are committed on an incarnation, one
@@ -50,13 +52,16 @@
 	if load.stateRevision < s.stateRevision {
 		return // the orders already reflect a later state
 	}
+	// An earlier session of the incarnation may have sent the orders of all runs
+	// that this one finds.
+	first := s.stateRevision == 0
 	s.loadRevision, s.stateRevision = load.loadRevision, load.stateRevision
 	present := make(map[batch.RunKey]bool, len(load.runs))
 	for _, r := range load.runs {
 		present[r.key] = true
 		o := s.orders[r.key]
 		if o == nil {
-			o = &runOrder{isLongRunning: r.isLongRunning}
+			o = &runOrder{isLongRunning: r.isLongRunning, resources: r.resources, mayRun: first || r.inherited}
 			if r.inherited {
 				o.state = orderUncertain
 			}
@@ -150,27 +155,41 @@
 }
 
 // prepareStart returns the start order of a run. It returns false, and has the
-// run stopped instead, when the run is no longer wanted or this leader may not
-// send orders to the minion any more.
+// run stopped instead, when the run is no longer wanted, the minion has no room
+// for it any more or this leader may not send orders to the minion any more.
 func (s *session) prepareStart(key batch.RunKey, o *runOrder) (StartOrder, bool) {
-	start, ok := s.d.startOrder(key)
+	start, capacity, ok := s.d.startOrder(key, s.target.Incarnation)
 	current := s.d.isCurrent(s)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.d.clock.Now()
-	if !ok || o.stopRequested || !s.d.leadershipConfirmed() || !current {
+	if !ok || o.stopRequested || !s.d.leadershipConfirmed() || !current || !s.hasRoom(o, capacity) {
 		// No start order was sent, but only the answer to a stop order releases the
 		// run.
 		o.state, o.stopRequested = orderUncertain, true
 		s.launchDue()
 		return StartOrder{}, false
 	}
-	o.sentAt = now
+	o.sentAt, o.mayRun = now, true
 	start.Token = s.token
 	start.LeaseUntilMS = s.lease.extend(now, s.d.opts.Lease)
 	return start, true
 }
 
+// hasRoom reports whether a run and all those that may be running on the minion,
+// also the ones that are being stopped, fit into its capacity. The capacity may
+// have shrunk since the starts were committed; the runs whose orders are sent
+// first stay. The caller holds mu.
+func (s *session) hasRoom(o *runOrder, capacity *apiv1.Resources) bool {
+	var used batch.Usage
+	for _, other := range s.orders {
+		if (other == o || other.mayRun) && !other.released {
+			used = used.Add(other.resources, 1)
+		}
+	}
+	return used.Within(capacity)
+}
+
 // handleStartAnswer records the answer to a start order. It returns the end to
 // commit when the run certainly did not start. The caller holds mu.
 func (s *session) handleStartAnswer(o *runOrder, err error, now time.Duration) apiv1.RunEnd {
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -71,6 +71,11 @@
 	// stopRequested is set when the run is to be stopped.
 	stopRequested bool
 	isLongRunning bool
+	// mayRun is set once a start order may have been sent, by this session, an
+	// earlier one or an earlier leader.
+	mayRun bool
+	// resources is what the run takes of the minion's capacity.
+	resources batch.Usage
 	// released is set when an end of the run was determined and is committed, or
 	// about to be. Nothing more is sent for the run.
 	released bool
@@ -305,6 +310,7 @@
 	if o.state == orderUnsent || o.state == orderUncertain {
 		o.state, o.answeredAt = orderStarted, now
 	}
+	o.mayRun = true
 	o.checkpoint = r.Checkpoint
 	o.lastStatus = r
 }
