batch: start a gang as a whole or not at all

Cause: when a member of a gang was refused, the later members of the command were refused too, but the ones before it stayed committed. They then waited for the missing members until they ended alone. A minion that shrinks between the planning of a gang and its commit leads to this.

Seen before the change: TestGangStartsAndFailsAsOne, extended by a gang whose second member is refused: refused [1], expected [0, 1].

Change: startRuns takes back the members that started before a refusal, as runs that did not start, and lists them as refused. Their run numbers are not used again.

Result: TestGangStartsAndFailsAsOne passes.

--- a/internal/batch/runs.go
+++ b/internal/batch/runs.go
@@ -268,14 +268,7 @@
 	for _, e := range cmd.Ends {
 		s.endRun(logTimeMS, e)
 	}
-	res := &apiv1.UpdateRunsResult{}
-	refusedGangs := map[TaskRef]bool{}
-	for i, st := range cmd.Starts {
-		if reason := s.startRun(logTimeMS, cmd.Term, st, refusedGangs); reason != "" {
-			res.Refused = append(res.Refused, uint32(i))
-		}
-	}
-	return res
+	return &apiv1.UpdateRunsResult{Refused: s.startRuns(logTimeMS, cmd)}
 }
 
 // endRun records the end of a run. It does nothing for a run that is not active,
--- a/internal/batch/starts.go
+++ b/internal/batch/starts.go
@@ -6,12 +6,33 @@
 	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
 )
 
+// startRuns records starts and returns the indices of those that are refused. The
+// members of a gang (a step whose tasks start together) start in one command, all
+// or none: once a member is refused, those before it are taken back.
+func (s *State) startRuns(logTimeMS int64, cmd *apiv1.UpdateRuns) []uint32 {
+	refusedGangs := map[TaskRef]bool{}
+	started := make([]bool, len(cmd.Starts))
+	for i, st := range cmd.Starts {
+		started[i] = s.startRun(logTimeMS, cmd.Term, st, refusedGangs) == ""
+	}
+	var refused []uint32
+	for i, st := range cmd.Starts {
+		if started[i] && refusedGangs[RefOf(st.Task).StepRef()] {
+			s.endRun(logTimeMS, &apiv1.EndedRun{Task: st.Task, Run: st.Run, End: apiv1.RunEnd_RUN_END_NOT_STARTED})
+			started[i] = false
+		}
+		if !started[i] {
+			refused = append(refused, uint32(i))
+		}
+	}
+	return refused
+}
+
 // startRun records the start of one run (one execution of a task on a minion, a
 // worker process) and returns an empty string, or returns the reason for which
 // the start is refused. The result of the command only lists which starts were
-// refused. The members of a gang, a step whose tasks start together, start in
-// one command: once a member is refused, startRun notes the gang in refusedGangs
-// and refuses the gang's later members too.
+// refused. Once a member of a gang is refused, startRun notes the gang, by its
+// StepRef, in refusedGangs and refuses the gang's later members too.
 func (s *State) startRun(logTimeMS int64, term uint64, st *apiv1.StartedRun, refusedGangs map[TaskRef]bool) string {
 	ref := RefOf(st.Task)
 	j := s.jobs[ref.Job]
@@ -22,7 +43,7 @@
 	if task == nil {
 		return "no such task"
 	}
-	gang := TaskRef{Job: ref.Job, Occurrence: ref.Occurrence, Step: ref.Step}
+	gang := ref.StepRef()
 	reason := s.taskRefusal(j, ref, step, task, st.Run)
 	if reason == "" {
 		reason = s.minionRefusal(j, ref, step, IncarnationOf(st.Minion))
--- a/internal/batch/state_test.go
+++ b/internal/batch/state_test.go
@@ -238,13 +238,15 @@
 	gang := step(2)
 	gang.Gang = true
 	f.submit("j", "b", gang)
-	startBoth := func(run uint32, second string) []uint32 {
+	startPair := func(run uint32, first, second string) []uint32 {
 		return f.apply(&apiv1.BatchCommand{Body: &apiv1.BatchCommand_UpdateRuns{UpdateRuns: &apiv1.UpdateRuns{Starts: []*apiv1.StartedRun{
-			{Task: ref("j", 0, 0).Name(), Run: run, Minion: Incarnation{"unknown", 1}.Message()},
+			{Task: ref("j", 0, 0).Name(), Run: run, Minion: Incarnation{first, 1}.Message()},
 			{Task: ref("j", 0, 1).Name(), Run: run, Minion: Incarnation{second, 1}.Message()},
 		}}}}).Runs.Refused
 	}
-	f.Expect(startBoth(1, "m2")).To(Equal([]uint32{0, 1}))
+	f.Expect(startPair(1, "unknown", "m2")).To(Equal([]uint32{0, 1}))
+	f.Expect(startPair(1, "m1", "unknown")).To(Equal([]uint32{0, 1}))
+	f.Expect(f.s.Job("j").NumRuns()).To(BeZero())
 	f.Expect(f.start(ref("j", 0, 0), 2, "m1")).To(BeTrue())
 	f.Expect(f.start(ref("j", 0, 1), 2, "m2")).To(BeTrue())
 	f.end(ref("j", 0, 0), 2, failed)
