dispatch: stop a gang whose member did not start

Cause: when a minion refuses the start of a gang's member, for example since it has shrunk and its announcement is still on its way, only that run was released. The other members waited for it until the minions ended them as alone, and the gang is planned again only once all its runs have ended.

Change: once the end of a member that did not start is committed, the other members of the same run of the gang are stopped. Other ends, such as failed, are left to the minions, which end the other members as broken by themselves.

--- a/internal/dispatch/endqueue.go
+++ b/internal/dispatch/endqueue.go
@@ -55,6 +55,9 @@
 			continue
 		}
 		ok := d.commitWithRetry(&apiv1.UpdateRuns{Ends: ends, Term: d.term})
+		if ok {
+			d.stopIncompleteGangs(ends)
+		}
 		for _, w := range waiters {
 			w <- ok
 		}
--- a/internal/dispatch/fakecluster_test.go
+++ b/internal/dispatch/fakecluster_test.go
@@ -111,6 +111,8 @@
 	// have released the run when the lease expired.
 	lastEndBeforeLapse uint64
 	room               roomHistory
+	// guarded is set when the minion refuses what doesn't fit into its capacity.
+	guarded bool
 	// late is set while an order is carried out late.
 	late bool
 }
@@ -248,6 +250,8 @@
 		return &Refusal{Reason: RefusedStaleRun, ClockMS: m.clock()}
 	case o.LeaseUntilMS <= m.clock():
 		return &Refusal{Reason: RefusedLeaseExpired, ClockMS: m.clock()}
+	case m.guarded && (len(m.running)+1)*taskCPUMillis > int(m.room.announced().CpuMillis):
+		return &Refusal{Reason: RefusedNoCapacity, ClockMS: m.clock()}
 	}
 	m.extendLease(o.LeaseUntilMS)
 	ref := o.Run.TaskRef
--- a/internal/dispatch/room_test.go
+++ b/internal/dispatch/room_test.go
@@ -197,3 +197,33 @@
 		g.Expect(fits(2, 2, 2)).To(BeTrue(), "the minion has listed the end of a run")
 	})
 }
+
+// Guards against members of a gang that wait for one which its minion refused,
+// since it has shrunk: they would end alone, and the gang starts again only when
+// all have ended.
+func TestGangOfRefusedMemberStartsAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		h := newHarness(t, 1)
+		defer h.endTerm()
+		h.cluster.endless = true
+		a, b := h.cluster.add("a"), h.cluster.add("b")
+		h.announce(a)
+		h.announce(b)
+		time.Sleep(2 * time.Second)
+		h.cluster.mu.Lock()
+		a.guarded, b.guarded = true, true
+		h.cluster.mu.Unlock()
+		h.setCapacity(a, 3*taskCPUMillis)
+		h.setCapacity(b, 3*taskCPUMillis)
+		h.propose(&apiv1.BatchCommand{Body: &apiv1.BatchCommand_Submit{Submit: &apiv1.BatchJob{
+			Id: "job0", Queue: "q", AcceptedQueue: &apiv1.BatchQueue{Name: "q", Pool: "p", MaxAttempts: 3},
+			Steps: []*apiv1.BatchStep{{Count: 5, Gang: true, Resources: &apiv1.Resources{CpuMillis: taskCPUMillis}}},
+		}}})
+		time.Sleep(planInterval)
+		h.announce(a)
+		h.announce(b)
+		time.Sleep(3 * time.Second)
+		g.Expect(h.runningOn(a) + h.runningOn(b)).To(Equal(5))
+	})
+}
