dispatch: record the number of a minion's announcement

Cause: the filter that drops announcements which arrive out of order is in the memory of the leader. After a change of the leader, an announcement from before, which the network delayed, replaced a later one until the minion announced itself again, and starts used a capacity that the minion no longer had. Besides, two announcements that one leader accepted in order may be committed in the other order, and the notice that a minion leaves may be overwritten by an announcement that was being committed at that time.

Change: BatchMinion has the sequence number of the announcement it was taken from. An announcement of the same incarnation with a lower number changes nothing, except that an incarnation which drains never stops to. Announcements that change nothing are still not committed: equal content needs no later number, since each change of the content is recorded with its own. Records without a number, from before this change, count as the oldest.

--- a/internal/batch/minions.go
+++ b/internal/batch/minions.go
@@ -4,22 +4,28 @@
 	"slices"
 	"strings"
 
+	"google.golang.org/protobuf/proto"
+
 	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
 )
 
 // observeMinions records minions (worker processes) that announced themselves,
 // and incarnations (lifetimes of a minion's process) that are gone, which means
-// that they have ended. An announcement of an earlier incarnation than the
-// recorded one, or one without an id, is ignored. Runs (executions of tasks) on an
-// incarnation that is gone end as lost.
+// that they have ended. An announcement without an id is ignored, and so is one
+// that is older than the recorded one, except that it drains: an incarnation that
+// drains is about to end and never gets work again. Runs (executions of tasks) on
+// an incarnation that is gone end as lost.
 func (s *State) observeMinions(logTimeMS int64, cmd *apiv1.ObserveMinions) {
 	for _, m := range cmd.Minions {
 		if m.Life.GetId() == "" {
 			continue
 		}
 		known := s.minions[m.Life.Id]
-		if known == nil || known.Life.BornUnixMs <= m.Life.BornUnixMs {
+		switch {
+		case known == nil || known.Life.BornUnixMs < m.Life.BornUnixMs:
 			s.setMinion(m)
+		case known.Life.BornUnixMs == m.Life.BornUnixMs:
+			s.setMinion(laterAnnouncement(known, m))
 		}
 	}
 	for _, gone := range cmd.Gone {
@@ -33,6 +39,20 @@
 	}
 }
 
+// laterAnnouncement returns the later of two announcements of one incarnation, the
+// second one if they have the same number. It drains if one of the two does.
+func laterAnnouncement(a, b *apiv1.BatchMinion) *apiv1.BatchMinion {
+	later := b
+	if a.Sequence > b.Sequence {
+		later = a
+	}
+	if draining := a.Draining || b.Draining; draining != later.Draining {
+		later = proto.CloneOf(later)
+		later.Draining = draining
+	}
+	return later
+}
+
 // Minion returns the latest incarnation of a minion, nil when it is not known.
 func (s *State) Minion(id string) *apiv1.BatchMinion { return s.minions[id] }
 
--- a/internal/dispatch/announce.go
+++ b/internal/dispatch/announce.go
@@ -55,6 +55,9 @@
 	if !d.announcements.accept(req) {
 		return nil
 	}
+	// The number is recorded with the content, so that the next leader, which
+	// hasn't accepted any announcement yet, drops older ones too.
+	m.Sequence = req.Sequence
 	changed := false
 	d.opts.StateMachine.Read(func(st *state.State) { changed = differsFromRecord(st.Batch.Minion(m.Life.Id), m) })
 	if !changed {
@@ -80,7 +83,7 @@
 	if recorded == nil || recorded.Life.BornUnixMs < m.Life.BornUnixMs {
 		return true
 	}
-	if recorded.Life.BornUnixMs > m.Life.BornUnixMs {
+	if recorded.Life.BornUnixMs > m.Life.BornUnixMs || recorded.Sequence > m.Sequence {
 		return false
 	}
 	m.Draining = m.Draining || recorded.Draining
--- a/internal/dispatch/announce_test.go
+++ b/internal/dispatch/announce_test.go
@@ -63,3 +63,27 @@
 		g.Expect(h.completed(1)).To(Equal(1))
 	})
 }
+
+// Guards against starts that bring a minion over its capacity after it has shrunk:
+// an announcement from before, which the network delayed, arrives at the next
+// leader.
+func TestNextLeaderKeepsTheLaterCapacity(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		h := newHarness(t, 1)
+		defer func() { h.endTerm() }()
+		h.cluster.endless = true
+		m := h.cluster.add("a")
+		delayed := &apiv1.AnnounceMinionRequest{Minion: m.record(), Sequence: uint64(time.Now().UnixMilli())}
+		time.Sleep(time.Second)
+		h.setCapacity(m, 2*taskCPUMillis)
+		h.announce(m)
+		time.Sleep(shrinkGrace + time.Second)
+		h.endTerm()
+		h.startTerm()
+		g.Expect(h.dispatcher.Announce(t.Context(), delayed)).To(Succeed())
+		h.submit("job0", 4)
+		time.Sleep(5 * time.Second)
+		g.Expect(h.runningOn(m)).To(Equal(2))
+	})
+}
