dispatch: give no work to minions that are not heard

Cause: the leader planned with the recorded capacity however old it was. When announcements don't arrive while orders do, or after a time without a leader, a minion may have shrunk long ago, and one that doesn't guard its capacity starts whatever it is told to. The first start after an election follows the first answer to a hold call, well before the minion's next announcement.

Seen before the change: TestMinionThatIsNotHeardGetsNoStarts, "job0.0.0.0#1 brings a to 3000 of 2000 millicores" after 5.5 s without a leader. With only the age of an announcement ignored: "job1.0.0.0#1 brings a to 4000 of 3000 millicores" within a term.

Change: a minion of a pool without admission check gets no starts, planned or still to be sent, unless an announcement of it arrived at this leader within max_announcement_age. The deploy template sets it to contactMs: a room that has shrunk counts contactMs and one beat later, which leaves the beat for the way of the announcement and of the order. Minions that guard their capacity, and the runs that are there, are not affected. The price is that after an election such a minion waits for its next announcement, at most one beat when none is lost.

An announcement that is delayed for long, arrives first at a new leader and has a higher number than the recorded one still counts as new until the next one.

--- a/deploy/deploy_test.go
+++ b/deploy/deploy_test.go
@@ -21,7 +21,7 @@
 var placeholderValues = map[string]string{
 	"nodeName": "core-1", "zone": "zone-a", "dataDirectory": "/data/core", "ipAddress": "10.1.0.26", "internalPorts.0": "7000",
 	"listenAddresses.control": "10.1.0.26:8345", "listenAddresses.front": "10.1.0.23:8340", "listenAddresses.ready": "10.1.0.23:8343",
-	"seedNodes": "10.1.0.26:8345,10.2.0.18:8345", "firstStart": "true", "faultTolerance.machines": "2", "bounds.maxHoldMs": "6000",
+	"seedNodes": "10.1.0.26:8345,10.2.0.18:8345", "firstStart": "true", "faultTolerance.machines": "2", "bounds.maxHoldMs": "6000", "bounds.contactMs": "2500",
 	"cloud.address": "10.200.0.82:8344",
 }
 
@@ -68,6 +68,7 @@
 	}
 	g.Expect(core.ToleratedLosses).To(BeNumerically("==", 2))
 	g.Expect(core.MaxLeaseMs).To(BeNumerically("==", 6000))
+	g.Expect(core.MaxAnnouncementAgeMs).To(BeNumerically("==", 2500))
 	g.Expect(core.ProviderAddress).To(Equal("10.200.0.82:8344"))
 }
 
--- a/internal/daemon/batchcore/daemon.go
+++ b/internal/daemon/batchcore/daemon.go
@@ -122,6 +122,7 @@
 		Dispatch: dispatch.Options{
 			Minions: a.NewMinions(budget.MinionCalls, d.Process.Registry), Clock: clock.Boot{},
 			Lease: min(daemon.Millis(settings.LeaseMs), daemon.Millis(settings.MaxLeaseMs)), MaxLease: daemon.Millis(settings.MaxLeaseMs), Retention: daemon.Millis(settings.JobRetentionMs),
+			MaxAnnouncementAge: daemon.Millis(settings.MaxAnnouncementAgeMs),
 			Fleet: dispatch.FleetOptions{
 				Provider: a.NewProvider(settings.ProviderAddress), Holder: settings.ProcessId,
 				TakeoverDelay: daemon.Millis(settings.OrderTakeoverMs), MaintenanceTime: daemon.Millis(settings.ServiceTimeMs), OrdersPerSecond: int(settings.OrdersPerSecond),
--- a/internal/dispatch/announce.go
+++ b/internal/dispatch/announce.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"sync"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -17,6 +19,9 @@
 type lastAnnouncement struct {
 	startedMS int64
 	sequence  uint64
+	// recordedAt is when the latest announcement arrived of those whose content is
+	// committed, on the leader's clock.
+	recordedAt time.Duration
 }
 
 // announcementFilter rejects announcements, the reports of minions about
@@ -39,10 +44,49 @@
 	if inc.StartedMS < last.startedMS || inc.StartedMS == last.startedMS && req.Sequence < last.sequence {
 		return false
 	}
-	f.latest[inc.ID] = lastAnnouncement{startedMS: inc.StartedMS, sequence: req.Sequence}
+	if inc.StartedMS != last.startedMS {
+		last.recordedAt = neverRecorded
+	}
+	f.latest[inc.ID] = lastAnnouncement{startedMS: inc.StartedMS, sequence: req.Sequence, recordedAt: last.recordedAt}
 	return true
 }
 
+// neverRecorded is before any time at which an announcement arrives.
+const neverRecorded = time.Duration(math.MinInt64 / 2)
+
+// markRecorded notes that the content of an announcement that arrived at a time is
+// committed.
+func (f *announcementFilter) markRecorded(inc batch.Incarnation, arrivedAt time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if last, ok := f.latest[inc.ID]; ok && last.startedMS == inc.StartedMS {
+		last.recordedAt = max(last.recordedAt, arrivedAt)
+		f.latest[inc.ID] = last
+	}
+}
+
+// outdated returns the minions of pools without a guard of the capacity whose last
+// announcement to this leader is more than maxAge old, or that have not announced
+// themselves to it. Their capacity may have shrunk since. None is outdated if
+// maxAge is zero.
+func (f *announcementFilter) outdated(st *batch.State, minions []*apiv1.BatchMinion, now, maxAge time.Duration) []batch.Incarnation {
+	if maxAge == 0 {
+		return nil
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []batch.Incarnation
+	for _, m := range minions {
+		inc := batch.IncarnationOf(m.Life)
+		last, ok := f.latest[inc.ID]
+		heard := ok && last.startedMS == inc.StartedMS && now-last.recordedAt <= maxAge
+		if !heard && !st.Pool(m.Pool).GetGuardsCapacity() {
+			out = append(out, inc)
+		}
+	}
+	return out
+}
+
 // Announce processes a minion's announcement, or its notice that it leaves. It
 // returns nil once the new information is committed. An announcement that is
 // out of date changes nothing. After an error the information may be committed
@@ -58,12 +102,29 @@
 	// The number is recorded with the content, so that the next leader, which
 	// hasn't accepted any announcement yet, drops older ones too.
 	m.Sequence = req.Sequence
-	changed := false
-	d.opts.StateMachine.Read(func(st *state.State) { changed = differsFromRecord(st.Batch.Minion(m.Life.Id), m) })
-	if !changed {
+	now := d.clock.Now()
+	changed, older := false, false
+	d.opts.StateMachine.Read(func(st *state.State) {
+		recorded := st.Batch.Minion(m.Life.Id)
+		older = isOlder(m, recorded)
+		changed = !older && differsFromRecord(recorded, m)
+	})
+	if older {
 		return nil
 	}
-	return d.recordMinion(ctx, m)
+	if changed {
+		if err := d.recordMinion(ctx, m); err != nil {
+			return err
+		}
+	}
+	d.announcements.markRecorded(batch.IncarnationOf(m.Life), now)
+	return nil
+}
+
+// isOlder reports whether an announcement is older than the recorded one.
+func isOlder(m, recorded *apiv1.BatchMinion) bool {
+	return recorded != nil && (recorded.Life.BornUnixMs > m.Life.BornUnixMs ||
+		recorded.Life.BornUnixMs == m.Life.BornUnixMs && recorded.Sequence > m.Sequence)
 }
 
 // recordMinion commits what a minion announced about itself.
@@ -76,16 +137,13 @@
 	return err
 }
 
-// differsFromRecord reports whether a minion's announcement differs from what
-// is recorded. An incarnation that drains (is about to end) never accepts work
+// differsFromRecord reports whether a minion's announcement, which is not older
+// than the recorded one, differs from it. An incarnation that drains (is about to end) never accepts work
 // again, so differsFromRecord sets Draining in m when it is recorded.
 func differsFromRecord(recorded, m *apiv1.BatchMinion) bool {
 	if recorded == nil || recorded.Life.BornUnixMs < m.Life.BornUnixMs {
 		return true
 	}
-	if recorded.Life.BornUnixMs > m.Life.BornUnixMs || recorded.Sequence > m.Sequence {
-		return false
-	}
 	m.Draining = m.Draining || recorded.Draining
 	same := recorded.Draining == m.Draining && recorded.Address == m.Address && recorded.Pool == m.Pool &&
 		recorded.AvailabilityZone == m.AvailabilityZone && slices.Equal(recorded.Labels, m.Labels) && proto.Equal(recorded.Capacity, m.Capacity)
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -58,6 +58,10 @@
 	// Lease is the length of a minion's lease from each renewal. MaxLease is the
 	// longest lease that any leader may have given.
 	Lease, MaxLease time.Duration
+	// MaxAnnouncementAge is the age of a minion's last announcement from which it
+	// gets no new work if it doesn't guard its capacity, which may have shrunk since.
+	// Zero means no limit.
+	MaxAnnouncementAge time.Duration
 	// Retention is how long an ended job is kept for queries.
 	Retention time.Duration
 	// Fleet configures the management of machines, which is off without a
@@ -187,8 +191,8 @@
 // startOrder returns the start order of a run on an incarnation, without token
 // and lease, and the present capacity of the minion. It returns false when the
 // job is unknown or ended, or has no such step, or when the incarnation is no
-// longer recorded or may not get the run any more: a minion may have changed since
-// the start was committed.
+// longer recorded, may not get the run any more or wasn't heard for too long: a
+// minion may have changed since the start was committed.
 func (d *Dispatcher) startOrder(key batch.RunKey, inc batch.Incarnation) (o StartOrder, capacity *apiv1.Resources, ok bool) {
 	d.opts.StateMachine.Read(func(st *state.State) {
 		j := st.Batch.Job(key.Job)
@@ -200,6 +204,9 @@
 		if step == nil || m == nil || batch.IncarnationOf(m.Life) != inc || st.Batch.Exclusion(j, step, m) != "" {
 			return
 		}
+		if len(d.announcements.outdated(st.Batch, []*apiv1.BatchMinion{m}, d.clock.Now(), d.opts.MaxAnnouncementAge)) > 0 {
+			return
+		}
 		o = StartOrder{Run: key, Specification: j.Specification, Checkpoint: checkpoint}
 		capacity, ok = m.Capacity, true
 	})
--- a/internal/dispatch/harness_test.go
+++ b/internal/dispatch/harness_test.go
@@ -15,18 +15,20 @@
 
 // harness runs the dispatcher of one term after the other over a fake cluster.
 type harness struct {
-	t          *testing.T
-	cluster    *fakeCluster
-	node       *fakeNode
-	metrics    *Metrics
-	log        *logrus.Entry
-	term       uint64
-	fleet      FleetOptions
-	lease      time.Duration
-	dispatcher *Dispatcher
-	cancel     context.CancelFunc
-	done       chan struct{}
-	start      time.Time
+	t       *testing.T
+	cluster *fakeCluster
+	node    *fakeNode
+	metrics *Metrics
+	log     *logrus.Entry
+	term    uint64
+	fleet   FleetOptions
+	lease   time.Duration
+	// maxAnnouncementAge is Options.MaxAnnouncementAge.
+	maxAnnouncementAge time.Duration
+	dispatcher         *Dispatcher
+	cancel             context.CancelFunc
+	done               chan struct{}
+	start              time.Time
 }
 
 func newHarness(t *testing.T, seed uint64) *harness {
@@ -57,6 +59,7 @@
 	h.dispatcher = New(ctx, h.term, Options{
 		Minions: h.cluster, StateMachine: h.node.machine, Node: h.node, Clock: bubbleClock{h.start}, Log: h.log,
 		Lease: h.lease, MaxLease: h.cluster.maxLease, Retention: time.Hour, Fleet: h.fleet,
+		MaxAnnouncementAge: h.maxAnnouncementAge,
 	}, h.metrics)
 	d, done := h.dispatcher, h.done
 	go func() {
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -120,6 +120,9 @@
 	}
 	d.opts.StateMachine.Read(func(st *state.State) {
 		in.State = st.Batch
+		for _, inc := range d.announcements.outdated(st.Batch, st.Batch.Minions(), now, d.opts.MaxAnnouncementAge) {
+			delete(in.Health, inc)
+		}
 		starts = placement.Plan(in)
 	})
 	return starts
--- a/internal/dispatch/room_test.go
+++ b/internal/dispatch/room_test.go
@@ -227,3 +227,44 @@
 		g.Expect(h.runningOn(a) + h.runningOn(b)).To(Equal(5))
 	})
 }
+
+// Guards against starts that bring a minion over its capacity because its
+// announcements don't arrive, at this leader or at any leader: it may have shrunk
+// since the last one. A minion that guards its capacity needs none.
+func TestMinionThatIsNotHeardGetsNoStarts(t *testing.T) {
+	for name, guarded := range map[string]bool{"guarded": true, "not guarded": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				h := newHarness(t, 1)
+				defer func() { h.endTerm() }()
+				h.propose(&apiv1.BatchCommand{Body: &apiv1.BatchCommand_PutCatalog{PutCatalog: &apiv1.Catalog{
+					Version: 2, Pools: []*apiv1.BatchPool{{Name: "p", GuardsCapacity: guarded}}, Queues: []*apiv1.BatchQueue{{Name: "q", Pool: "p", MaxAttempts: 3}},
+				}}})
+				h.maxAnnouncementAge, h.cluster.endless = 3*time.Second, true
+				m := h.cluster.add("a")
+				m.guarded = guarded
+				h.announce(m)
+				time.Sleep(2 * time.Second)
+				h.endTerm()
+				h.setCapacity(m, 2*taskCPUMillis)
+				time.Sleep(shrinkGrace + time.Second)
+				h.startTerm()
+				h.submit("job0", 3)
+				time.Sleep(2 * time.Second)
+				g.Expect(h.runningOn(m)).To(Equal(map[bool]int{true: 2}[guarded]), "it has not announced itself to this leader")
+				h.announce(m)
+				time.Sleep(2 * planInterval)
+				g.Expect(h.runningOn(m)).To(Equal(2))
+				h.setCapacity(m, 4*taskCPUMillis)
+				h.announce(m)
+				time.Sleep(2 * planInterval)
+				h.setCapacity(m, 3*taskCPUMillis)
+				time.Sleep(shrinkGrace + time.Second)
+				h.submit("job1", 1)
+				time.Sleep(2 * time.Second)
+				g.Expect(h.runningOn(m)).To(Equal(3))
+			})
+		})
+	}
+}
