placement: count machines with what their minions have

Cause: a pool's supply is the sum of the capacities in the provider's list of machines. A minion that has shrunk runs less than that, so the shortage of its pool was not seen.

Seen before the change: TestShrunkMachinesCountWithPresentCapacity, a supply of 5000 where the minions have 2500; TestMachineCountsWithCapacityOfItsMinion.

Change: a machine carries how much of its CPU its minion has not at present. The supply, and the surplus that a pool may give away, count without it; the pool that the machine is moved to gets all of it, since a new minion starts there and the kind stays with the machine.

Result: both tests pass, and those of internal/placement and internal/dispatch. Whether the provider's list follows a minion that shrinks is not known; if it does, nothing changes.

--- a/internal/dispatch/capacity.go
+++ b/internal/dispatch/capacity.go
@@ -179,6 +179,9 @@
 		out.Runs = load.Len()
 		out.LongRunning = load.HasLongRunning()
 		out.Available = usable[out.Incarnation] && !minion.Draining
+		if !out.Arriving {
+			out.ShrunkCPUMillis = max(out.CPUMillis-int64(minion.Capacity.GetCpuMillis()), 0)
+		}
 	}
 	out.Idle = f.idleFor(m.ID, out.Runs, now) > idleTimeout
 	out.Available = (out.Available || spare) && m.State == MachineUp && !unmovable && !f.failedRecently(m.ID) && !st.IsZoneOut(m.AvailabilityZone)
--- a/internal/dispatch/capacity_test.go
+++ b/internal/dispatch/capacity_test.go
@@ -2,9 +2,14 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+	"bergamotdrum.example/bergamotdrum/internal/placement"
+	"bergamotdrum.example/bergamotdrum/internal/state"
 )
 
 // Guards against machines that are moved to a growing pool only when it already
@@ -28,3 +33,36 @@
 	g.Expect(forecastGrowth(jump, now)).To(BeEquivalentTo(700), "at most doubles")
 	g.Expect(forecastGrowth([]demandSample{{now, 500}}, now)).To(BeZero(), "one sample shows no trend")
 }
+
+// Guards against a pool whose shortage is not seen because its machines count with
+// their full capacity while their minions have shrunk. On the way to another pool
+// a machine counts in full again.
+func TestMachineCountsWithCapacityOfItsMinion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		h := newHarness(t, 1)
+		defer h.endTerm()
+		m := h.cluster.add("a")
+		h.setCapacity(m, 3*taskCPUMillis)
+		h.announce(m)
+		f := newFleetManager(h.dispatcher, 0)
+		shrunk := func() int64 {
+			var out placement.Machine
+			h.node.machine.Read(func(st *state.State) {
+				machine := Machine{ID: "x", Pool: "p", MinionID: "a", Capacity: &apiv1.Resources{CpuMillis: 4 * taskCPUMillis}}
+				out = f.poolMachine(st.Batch, machine, false, nil, 0)
+			})
+			return out.ShrunkCPUMillis
+		}
+		g.Expect(shrunk()).To(BeEquivalentTo(taskCPUMillis))
+		h.setCapacity(m, 5*taskCPUMillis)
+		time.Sleep(time.Second)
+		h.announce(m)
+		g.Expect(shrunk()).To(BeZero(), "never less than nothing")
+		h.setCapacity(m, 0)
+		time.Sleep(time.Second)
+		h.announce(m)
+		f.movingTo["x"] = "other"
+		g.Expect(shrunk()).To(BeZero())
+	})
+}
--- a/internal/placement/capacity.go
+++ b/internal/placement/capacity.go
@@ -35,6 +35,9 @@
 	Incarnation batch.Incarnation
 	// CPUMillis is the CPU capacity in thousandths of a core.
 	CPUMillis int64
+	// ShrunkCPUMillis is how much of that its minion has not at present. A minion
+	// that the machine gets in another pool has all of it.
+	ShrunkCPUMillis int64
 	// Arriving machines are on their way to the pool.
 	Arriving bool
 	// Available machines can run tasks in their pool, or can be moved out of a spare
@@ -55,6 +58,10 @@
 	CooldownOver bool
 }
 
+// presentCPU returns the CPU that the machine's minion has now, in thousandths of
+// a core.
+func (m *Machine) presentCPU() int64 { return m.CPUMillis - m.ShrunkCPUMillis }
+
 // CapacityInput is the input of PlanCapacity.
 type CapacityInput struct {
 	// Demands of the pools that have queues, by pool.
@@ -161,7 +168,7 @@
 			continue
 		}
 		if s != p.spare || !m.Arriving {
-			s.cpuMillis += m.CPUMillis
+			s.cpuMillis += m.presentCPU()
 			s.machines++
 		}
 		if m.Available && !m.Arriving && (s == p.spare || m.CooldownOver && !m.LongRunning) {
@@ -233,7 +240,7 @@
 func (s *poolSupply) take(i int) *Machine {
 	m := s.movable[i]
 	s.movable = slices.Delete(s.movable, i, i+1)
-	s.cpuMillis -= m.CPUMillis
+	s.cpuMillis -= m.presentCPU()
 	s.machines--
 	return m
 }
@@ -248,7 +255,7 @@
 	}
 	var best *poolSupply
 	for _, s := range p.supplies {
-		if s == to || len(s.movable) == 0 || s.surplus() < s.movable[0].CPUMillis {
+		if s == to || len(s.movable) == 0 || s.surplus() < s.movable[0].presentCPU() {
 			continue
 		}
 		if best == nil || isBetterSource(s, best) {
@@ -281,7 +288,7 @@
 		required := max(s.share, max(d.CPU(), d.Peak)*onSupplyPercent/100)
 		for i := 0; i < len(s.movable) && len(p.out.Moves) < p.in.MaxMoves && s.machines > p.minMachines; {
 			m := s.movable[i]
-			if !m.Idle || m.Runs > 0 || s.cpuMillis-m.CPUMillis < required {
+			if !m.Idle || m.Runs > 0 || s.cpuMillis-m.presentCPU() < required {
 				i++
 				continue
 			}
--- a/internal/placement/capacity_test.go
+++ b/internal/placement/capacity_test.go
@@ -172,3 +172,18 @@
 		}
 	})
 }
+
+// Guards against a shortage that is not seen because machines count with a
+// capacity that their minions don't have at present.
+func TestShrunkMachinesCountWithPresentCapacity(t *testing.T) {
+	g := NewWithT(t)
+	shrunk := newMachines("a", 5)
+	in := newCapacityInput(map[string]Demand{"a": {Ready: 4000}}, shrunk, newMachines("off", 8))
+	g.Expect(PlanCapacity(in).Moves).To(BeEmpty())
+	for i := range shrunk {
+		in.Machines[i].ShrunkCPUMillis = machineCPU / 2
+	}
+	plan := PlanCapacity(in)
+	g.Expect(plan.Pools["a"].SupplyCPU).To(BeEquivalentTo(5 * machineCPU / 2))
+	g.Expect(movesByPool(plan)["a"]).To(BeNumerically(">=", 2))
+}
