--- a/internal/batch/runs.go
+++ b/internal/batch/runs.go
@@ -271,12 +271,7 @@
 			res.GivenUp = append(res.GivenUp, e.Task)
 		}
 	}
-	refusedGangs := map[TaskRef]bool{}
-	for i, st := range cmd.Starts {
-		if reason := s.startRun(logTimeMS, cmd.Term, st, refusedGangs); reason != "" {
-			res.Refused = append(res.Refused, uint32(i))
-		}
-	}
+	res.Refused = s.startRuns(logTimeMS, cmd)
 	return res
 }
 
--- a/internal/batch/starts.go
+++ b/internal/batch/starts.go
@@ -6,12 +6,33 @@
 	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
 )
 
+// startRuns records starts and returns the indices of those that are refused. The
+// members of a gang (a step whose tasks start together) start in one command, all
+// or none: once a member is refused, those before it are taken back.
+func (s *State) startRuns(logTimeMS int64, cmd *apiv1.UpdateRuns) []uint32 {
+	refusedGangs := map[TaskRef]bool{}
+	started := make([]bool, len(cmd.Starts))
+	for i, st := range cmd.Starts {
+		started[i] = s.startRun(logTimeMS, cmd.Term, st, refusedGangs) == ""
+	}
+	var refused []uint32
+	for i, st := range cmd.Starts {
+		if started[i] && refusedGangs[RefOf(st.Task).StepRef()] {
+			s.endRun(logTimeMS, &apiv1.EndedRun{Task: st.Task, Run: st.Run, End: apiv1.RunEnd_RUN_END_NOT_STARTED})
+			started[i] = false
+		}
+		if !started[i] {
+			refused = append(refused, uint32(i))
+		}
+	}
+	return refused
+}
+
 // startRun records the start of one run (one execution of a task on a minion, a
 // worker process) and returns an empty string, or returns the reason for which
 // the start is refused. The result of the command only lists which starts were
-// refused. The members of a gang, a step whose tasks start together, start in
-// one command: once a member is refused, startRun notes the gang in refusedGangs
-// and refuses the gang's later members too.
+// refused. Once a member of a gang is refused, startRun notes the gang, by its
+// StepRef, in refusedGangs and refuses the gang's later members too.
 func (s *State) startRun(logTimeMS int64, term uint64, st *apiv1.StartedRun, refusedGangs map[TaskRef]bool) string {
 	ref := RefOf(st.Task)
 	j := s.jobs[ref.Job]
@@ -22,7 +43,7 @@
 	if task == nil {
 		return "no such task"
 	}
-	gang := TaskRef{Job: ref.Job, Occurrence: ref.Occurrence, Step: ref.Step}
+	gang := ref.StepRef()
 	reason := s.taskRefusal(j, ref, step, task, st.Run)
 	if reason == "" {
 		reason = s.minionRefusal(j, ref, step, IncarnationOf(st.Minion))
@@ -71,11 +92,28 @@
 	if m == nil || IncarnationOf(m.Life) != incarnation {
 		return "minion is not known"
 	}
+	if reason := s.Exclusion(j, step, m); reason != "" {
+		return reason
+	}
 	load := s.loads[incarnation]
 	var used Usage
 	if load != nil {
 		used = load.Used
 	}
+	switch {
+	case step.MaxPerMinion > 0 && load.StepRuns(ref) >= step.MaxPerMinion:
+		return "minion runs max_per_minion tasks of the step"
+	case !used.Add(ResourcesOnMinion(step), 1).Within(m.Capacity):
+		return "minion lacks capacity"
+	case !s.WithinAccountLimit(j, step, 1):
+		return "account is at its limit"
+	}
+	return ""
+}
+
+// Exclusion returns why no task of the step may start on the minion, whatever runs
+// there, empty when nothing rules it out.
+func (s *State) Exclusion(j *Job, step *apiv1.BatchStep, m *apiv1.BatchMinion) string {
 	switch {
 	case m.Draining:
 		return "minion is draining"
@@ -85,12 +123,6 @@
 		return "minion is in another pool"
 	case step.RequiredLabel != "" && !slices.Contains(m.Labels, step.RequiredLabel):
 		return "minion lacks the required label"
-	case step.MaxPerMinion > 0 && load.StepRuns(ref) >= step.MaxPerMinion:
-		return "minion runs max_per_minion tasks of the step"
-	case !used.Add(ResourcesOnMinion(step), 1).Within(m.Capacity):
-		return "minion lacks capacity"
-	case !s.WithinAccountLimit(j, step, 1):
-		return "account is at its limit"
 	}
 	return ""
 }
--- a/internal/dispatch/fakecluster_test.go
+++ b/internal/dispatch/fakecluster_test.go
@@ -66,7 +66,8 @@
 
 // fakeCluster holds fake minions, applies the faults of the network between them
 // and the leader, and knows what is true about each task. It fails the test when
-// a task starts while it runs, or after its end was acknowledged.
+// a task starts while it runs, or after its end was acknowledged, or brings a
+// minion over its room.
 type fakeCluster struct {
 	t       *testing.T
 	mu      sync.Mutex
@@ -117,6 +118,11 @@
 	// end up to it that is acknowledged later doesn't count, since the leader may
 	// have released the run when the lease expired.
 	lastEndBeforeLapse uint64
+	room               roomHistory
+	// guarded is set when the minion refuses what doesn't fit into its capacity.
+	guarded bool
+	// late is set while an order is carried out late.
+	late bool
 }
 
 func newFakeCluster(t *testing.T, seed uint64) *fakeCluster {
@@ -136,7 +142,7 @@
 func (c *fakeCluster) addAt(address, id string) *fakeMinion {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	m := &fakeMinion{cluster: c, id: id, address: address, startedMS: time.Now().UnixMilli(), started: time.Now(), running: map[batch.RunKey]time.Time{}, highest: map[batch.TaskRef]uint32{}}
+	m := &fakeMinion{cluster: c, id: id, address: address, startedMS: time.Now().UnixMilli(), started: time.Now(), running: map[batch.RunKey]time.Time{}, highest: map[batch.TaskRef]uint32{}, room: newRoomHistory()}
 	if old := c.minions[address]; old != nil {
 		old.kill()
 	}
@@ -164,7 +170,7 @@
 func (m *fakeMinion) record() *apiv1.BatchMinion {
 	return &apiv1.BatchMinion{
 		Life: &apiv1.MinionLife{Id: m.id, BornUnixMs: m.startedMS}, Address: m.address, Pool: "p", AvailabilityZone: "z",
-		Capacity: &apiv1.Resources{CpuMillis: 4000, MemoryMb: 4000},
+		Capacity: m.room.announced(),
 	}
 }
 
@@ -228,7 +234,9 @@
 			c.mu.Lock()
 			defer c.mu.Unlock()
 			if c.minions[to.Address] == m && !m.unreachable {
+				m.late = true
 				_ = do(m)
+				m.late = false
 			}
 		})
 		c.mu.Unlock()
@@ -266,6 +274,8 @@
 		return &Refusal{Reason: RefusedStaleRun, ClockMS: m.clock()}
 	case o.LeaseUntilMS <= m.clock():
 		return &Refusal{Reason: RefusedLeaseExpired, ClockMS: m.clock()}
+	case m.guarded && (len(m.running)+1)*taskCPUMillis > int(m.room.announced().CpuMillis):
+		return &Refusal{Reason: RefusedNoCapacity, ClockMS: m.clock()}
 	}
 	m.extendLease(o.LeaseUntilMS)
 	ref := o.Run.TaskRef
@@ -281,6 +291,7 @@
 	m.cluster.active[ref]++
 	m.cluster.starts++
 	m.running[o.Run] = time.Now()
+	m.checkRoom(o.Run)
 	if m.cluster.deadly[ref] {
 		m.cluster.deadlyStarts++
 		time.AfterFunc(10*time.Millisecond, func() {
--- a/internal/dispatch/harness_test.go
+++ b/internal/dispatch/harness_test.go
@@ -15,18 +15,20 @@
 
 // harness runs the dispatcher of one term after the other over a fake cluster.
 type harness struct {
-	t          *testing.T
-	cluster    *fakeCluster
-	node       *fakeNode
-	metrics    *Metrics
-	log        *logrus.Entry
-	term       uint64
-	fleet      FleetOptions
-	lease      time.Duration
-	dispatcher *Dispatcher
-	cancel     context.CancelFunc
-	done       chan struct{}
-	start      time.Time
+	t       *testing.T
+	cluster *fakeCluster
+	node    *fakeNode
+	metrics *Metrics
+	log     *logrus.Entry
+	term    uint64
+	fleet   FleetOptions
+	lease   time.Duration
+	// maxAnnouncementAge is Options.MaxAnnouncementAge.
+	maxAnnouncementAge time.Duration
+	dispatcher         *Dispatcher
+	cancel             context.CancelFunc
+	done               chan struct{}
+	start              time.Time
 }
 
 func newHarness(t *testing.T, seed uint64) *harness {
@@ -57,6 +59,7 @@
 	h.dispatcher = New(ctx, h.term, Options{
 		Minions: h.cluster, StateMachine: h.node.machine, Node: h.node, Clock: bubbleClock{h.start}, Log: h.log,
 		Lease: h.lease, MaxLease: h.cluster.maxLease, Retention: time.Hour, Fleet: h.fleet,
+		MaxAnnouncementAge: h.maxAnnouncementAge,
 	}, h.metrics)
 	d, done := h.dispatcher, h.done
 	go func() {
@@ -86,8 +89,8 @@
 	h.propose(&apiv1.BatchCommand{Body: &apiv1.BatchCommand_Submit{Submit: &apiv1.BatchJob{
 		Id: id, Queue: "q", AcceptedQueue: q,
 		Steps: []*apiv1.BatchStep{
-			{Count: tasks, Resources: &apiv1.Resources{CpuMillis: 1000}, EstimatedMs: 400},
-			{Count: 1, Resources: &apiv1.Resources{CpuMillis: 1000}, EstimatedMs: 400, After: []uint32{0}},
+			{Count: tasks, Resources: &apiv1.Resources{CpuMillis: taskCPUMillis}, EstimatedMs: 400},
+			{Count: 1, Resources: &apiv1.Resources{CpuMillis: taskCPUMillis}, EstimatedMs: 400, After: []uint32{0}},
 		},
 	}}})
 }
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -71,6 +71,8 @@
 	// stopRequested is set when the run is to be stopped.
 	stopRequested bool
 	isLongRunning bool
+	// resources is what the run takes of the minion's capacity.
+	resources batch.Usage
 	// released is set when an end of the run was determined and is committed, or
 	// about to be. Nothing more is sent for the run.
 	released bool
@@ -81,8 +83,9 @@
 	// endInNextIncarnation is how the run ended when a delayed start order was
 	// carried out by the minion's next incarnation, that is, after a restart.
 	endInNextIncarnation apiv1.RunEnd
-	// mayHaveBegun is set when the start order was sent, by this leader or possibly
-	// by an earlier one, or the minion listed the run as running.
+	// mayHaveBegun is set once a start order may have been sent, by this session, an
+	// earlier one or an earlier leader, or the minion listed the run as running. It is
+	// cleared when the order was certainly refused.
 	mayHaveBegun bool
 	// sentAt is when the start order was sent, zero before.
 	sentAt time.Duration
