replica: end the leadership in the round of the step-down

Cause: the loop compared the role only after it had carried out a Ready. A step-down alone gives none, so a leader that had stepped down after a pause or without a quorum went on calling OnLeader, and let reads wait, until the next message or election. Seen in a run of test/process on a slow disk: for 0.5 s the replica refused proposals with NOT_LEADER while its leader loops went on ("commit failed", eleven times), before it logged "no longer leader".

Ruled out: the slow disk as the only reason for the delay.

Change: processReadies compares the role first, which also ends OnLeader before a sync that may take long. A proposal that commits in the very round of the step-down may now get an unknown outcome instead of its result.

The change doesn't make leaders last longer on a slow disk.

--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -217,6 +217,8 @@
 // processReadies carries out the core's work until there is none left. An error
 // stops the replica.
 func (n *Node) processReadies() error {
+	// A step-down alone gives no Ready, and the sync of one may take long.
+	n.updateLeadership()
 	for n.core.HasReady() {
 		if err := n.processReady(); err != nil {
 			return err
--- a/internal/replica/node_test.go
+++ b/internal/replica/node_test.go
@@ -226,3 +226,28 @@
 	c.g.Expect(removed.node.Status().Role).NotTo(Equal(consensus.Leader))
 	c.proposeMany("after", 3)
 }
+
+// Guards against a replica that has stepped down but goes on as leader until the
+// next message or election: OnLeader runs on, and a read that can't be confirmed
+// any more waits.
+func TestLeadershipEndsWithTheStepDown(t *testing.T) {
+	c := newCluster(t, 3)
+	var leader *member
+	var read *barrier
+	var before, after uint64
+	// Each call is carried out in a round of the loop of its own. A leader that has
+	// lost its leadership by itself before that is replaced by the next one.
+	c.g.Eventually(func() uint64 {
+		leader, read = c.leader(), &barrier{ctx: t.Context(), done: make(chan error, 1)}
+		c.g.Expect(leader.node.runInLoop(t.Context(), func() {
+			if before = leader.node.leaderTerm; leader.node.core.Role() == consensus.Leader {
+				leader.node.startBarrier(read)
+				leader.node.core.StepDown()
+			}
+		})).To(Succeed())
+		return before
+	}).ShouldNot(BeZero())
+	c.g.Expect(leader.node.runInLoop(t.Context(), func() { after = leader.node.leaderTerm })).To(Succeed())
+	c.g.Expect(after).NotTo(Equal(before))
+	c.g.Expect(read.done).To(Receive(HaveOccurred()))
+}
