soak: deadly tasks, and minions whose capacity shrinks

Cause: a task may crash each minion that starts it, and a minion's capacity may shrink and grow while it runs. The soak had neither, so it could not see BUDGET or LIMIT break.

Change, in test files only:

- A caller submits series of jobs with one deadly task each, marked in the specification.
A minion that starts it crashes after 10 ms with all its runs and is back after 0.2 to 6 s at its address, half of the time under a new id.
- A fault shrinks CPU, memory or both of up to three minions for up to 9 s; the next heartbeat says so.
The minions of pool-1 no longer guard their capacity; LIMIT is about such minions.
- BUDGET: after three minions crashed under a deadly task, the third further start in touch is a violation.
In touch: no core process, core link or link of the minion had a fault in the last 3 s.
The rule gives this margin only.
- LIMIT: a start over the largest capacity of the last 3.7 s (contactMs and one beat) is a violation, in touch or not.
The shrinking doesn't count where the minion's link had a fault in the last 3 s, as the order may be late.
- A job with a deadly task is never completed, and failed only once two minions crashed under one of its tasks.
For other jobs only crashes by the soak's own faults count: crashes by another job's deadly task are no cause.

--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -20,6 +20,8 @@
 // accounts ask for more at times, so that the limit has an effect.
 const accountLimit = 40_000
 
+func poolName(pool int) string { return fmt.Sprint("pool-", pool) }
+
 func pathPrefix(pool int) string { return fmt.Sprintf("/q%d/", pool) }
 
 // configuration returns the body of PUT /configuration: the whole configuration
@@ -29,9 +31,9 @@
 	for i := range numPools {
 		routes = append(routes, map[string]any{
 			"name": fmt.Sprint("r", i), "host": host, "pathPrefix": pathPrefix(i), "kind": "unsafe", "timeoutMs": 3000,
-			"targetLatencyMs": 600, "priority": 0, "service": fmt.Sprint("pool-", i), "maxAttempts": 4, "stretch": 1.6, "public": false,
+			"targetLatencyMs": 600, "priority": 0, "service": poolName(i), "maxAttempts": 4, "stretch": 1.6, "public": false,
 		})
-		services = append(services, map[string]any{"name": fmt.Sprint("pool-", i), "admissionCheck": true, "spare": false})
+		services = append(services, map[string]any{"name": poolName(i), "admissionCheck": i != unguardedPool, "spare": false})
 	}
 	services = append(services, map[string]any{"name": "spare", "admissionCheck": true, "spare": true})
 	for _, a := range accounts {
@@ -67,7 +69,7 @@
 	for i := range 1 + c.rand.IntN(3) {
 		count := 1 + c.rand.IntN(5)
 		step := stepRecord{cpu: 1000, tasks: make([]taskRecord, count)}
-		body := map[string]any{"count": count, "cpu": step.cpu, "requestedMemoryMb": 100, "estimatedMs": 400}
+		body := map[string]any{"count": count, "cpu": step.cpu, "requestedMemoryMb": taskMemory, "estimatedMs": 400}
 		if i > 0 {
 			step.after = []int{i - 1}
 			body["after"] = step.after
@@ -114,8 +116,11 @@
 // submit sends a new job up to maxSubmits times until it is accepted. It returns
 // nil for a job that was not; only when every attempt was answered with 429 or
 // 503 is it certain that none of the job's tasks may start.
-func (c *caller) submit(pool int) *jobRecord {
-	j, body := c.newJob()
+func (c *caller) submit(pool int) *jobRecord { return c.submitJob(pool, c.newJob) }
+
+// submitJob does so with a job that newJob generates.
+func (c *caller) submitJob(pool int, newJob func() (*jobRecord, []byte)) *jobRecord {
+	j, body := newJob()
 	refusals := 0
 	for range maxSubmits {
 		status, _ := c.send("POST", j, pool, body)
--- a/test/soak/checker_test.go
+++ b/test/soak/checker_test.go
@@ -27,6 +27,14 @@
 	faultUntil   time.Time
 	zoneOutSince map[string]time.Time
 	starts       int
+	// coreFaults is the number of faults that cores have now; coresCalmSince is when
+	// the last one ended.
+	coreFaults     int
+	coresCalmSince time.Time
+	// shrinks counts the times that a minion shrank. On minions that do not guard their
+	// capacity, shrunkStarts counts the starts during that, and overRoomStarts those
+	// beyond the capacity of that moment, which may still be allowed.
+	shrinks, shrunkStarts, overRoomStarts int
 }
 
 // jobRecord is a submitted job and what has been observed of it.
@@ -37,6 +45,7 @@
 	canceledAt                 time.Time // zero: not canceled; in the future: not confirmed
 	maxFailures                int
 	completed, failed          bool
+	deadly                     *deadlyTask // nil: the job has none
 }
 
 // stepRecord is a step of a job; its tasks start after the steps in after.
@@ -57,6 +66,12 @@
 	// run is acknowledged.
 	rerunAfterDone map[int]bool
 	failures       int
+	// crashes counts the minions that crashed while they ran the task, faultCrashes
+	// those of them that a fault of the soak crashed.
+	crashes, faultCrashes int
+	// lateStarts counts the starts after budgetCrashes crashes, inTouchStarts those of
+	// them that were made in touch.
+	lateStarts, inTouchStarts int
 }
 
 func newChecker() *checker {
@@ -152,6 +167,7 @@
 	task := &j.steps[key.step].tasks[key.index]
 	task.activeRuns--
 	c.runningCPU[j.account] -= j.steps[key.step].cpu
+	task.countCrash(outcome)
 	if outcome != endDone {
 		return
 	}
@@ -199,9 +215,12 @@
 		c.addViolationLocked("job %s was accepted and is no longer known", id)
 	case state == "cancelled" && !canceled:
 		c.addViolationLocked("job %s is shown as cancelled without a request to cancel it", id)
-	case state == "failed" && !j.canFailLocked():
-		c.addViolationLocked("job %s is shown as failed although none of its tasks has reached the maximum of failures", id)
+	case state == "failed" && !j.canFailLocked() && !j.canBeGivenUpLocked():
+		c.addViolationLocked("job %s is shown as failed although none of its tasks has reached the maximum of failures or may be given up for crashes; %s", id, j.crashSummaryLocked())
 	case state == "completed":
+		if j.deadly != nil {
+			c.addViolationLocked("job %s is shown as completed although its task %v is deadly", id, *j.deadly)
+		}
 		j.completed = true
 		for s := range j.steps {
 			for i := range j.steps[s].tasks {
@@ -215,8 +234,8 @@
 }
 
 // canFailLocked reports whether the job has a task whose acknowledged failures
-// and active runs together reach the maximum of failures. No other job may be
-// shown as failed. The caller holds the checker's mu.
+// and active runs together reach the maximum of failures. Another job may be shown
+// as failed only if canBeGivenUpLocked allows it. The caller holds the checker's mu.
 func (j *jobRecord) canFailLocked() bool {
 	for s := range j.steps {
 		for i := range j.steps[s].tasks {
--- a/test/soak/cluster_test.go
+++ b/test/soak/cluster_test.go
@@ -102,6 +102,7 @@
 	frontLinks, controlLinks, minionLinks []*proxy
 	providerLink                          *proxy
 	provider                              *machineProvider
+	deadly                                *deadlyFault
 	stopAll                               chan struct{}
 	wg                                    sync.WaitGroup
 }
@@ -114,7 +115,7 @@
 }
 
 func newCluster(dir, binary string) (*cluster, error) {
-	c := &cluster{checker: newChecker(), dir: dir, stopAll: make(chan struct{})}
+	c := &cluster{checker: newChecker(), dir: dir, stopAll: make(chan struct{}), deadly: &deadlyFault{}}
 	if err := c.startProvider(); err != nil {
 		return nil, err
 	}
@@ -131,7 +132,7 @@
 		c.controlLinks = append(c.controlLinks, link)
 		text := fmt.Sprintf("[batch-control]\nprocess_id = core-%d\navailability_zone = %s\ndata_folder = %s\nrpc_address = %s:%d\ncontrol_address = %s:8345\nadmin_address = %s:7001\nseed_addresses = %s\nfirst_start = true\nallow_no_secret = true\nmax_lease = 3s\nlease = 2s\norder_takeover = 3300ms\nservice_time = 1s\nprovider_address = %s\n",
 			i, zones[i%len(zones)], filepath.Join(dir, fmt.Sprint("data-", i)), host, rpcPort, host, host, strings.Join(seeds, ", "), c.providerLink.address())
-		p, err := c.addProc("core", i, binary, text)
+		p, err := c.addProc(coreRole, i, binary, text)
 		if err != nil {
 			return nil, err
 		}
@@ -197,12 +198,14 @@
 		}
 		pool := "spare"
 		if i < numPools*minionsPerPool {
-			pool = fmt.Sprint("pool-", i%numPools)
+			pool = poolName(i % numPools)
 		}
 		m := &minion{
 			checker: c.checker, id: fmt.Sprint("i-", i), zone: zones[i%len(zones)], pool: pool, rack: fmt.Sprint("r", i/3), cpu: minionCPU,
 			listener: l, link: link, controls: controls, client: newHTTPClient(), running: map[string]*runState{}, highestRun: map[string]int{},
 		}
+		m.inTouch = func() bool { return c.isInTouch(m) }
+		m.crashUnder = func(name string, run int) { c.crashUnder(i, name, run) }
 		c.minions = append(c.minions, m)
 		c.minionLinks = append(c.minionLinks, link)
 		go func() { _ = http.Serve(l, m) }() // returns when close closes the listener
@@ -223,12 +226,13 @@
 // close ends all processes, minions, proxies and goroutines of the cluster.
 func (c *cluster) close() {
 	close(c.stopAll)
+	c.deadly.stop()
 	for _, p := range slices.Concat(c.fronts, c.cores) {
 		c.wg.Go(func() { p.stop(syscall.SIGKILL) })
 	}
 	for _, m := range c.minions {
 		m.listener.Close()
-		m.crash()
+		m.crash(endTakenDown)
 	}
 	for _, l := range c.allLinks() {
 		l.close()
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -29,13 +29,18 @@
 // the others; until then no other core's data is removed.
 const catchUpTime = 6 * time.Second
 
-// run injects faults at random intervals until stop is closed, and returns once
-// the last fault is over.
-func (f *faultInjector) run(stop <-chan struct{}) {
-	kinds := []func(){
+// platformFaults returns the faults of processes, links and minions, some of them
+// several times, so that they are drawn more often.
+func (f *faultInjector) platformFaults() []func() {
+	return []func(){
 		f.killCore, f.pauseCore, f.stopCore, f.killCore, f.wipeCore, f.killAllCores, f.disruptFront, f.reloadSettings,
 		f.crashMinion, f.failMinionRuns, f.crashMinion, f.disturbLink, f.disturbLink, f.disturbLink, f.resetConnections,
 	}
+}
+
+// run injects faults of the given kinds at random intervals until stop is closed,
+// and returns once the last fault is over.
+func (f *faultInjector) run(stop <-chan struct{}, kinds []func()) {
 	for {
 		select {
 		case <-stop:
@@ -81,6 +86,10 @@
 	f.cluster.checker.recordFault(time.Now().Add(d + 2*time.Second))
 	f.wg.Go(func() {
 		defer f.release(p)
+		if p.role == coreRole {
+			f.cluster.checker.coreFaultStarted()
+			defer f.cluster.checker.coreFaultEnded()
+		}
 		do()
 		time.Sleep(d)
 		undo()
@@ -180,7 +189,7 @@
 	}
 	f.log("crash %s for %v", m.id, d)
 	f.cluster.provider.state[i] = "down"
-	m.crash()
+	m.crash(endCrashedByFault)
 	f.wg.Go(func() {
 		time.Sleep(d)
 		f.cluster.provider.mu.Lock()
@@ -224,6 +233,7 @@
 	f.cluster.checker.recordFault(time.Now())
 	for _, l := range links {
 		if f.rand.IntN(3) == 0 {
+			l.recordReset()
 			l.reset()
 		}
 	}
--- a/test/soak/minion_test.go
+++ b/test/soak/minion_test.go
@@ -18,6 +18,11 @@
 	endFailed       = "failed"
 	endStopped      = "stopped"
 	endLeaseExpired = "lapsed"
+	// The outcomes below are known to the checker only: the minion reports no ends
+	// of an incarnation that is over.
+	endCrashedByFault = "crashed by a fault"
+	endCrashedByTask  = "crashed by a deadly task"
+	endTakenDown      = "taken down for a move or maintenance"
 )
 
 // clockRate is the rate of a minion's clock relative to the control VMs' clocks.
@@ -69,20 +74,27 @@
 	outcome string
 }
 
-// minion is a fake of the back end that runs tasks. Its id and its address stay
-// the same over its incarnations, the lifetimes of its process. The wire's word
-// for the start of an incarnation is "born".
+// minion is a fake of the back end that runs tasks. Its address stays the same over
+// its incarnations, the lifetimes of its process; its id stays the same unless a
+// deadly task crashed it. The wire's word for the start of an incarnation is
+// "born".
 type minion struct {
-	checker        *checker
-	id, zone, pool string
-	rack           string
-	cpu            int
-	listener       net.Listener
-	link           *proxy   // in front of listener
-	controls       []string // addresses of the control VMs' proxies
-	client         *http.Client
+	checker    *checker
+	zone, rack string
+	cpu        int
+	listener   net.Listener
+	link       *proxy   // in front of listener
+	controls   []string // addresses of the control VMs' proxies
+	client     *http.Client
+	// inTouch reports whether neither the cores nor the minion's link had a fault in
+	// the last contactTime; crashUnder crashes the minion under a run.
+	inTouch    func() bool
+	crashUnder func(name string, run int)
 
 	mu              sync.Mutex
+	id, pool        string
+	rooms           []room // changes of the capacity, the latest one last
+	reportedRoom    room   // the capacity of the last violation of LIMIT
 	startedAt       time.Time
 	up              bool
 	failUntil       time.Time // until then runs end as failed
@@ -113,15 +125,16 @@
 }
 
 // crash ends the incarnation with all of its runs and resets its connections, so
-// that an order that is on its way does not reach the next incarnation.
-func (m *minion) crash() {
+// that an order that is on its way does not reach the next incarnation. The outcome
+// tells the checker why the runs ended.
+func (m *minion) crash(outcome string) {
 	m.link.reset()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.up = false
 	for name, r := range m.running {
 		key, _ := parseTaskName(name)
-		m.checker.runEnded(key, r.run, "crashed")
+		m.checker.runEnded(key, r.run, outcome)
 	}
 	m.running = map[string]*runState{}
 }
@@ -178,16 +191,16 @@
 	}
 }
 
-// announceLoop sends a heartbeat every 700 ms while the minion is up. It tries the
-// control VMs in random order until one accepts it.
+// announceLoop sends a heartbeat every beatInterval while the minion is up. It tries
+// the control VMs in random order until one accepts it.
 func (m *minion) announceLoop(stop <-chan struct{}) {
 	for {
 		m.mu.Lock()
 		m.sequence++
-		up := m.up
+		up, id, current := m.up, m.id, m.currentRoom()
 		body, _ := json.Marshal(map[string]any{
 			"service": m.pool, "address": m.link.address(), "zone": m.zone, "version": "v1", "slots": 8, "state": "ready",
-			"capacity": map[string]int{"cpu": m.cpu, "requestedMemoryMb": 64000}, "labels": []string{"a", m.rack},
+			"capacity": map[string]int{"cpu": current.cpu, "requestedMemoryMb": current.memory}, "labels": []string{"a", m.rack},
 			"born": m.startedAt.UnixMilli(), "clockMs": m.clockMS(), "sequence": m.sequence,
 		})
 		m.mu.Unlock()
@@ -195,14 +208,14 @@
 			if !up {
 				break
 			}
-			if status, _, err := doRequest(m.client, "PUT", "http://"+m.controls[i]+"/instances/"+m.id, body, nil); err == nil && status == 200 {
+			if status, _, err := doRequest(m.client, "PUT", "http://"+m.controls[i]+"/instances/"+id, body, nil); err == nil && status == 200 {
 				break
 			}
 		}
 		select {
 		case <-stop:
 			return
-		case <-time.After(700 * time.Millisecond):
+		case <-time.After(beatInterval):
 		}
 	}
 }
@@ -298,15 +311,17 @@
 		return refuse("old")
 	case untilMS <= m.clockMS():
 		return refuse("late")
-	case m.usedCPU+cpu > m.cpu:
+	case m.guardsCapacity() && !m.fits(m.currentRoom(), cpu):
 		m.extendLease(untilMS)
 		return refuse("room")
 	}
 	m.extendLease(untilMS)
+	m.checkRoom(name, cpu)
 	m.usedCPU += cpu
 	work := time.Duration(100+rand.IntN(600)) * time.Millisecond
 	m.running[name] = &runState{run: run, endsAt: time.Now().Add(work), cpu: cpu}
 	m.checker.runStarted(key, run, specification, m.zone, m.id)
+	m.startDeadly(key, name, run, specification)
 	return http.StatusOK, map[string]any{}
 }
 
--- a/test/soak/provider_test.go
+++ b/test/soak/provider_test.go
@@ -70,7 +70,7 @@
 		}
 		out = append(out, map[string]any{
 			"machine": machineName(i), "pool": m.pool, "state": state, "zone": m.zone, "labels": []string{"a", m.rack},
-			"capacity": map[string]int{"cpu": m.cpu, "requestedMemoryMb": 64000}, "identifier": id,
+			"capacity": map[string]int{"cpu": m.cpu, "requestedMemoryMb": minionMemory}, "identifier": id,
 		})
 		m.mu.Unlock()
 	}
@@ -169,7 +169,7 @@
 // caller holds mu.
 func (p *machineProvider) takeDown(i int, state, pool string) {
 	m := p.cluster.minions[i]
-	m.crash()
+	m.crash(endTakenDown)
 	p.state[i] = state
 	time.AfterFunc(orderDuration, func() {
 		p.mu.Lock()
--- a/test/soak/proxy_test.go
+++ b/test/soak/proxy_test.go
@@ -34,7 +34,11 @@
 	mu    sync.Mutex
 	fault linkFault
 	delay time.Duration
-	conns map[*proxyConn]bool
+	// disturbed is set between the start and the end of a fault; calmSince is when the
+	// last fault ended.
+	disturbed bool
+	calmSince time.Time
+	conns     map[*proxyConn]bool
 }
 
 // proxyConn is a connection through a proxy. A stalled one drops all bytes.
@@ -61,6 +65,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.fault, p.delay = f, delay
+	p.disturbed, p.calmSince = f != linkHealthy, time.Now()
 	if f != linkStallOpen {
 		return
 	}
@@ -70,6 +75,20 @@
 	p.fault = linkHealthy
 }
 
+// isCalm reports whether the link had no fault in the last d.
+func (p *proxy) isCalm(d time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.disturbed && time.Since(p.calmSince) > d
+}
+
+// recordReset records that a fault resets the link's connections.
+func (p *proxy) recordReset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.calmSince = time.Now()
+}
+
 // reset closes the open connections with a TCP reset.
 func (p *proxy) reset() {
 	p.mu.Lock()
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -46,7 +46,8 @@
 )
 
 // Guards against violated guarantees under faults from outside: tasks that run
-// twice, in the wrong order, without a job or beyond a limit; jobs that are lost
+// twice, in the wrong order, without a job, beyond a limit, beyond a capacity that has
+// shrunk, or again and again although they crash their minions; jobs that are lost
 // or shown in a wrong state; configurations that revert; waves that take down more
 // machines than their limit.
 func TestSoak(t *testing.T) {
@@ -117,7 +118,8 @@
 		work.Go(func() { cl.run(stop) })
 	}
 	f := &faultInjector{cluster: c, rand: random(2), affected: map[*proc]bool{}, log: t.Logf}
-	work.Go(func() { f.run(stop) })
+	work.Go(func() { f.run(stop, f.platformFaults()) })
+	c.injectMinionFaults(random, stop, &work, t.Logf)
 	time.Sleep(duration)
 	close(stop)
 	work.Wait()
@@ -161,6 +163,7 @@
 		}
 	}
 	t.Logf("%d jobs, %d accepted, %d starts, configuration %d, %d waves", len(c.checker.jobs), accepted, c.checker.starts, read, o.lastWave)
+	t.Log(c.checker.deadlySummaryLocked())
 	if c.checker.starts == 0 {
 		t.Error("no run was started")
 	}
