batch: bound the starts of a task whose minions vanish

Cause: a minion that crashes and comes back after its lease, or while the leader changes, is not recognized as crashed, and such losses counted nowhere.

Change: a run that may have begun on a minion that was lost for an unknown reason ends as such, and the state lists the incarnation under the task until it is heard again. Placement separates tasks by both. Losses by a planned end or an order count as little as before.

--- a/internal/batch/crashes.go
+++ b/internal/batch/crashes.go
@@ -1,6 +1,10 @@
 package batch
 
-import apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+import (
+	"slices"
+
+	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+)
 
 const (
 	// MaxCrashes is the number of crashes of minions (worker processes) under one
@@ -9,51 +13,114 @@
 	// crashes that were not recognized still end with fewer than three starts after
 	// three crashes.
 	MaxCrashes = 3
+	// maxLosses is the number of crashes and unexplained losses of minions under one
+	// task, or gang, at which its job fails. A minion that was cut off is heard again
+	// later, so this many losses that stay unexplained are crashes.
+	maxLosses = 5
 	// youngRunMS is the age of a run of a long-running step from which a crash is
 	// not attributed to its task. A crash may be detected only when the minion's
 	// lease ends, which takes 10 s at most.
 	youngRunMS = 20_000
 )
 
-// Crashes returns how often a minion has crashed under the task or, if its step is
-// a gang (its tasks run only together), under the gang. It is zero for a task that
-// has not begun, and once the job has ended and has no runs left.
+// crashRecord is what is known of the minions that ended under a task or gang.
+type crashRecord struct {
+	crashes *uint32
+	lostOn  *[]*apiv1.MinionLife
+}
+
+func recordOf(step *apiv1.BatchStep, st *apiv1.BatchStepState, task *apiv1.BatchTask) crashRecord {
+	if step.Gang {
+		return crashRecord{&st.GangCrashes, &st.GangLostOn}
+	}
+	return crashRecord{&task.Crashes, &task.LostOn}
+}
+
+// possible returns the number of crashes and unexplained losses.
+func (r crashRecord) possible() uint32 { return *r.crashes + uint32(len(*r.lostOn)) }
+
+// Crashes returns how many minions have crashed under the task, or may have: those
+// that were lost for an unknown reason and not heard again count too. For a gang (a
+// step whose tasks run only together) it counts those under the gang. It is zero for
+// a task that has not begun, and once the job has ended and has no runs left.
 func (j *Job) Crashes(ref TaskRef) uint32 {
 	o := j.occurrences[ref.Occurrence]
 	if o == nil {
 		return 0
 	}
 	st := o.Steps[ref.Step]
-	if j.Steps[ref.Step].Gang {
-		return st.GangCrashes
-	}
-	return st.Tasks[ref.Index].Crashes
+	return recordOf(j.Steps[ref.Step], st, st.Tasks[ref.Index]).possible()
 }
 
-// countCrash updates the crash count of a task, or of its gang, after the end of
-// a run, and reports whether the job failed because the count reached MaxCrashes.
-// A gang's crashes count once per run number. A long-running task runs until its
+// countCrash updates the crash record of a task, or of its gang, after the end of
+// a run, and reports whether the job failed because there were too many. The ends
+// of a gang's runs count once per run number. A long-running task runs until its
 // job is canceled, so unrelated crashes hit it in time: only those of young runs
-// count, and a run that was not young sets the count back to zero.
-func (s *State) countCrash(logTimeMS int64, j *Job, step *apiv1.BatchStep, st *apiv1.BatchStepState, task *apiv1.BatchTask, run *apiv1.BatchRun, end apiv1.RunEnd) bool {
-	crashes := &task.Crashes
-	if step.Gang {
-		crashes = &st.GangCrashes
-	}
-	if step.LongRunning && end != apiv1.RunEnd_RUN_END_NOT_STARTED && logTimeMS-run.StartedUnixMs >= youngRunMS {
-		*crashes = 0
+// count, and a run that was not young clears the record.
+func (s *State) countCrash(logTimeMS int64, st *apiv1.BatchStepState, r *ActiveRun, end apiv1.RunEnd) bool {
+	record := recordOf(r.Step, st, r.Task)
+	if r.Step.LongRunning && end != apiv1.RunEnd_RUN_END_NOT_STARTED && logTimeMS-r.Run.StartedUnixMs >= youngRunMS {
+		*record.crashes, *record.lostOn = 0, nil
 		return false
 	}
-	if end != apiv1.RunEnd_RUN_END_CRASHED || task.Done || step.Gang && run.Number <= st.GangCrashedRun {
+	counts := end == apiv1.RunEnd_RUN_END_CRASHED || end == apiv1.RunEnd_RUN_END_MINION_LOST
+	if !counts || r.Task.Done || r.Step.Gang && r.Run.Number <= st.GangCrashedRun {
 		return false
 	}
-	if step.Gang {
-		st.GangCrashedRun = run.Number
+	if r.Step.Gang {
+		st.GangCrashedRun = r.Run.Number
 	}
-	*crashes++
-	if *crashes < MaxCrashes || Ended(j.State) {
+	if end == apiv1.RunEnd_RUN_END_CRASHED {
+		*record.crashes++
+	} else {
+		*record.lostOn = append(*record.lostOn, r.Run.Minion)
+		s.addLoss(r.Ref, r.Run.Minion)
+	}
+	if Ended(r.Job.State) || *record.crashes < MaxCrashes && record.possible() < maxLosses {
 		return false
 	}
-	s.endJob(logTimeMS, j, apiv1.BatchState_BATCH_STATE_FAILED)
+	s.endJob(logTimeMS, r.Job, apiv1.BatchState_BATCH_STATE_FAILED)
 	return true
 }
+
+// addLoss indexes the unexplained loss of a minion under a task.
+func (s *State) addLoss(ref TaskRef, minion *apiv1.MinionLife) {
+	incarnation := IncarnationOf(minion)
+	s.losses[incarnation] = append(s.losses[incarnation], ref)
+}
+
+// clearLosses removes an incarnation that is heard again from the crash records: it
+// was only cut off or suspended.
+func (s *State) clearLosses(incarnation Incarnation) {
+	for _, ref := range s.losses[incarnation] {
+		j := s.jobs[ref.Job]
+		if j == nil || j.occurrences[ref.Occurrence] == nil {
+			continue // the job has ended
+		}
+		record := recordOf(j.task(ref))
+		*record.lostOn = slices.DeleteFunc(*record.lostOn, func(m *apiv1.MinionLife) bool { return IncarnationOf(m) == incarnation })
+	}
+	delete(s.losses, incarnation)
+}
+
+// forgetLosses drops the index entries of jobs that are forgotten.
+func (s *State) forgetLosses() {
+	for incarnation, refs := range s.losses {
+		refs = slices.DeleteFunc(refs, func(r TaskRef) bool { return s.jobs[r.Job] == nil })
+		s.losses[incarnation] = refs
+		if len(refs) == 0 {
+			delete(s.losses, incarnation)
+		}
+	}
+}
+
+// restoreLosses indexes the losses under a task of a restored job.
+func (s *State) restoreLosses(ref TaskRef, st *apiv1.BatchStepState, task *apiv1.BatchTask) {
+	lost := task.LostOn
+	if ref.Index == 0 {
+		lost = slices.Concat(lost, st.GangLostOn)
+	}
+	for _, m := range lost {
+		s.addLoss(ref, m)
+	}
+}
--- a/internal/batch/crashes_test.go
+++ b/internal/batch/crashes_test.go
@@ -112,3 +112,28 @@
 	f.startAndEnd(task, uint32(len(ends)+1), crashed, 0)
 	f.Expect(f.state("j")).To(Equal(apiv1.BatchState_BATCH_STATE_FAILED))
 }
+
+// Guards against starts without end of a task whose minions vanish for longer than
+// their leases, and against a task that is given up because its minions were cut off
+// for a while, also when a replica restarts from a snapshot in between.
+func TestUnexplainedLossesCountUntilMinionIsHeardAgain(t *testing.T) {
+	f := newFixture(t)
+	f.submit("j", "b", step(1))
+	task, run := ref("j", 0, 0), uint32(0)
+	lose := func() {
+		run++
+		f.startAndEnd(task, run, apiv1.RunEnd_RUN_END_MINION_LOST, 0)
+		f.s.Restore(proto.CloneOf(f.s.Snapshot()))
+	}
+	for range maxLosses - 1 {
+		lose()
+	}
+	f.Expect(f.s.Job("j").Crashes(task)).To(BeEquivalentTo(maxLosses - 1))
+	f.apply(&apiv1.BatchCommand{Body: &apiv1.BatchCommand_ObserveMinions{ObserveMinions: &apiv1.ObserveMinions{Minions: []*apiv1.BatchMinion{f.s.Minion("m1")}}}})
+	f.Expect(f.s.Job("j").Crashes(task)).To(BeZero())
+	for range maxLosses {
+		f.Expect(f.state("j")).To(Equal(apiv1.BatchState_BATCH_STATE_RUNNING))
+		lose()
+	}
+	f.Expect(f.state("j")).To(Equal(apiv1.BatchState_BATCH_STATE_FAILED))
+}
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -225,6 +225,7 @@
 			delete(s.jobs, id)
 		}
 	}
+	s.forgetLosses()
 }
 
 // StepAndCheckpoint returns a task's step and the checkpoint from which its next
--- a/internal/batch/minions.go
+++ b/internal/batch/minions.go
@@ -20,6 +20,7 @@
 		if m.Life.GetId() == "" {
 			continue
 		}
+		s.clearLosses(IncarnationOf(m.Life))
 		known := s.minions[m.Life.Id]
 		switch {
 		case known == nil || known.Life.BornUnixMs < m.Life.BornUnixMs:
--- a/internal/batch/runs.go
+++ b/internal/batch/runs.go
@@ -305,7 +305,7 @@
 	case apiv1.RunEnd_RUN_END_FAILED:
 		s.failTask(logTimeMS, j, step, st, task, e.Run)
 	}
-	givenUp = s.countCrash(logTimeMS, j, step, st, task, run, e.End)
+	givenUp = s.countCrash(logTimeMS, st, &ActiveRun{Job: j, Ref: ref, Step: step, Task: task, Run: run}, e.End)
 	j.recount(ref.Occurrence, ref.Step)
 	j.compact()
 	return givenUp
--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -51,6 +51,8 @@
 	// usage holds the resources of the active runs by client account.
 	usage map[string]Usage
 	waves map[uint64]*apiv1.MaintenanceWave
+	// losses holds the tasks under which an incarnation was lost for an unknown reason.
+	losses map[Incarnation][]TaskRef
 	// revision increases whenever a run starts, ends or becomes obsolete (no
 	// longer needed). It is not replicated.
 	revision uint64
@@ -66,6 +68,7 @@
 		loads:    map[Incarnation]*Load{},
 		usage:    map[string]Usage{},
 		waves:    map[uint64]*apiv1.MaintenanceWave{},
+		losses:   map[Incarnation][]TaskRef{},
 	}
 }
 
@@ -170,9 +173,11 @@
 				if task.Done {
 					job.remaining--
 				}
+				ref := TaskRef{Job: j.Id, Occurrence: o.Number, Step: uint32(step), Index: uint32(index)}
 				for _, run := range task.Runs {
-					s.track(job, TaskRef{Job: j.Id, Occurrence: o.Number, Step: uint32(step), Index: uint32(index)}, task, run)
+					s.track(job, ref, task, run)
 				}
+				s.restoreLosses(ref, st, task)
 			}
 			job.recount(o.Number, uint32(step))
 		}
--- a/internal/batch/view.go
+++ b/internal/batch/view.go
@@ -157,11 +157,11 @@
 	p := j.Progress(occurrence, step)
 	row := &apiv1.BatchStepView{
 		Occurrence: occurrence, Step: step, Tasks: j.Steps[step].Count, Waiting: j.Waiting(occurrence, step),
-		Running: p.Running, Done: p.Done, Failures: st.GangFailures, Crashes: st.GangCrashes, Ready: j.StepReady(occurrence, step),
+		Running: p.Running, Done: p.Done, Failures: st.GangFailures, Crashes: st.GangCrashes + uint32(len(st.GangLostOn)), Ready: j.StepReady(occurrence, step),
 	}
 	for _, t := range st.Tasks {
 		row.Failures += t.Failures
-		row.Crashes += t.Crashes
+		row.Crashes += t.Crashes + uint32(len(t.LostOn))
 	}
 	return row
 }
--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -36,10 +36,22 @@
 // the minion's address. A host that is cut off or frozen doesn't refuse connections.
 func connectionRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
 
-// hasCrashed reports whether a session's incarnation, whose process has certainly
-// ended, crashed: it neither announced its end, nor may it have been ended by an
-// order for its machine. What isn't known counts as no crash.
-func (d *Dispatcher) hasCrashed(s *session) bool {
+// endCause is why an incarnation ended.
+type endCause int
+
+const (
+	// causeUnknown means that contact was lost: the minion may have crashed, may be cut
+	// off, or may have been moved by an earlier leader.
+	causeUnknown endCause = iota
+	// causePlanned means that the minion announced its end, or that an order for its
+	// machine may have ended it.
+	causePlanned
+	causeCrash
+)
+
+// causeOfEnd returns why a session's incarnation ended. processEnded is set when its
+// process has certainly ended.
+func (d *Dispatcher) causeOfEnd(s *session, processEnded bool) endCause {
 	inc := s.target.Incarnation
 	d.mu.Lock()
 	notice := s.notice
@@ -52,13 +64,16 @@
 		}
 		maintained = st.Batch.MaintenanceOrderedSince(notice.machine, inc.StartedMS)
 	})
-	if !notice.recorded || notice.draining {
-		return false
-	}
 	// Moves are not committed. A minion that answered during this term was not
 	// ended by an earlier leader's move before.
 	mayHaveMoved := d.opts.Fleet.Provider != nil && !s.hasAnswered()
-	return !notice.ordered && !maintained && !mayHaveMoved
+	switch {
+	case notice.draining || notice.ordered || maintained && notice.machine != "":
+		return causePlanned
+	case processEnded && notice.recorded && !maintained && !mayHaveMoved:
+		return causeCrash
+	}
+	return causeUnknown
 }
 
 // hasAnswered reports whether a hold call of the session, the long poll that lists
@@ -107,20 +122,21 @@
 }
 
 // endOnClosing returns how a run ends when its incarnation has ended.
-func (o *runOrder) endOnClosing(crashed bool) apiv1.RunEnd {
+func (o *runOrder) endOnClosing(cause endCause) apiv1.RunEnd {
 	switch {
 	case o.endInNextIncarnation != apiv1.RunEnd_RUN_END_UNSPECIFIED:
 		return o.endInNextIncarnation
-	case !crashed || !o.mayHaveBegun || o.state == orderStopped || o.isLongRunning && o.settled:
+	case cause == causePlanned || !o.mayHaveBegun || o.state == orderStopped || o.isLongRunning && o.settled:
 		return apiv1.RunEnd_RUN_END_LOST
+	case cause == causeCrash:
+		return apiv1.RunEnd_RUN_END_CRASHED
 	}
-	return apiv1.RunEnd_RUN_END_CRASHED
+	return apiv1.RunEnd_RUN_END_MINION_LOST
 }
 
 // logGivenUp logs the jobs that failed because minions crashed under a task.
 func (d *Dispatcher) logGivenUp(tasks []*apiv1.TaskName) {
 	for _, t := range tasks {
-		d.log.WithField("job_id", t.JobId).WithField("task", batch.RefOf(t).String()).WithField("crashes", batch.MaxCrashes).
-			Warn("job failed: too many minions crashed under its task")
+		d.log.WithField("job_id", t.JobId).WithField("task", batch.RefOf(t).String()).Warn("job failed: too many minions crashed under its task")
 	}
 }
--- a/internal/dispatch/incarnations.go
+++ b/internal/dispatch/incarnations.go
@@ -119,17 +119,17 @@
 }
 
 // finishClosing commits the ends of the session's runs and that its incarnation
-// has ended, and removes the session. A run ends as lost or by a crash, unless the
+// has ended, and removes the session. How a run ends depends on the cause, unless the
 // minion's next incarnation reported another end. If a commit fails, a new session
 // finds the end of the incarnation again.
 func (d *Dispatcher) finishClosing(ctx context.Context, s *session, reason string, processEnded bool) {
 	defer d.removeSession(s)
-	crashed := processEnded && d.hasCrashed(s)
-	if crashed {
+	cause := d.causeOfEnd(s, processEnded)
+	if cause == causeCrash {
 		d.metrics.minionsCrashed.Inc()
 	}
-	ends := s.releaseAll(crashed)
-	s.log.WithFields(logrus.Fields{"reason": reason, "lost_runs": len(ends), "crashed": crashed}).Warn("minion incarnation ended")
+	ends := s.releaseAll(cause)
+	s.log.WithFields(logrus.Fields{"reason": reason, "lost_runs": len(ends), "crashed": cause == causeCrash}).Warn("minion incarnation ended")
 	if len(ends) > 0 && !d.commitEnds(ctx, ends) {
 		return
 	}
@@ -245,14 +245,14 @@
 
 // releaseAll marks all runs as released and returns the ends to commit for those
 // that were not.
-func (s *session) releaseAll(crashed bool) []*apiv1.EndedRun {
+func (s *session) releaseAll(cause endCause) []*apiv1.EndedRun {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var ends []*apiv1.EndedRun
 	for key, o := range s.orders {
 		if !o.released {
 			o.released = true
-			ends = append(ends, &apiv1.EndedRun{Task: key.Name(), Run: key.Number, End: o.endOnClosing(crashed), Checkpoint: o.checkpoint})
+			ends = append(ends, &apiv1.EndedRun{Task: key.Name(), Run: key.Number, End: o.endOnClosing(cause), Checkpoint: o.checkpoint})
 		}
 	}
 	return ends
