batch: give a long-running task up at five crashes

Change: the job of a long-running task fails at five crashes, as BUDGET still allows, and a run that an earlier leader started counts as settled when it is listed 2 s after its start.

--- a/internal/batch/crashes.go
+++ b/internal/batch/crashes.go
@@ -56,7 +56,8 @@
 // a run, and reports whether the job failed because there were too many. The ends
 // of a gang's runs count once per run number. A long-running task runs until its
 // job is canceled, so unrelated crashes hit it in time: only those of young runs
-// count, and a run that was not young clears the record.
+// count, a run that was not young clears the record, and the job fails only at
+// maxLosses.
 func (s *State) countCrash(logTimeMS int64, st *apiv1.BatchStepState, r *ActiveRun, end apiv1.RunEnd) bool {
 	record := recordOf(r.Step, st, r.Task)
 	if r.Step.LongRunning && end != apiv1.RunEnd_RUN_END_NOT_STARTED && logTimeMS-r.Run.StartedUnixMs >= youngRunMS {
@@ -76,7 +77,7 @@
 		*record.lostOn = append(*record.lostOn, r.Run.Minion)
 		s.addLoss(r.Ref, r.Run.Minion)
 	}
-	if Ended(r.Job.State) || *record.crashes < MaxCrashes && record.possible() < maxLosses {
+	if Ended(r.Job.State) || (r.Step.LongRunning || *record.crashes < MaxCrashes) && record.possible() < maxLosses {
 		return false
 	}
 	s.endJob(logTimeMS, r.Job, apiv1.BatchState_BATCH_STATE_FAILED)
--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -10,10 +10,15 @@
 	"bergamotdrum.example/bergamotdrum/internal/state"
 )
 
-// settledAge is how long a long-running task is seen to run until it isn't held
-// responsible for a later crash of its minion. Unlike other tasks it spends nearly all
-// of its time past its start, so it is the neighbor of many causes.
-const settledAge = 500 * time.Millisecond
+// A long-running task that is seen to run for settledAge isn't held responsible for a
+// later crash of its minion. Unlike other tasks it spends nearly all of its time past
+// its start, so it is the neighbor of many causes.
+const (
+	settledAge = 500 * time.Millisecond
+	// inheritedSettledAge is the same for a run that an earlier leader started, by the
+	// time of day, which may differ between the leaders.
+	inheritedSettledAge = 2 * time.Second
+)
 
 // endNotice is what is known of an incarnation, one lifetime of a minion's
 // process, that may make it end without a crash.
@@ -121,6 +126,15 @@
 	}
 }
 
+// updateSettled updates settled when a hold reply lists the run at now.
+func (o *runOrder) updateSettled(now time.Duration) {
+	if o.firstListedAt == 0 {
+		o.firstListedAt = now
+	}
+	inherited := o.startedUnixMS > 0 && time.Now().UnixMilli()-o.startedUnixMS >= inheritedSettledAge.Milliseconds()
+	o.settled = o.settled || inherited || now-o.firstListedAt >= settledAge
+}
+
 // endOnClosing returns how a run ends when its incarnation has ended.
 func (o *runOrder) endOnClosing(cause endCause) apiv1.RunEnd {
 	switch {
--- a/internal/dispatch/crashes_test.go
+++ b/internal/dispatch/crashes_test.go
@@ -237,6 +237,11 @@
 			g.Expect(o.endOnClosing(causeCrash)).To(Equal(apiv1.RunEnd_RUN_END_CRASHED))
 			s.observeRunning(RunStatus{Run: run}, time.Second+settledAge)
 			g.Expect(o.endOnClosing(causeCrash) == apiv1.RunEnd_RUN_END_CRASHED).To(Equal(!isLongRunning))
+			// The next leader sees it once before the crash.
+			inherited := &runOrder{state: orderUncertain, isLongRunning: isLongRunning, startedUnixMS: time.Now().Add(-inheritedSettledAge).UnixMilli()}
+			s.orders[run] = inherited
+			s.observeRunning(RunStatus{Run: run}, time.Second)
+			g.Expect(inherited.endOnClosing(causeCrash) == apiv1.RunEnd_RUN_END_CRASHED).To(Equal(!isLongRunning))
 		}
 	})
 }
--- a/internal/dispatch/incarnations.go
+++ b/internal/dispatch/incarnations.go
@@ -91,7 +91,10 @@
 func (d *Dispatcher) committedLoad(st *state.State, inc batch.Incarnation) committedLoad {
 	out := committedLoad{loadRevision: st.Batch.RevisionOf(inc), stateRevision: st.Batch.Revision()}
 	st.Batch.LoadOf(inc).Each(func(r *batch.ActiveRun) {
-		out.runs = append(out.runs, committedRun{key: r.Key(), obsolete: r.Obsolete(), inherited: r.Run.Term != d.term, isLongRunning: r.Step.LongRunning, resources: batch.ResourcesOnMinion(r.Step)})
+		out.runs = append(out.runs, committedRun{
+			key: r.Key(), obsolete: r.Obsolete(), inherited: r.Run.Term != d.term, isLongRunning: r.Step.LongRunning,
+			startedUnixMS: r.Run.StartedUnixMs, resources: batch.ResourcesOnMinion(r.Step),
+		})
 	})
 	return out
 }
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -30,6 +30,7 @@
 	// inherited is set when an earlier leader committed the run.
 	inherited     bool
 	isLongRunning bool
+	startedUnixMS int64
 	// resources is what the run takes of the minion's capacity.
 	resources batch.Usage
 }
@@ -63,7 +64,7 @@
 		if o == nil {
 			o = &runOrder{isLongRunning: r.isLongRunning, resources: r.resources, mayHaveBegun: first || r.inherited}
 			if r.inherited {
-				o.state = orderUncertain
+				o.state, o.startedUnixMS = orderUncertain, r.startedUnixMS
 			}
 			s.orders[r.key] = o
 		}
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -89,6 +89,9 @@
 	mayHaveBegun bool
 	// sentAt is when the start order was sent, zero before.
 	sentAt time.Duration
+	// startedUnixMS is when the start of a run that an earlier leader started was
+	// committed, zero for others.
+	startedUnixMS int64
 	// firstListedAt is when a hold reply first listed the run as running, zero before.
 	firstListedAt time.Duration
 	// settled is set when a hold reply listed the run settledAge after firstListedAt.
@@ -317,10 +320,7 @@
 		o.state, o.answeredAt = orderStarted, now
 	}
 	o.mayHaveBegun = true
-	if o.firstListedAt == 0 {
-		o.firstListedAt = now
-	}
-	o.settled = o.settled || now-o.firstListedAt >= settledAge
+	o.updateSettled(now)
 	o.checkpoint = r.Checkpoint
 	o.lastStatus = r
 }
