daemon: repeat a failed accept on every listener

Change: all listeners of the daemons repeat a failed accept until they are closed, and the rpc server no longer does so itself.

TestListenersAcceptAgainAfterErrors takes the place of the rpc server's own test and covers both kinds; it fails without the repetition.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -12,6 +12,7 @@
 	"os/signal"
 	"strings"
 	"syscall"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -80,11 +81,30 @@
 			}
 			return nil, fmt.Errorf("listen on %s: %w", a, err)
 		}
-		open = append(open, l)
+		open = append(open, &retryListener{l})
 	}
 	return open, nil
 }
 
+// acceptRetryDelay is the pause after a failed accept.
+const acceptRetryDelay = 100 * time.Millisecond
+
+// retryListener repeats a failed accept. Its errors, such as a lack of descriptors or
+// buffers, pass, and a server that ended with one would leave a process that looks
+// alive and can't be reached.
+type retryListener struct{ net.Listener }
+
+// Accept implements net.Listener. It fails only after Close.
+func (l *retryListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err == nil || errors.Is(err, net.ErrClosed) {
+			return conn, err
+		}
+		time.Sleep(acceptRetryDelay)
+	}
+}
+
 // SignalContext returns a context that is canceled by SIGTERM or SIGINT.
 func SignalContext() (context.Context, context.CancelFunc) {
 	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"io"
+	"net"
+	"net/http"
 	"os"
 	"path/filepath"
+	"syscall"
 	"testing"
 	"time"
 
@@ -12,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+	"bergamotdrum.example/bergamotdrum/internal/rpc"
 	_ "bergamotdrum.example/bergamotdrum/internal/testseed"
 )
 
@@ -107,3 +111,48 @@
 	g.Eventually(ended).WithTimeout(20 * time.Second).Should(Receive(MatchError(errServiceFailed)))
 	g.Expect(service.stopped).To(BeClosed())
 }
+
+// exhaustedListener fails to accept its first connections.
+type exhaustedListener struct {
+	net.Listener
+	failures int
+	err      error
+}
+
+func (l *exhaustedListener) Accept() (net.Conn, error) {
+	if l.failures > 0 {
+		l.failures--
+		return nil, &net.OpError{Op: "accept", Err: l.err}
+	}
+	return l.Listener.Accept()
+}
+
+// Guards against a listener that is gone for the rest of its process's life after an
+// error of accept that passes.
+func TestListenersAcceptAgainAfterErrors(t *testing.T) {
+	for _, cause := range []syscall.Errno{syscall.EMFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EPERM, syscall.EPROTO} {
+		g := NewWithT(t)
+		opened, err := Listen("127.0.0.1:0", "127.0.0.1:0")
+		g.Expect(err).NotTo(HaveOccurred())
+		for _, l := range opened {
+			inner := l.(*retryListener)
+			inner.Listener = &exhaustedListener{inner.Listener, 2, cause}
+		}
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		httpServer := NewHTTPServer(http.NotFoundHandler())
+		go httpServer.Serve(opened[0])
+		client := http.Client{Timeout: 20 * time.Second}
+		resp, err := client.Get("http://" + opened[0].Addr().String())
+		g.Expect(err).NotTo(HaveOccurred())
+		resp.Body.Close()
+		rpcServer := rpc.NewServer([]byte("secret"), logrus.NewEntry(log))
+		rpc.Register(rpcServer, "Test.Call", func(context.Context, *apiv1.Empty) (*apiv1.Empty, error) { return &apiv1.Empty{}, nil })
+		go rpcServer.Serve(opened[1])
+		rpcClient := rpc.NewClient([]byte("secret"))
+		g.Expect(rpcClient.Call(t.Context(), opened[1].Addr().String(), "Test.Call", &apiv1.Empty{}, &apiv1.Empty{})).To(Succeed())
+		rpcClient.Close()
+		rpcServer.Close()
+		httpServer.Close()
+	}
+}
--- a/internal/rpc/rpc_test.go
+++ b/internal/rpc/rpc_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net"
-	"syscall"
 	"testing"
 	"time"
 
@@ -54,41 +53,6 @@
 	g.Expect(result.From(err).NotRun).To(BeTrue())
 }
 
-// fullListener is a listener of a process that has no free descriptor for its first
-// connections.
-type fullListener struct {
-	net.Listener
-	failures int
-}
-
-func (l *fullListener) Accept() (net.Conn, error) {
-	if l.failures > 0 {
-		l.failures--
-		return nil, &net.OpError{Op: "accept", Err: syscall.EMFILE}
-	}
-	return l.Listener.Accept()
-}
-
-// Guards against a server that accepts no connection for the rest of its process's
-// life after it was out of descriptors for a moment.
-func TestServerAcceptsAgainAfterErrors(t *testing.T) {
-	g := NewWithT(t)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	g.Expect(err).NotTo(HaveOccurred())
-	s := NewServer([]byte("secret"), discardLogger())
-	Register(s, "Control.GetJob", func(context.Context, *apiv1.GetJob) (*apiv1.Job, error) { return &apiv1.Job{JobId: "a"}, nil })
-	served := make(chan error, 1)
-	go func() { served <- s.Serve(&fullListener{l, 2}) }()
-	c := NewClient([]byte("secret"))
-	defer c.Close()
-	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
-	defer cancel()
-	resp := &apiv1.Job{}
-	g.Expect(c.Call(ctx, l.Addr().String(), "Control.GetJob", &apiv1.GetJob{}, resp)).To(Succeed())
-	s.Close()
-	g.Eventually(served).WithTimeout(20 * time.Second).Should(Receive(BeNil()))
-}
-
 // Guards against accepting calls from a process that doesn't know the cluster
 // secret.
 func TestPeerWithWrongSecretIsRefused(t *testing.T) {
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -31,8 +31,6 @@
 	// defaultCallTimeout bounds a call on both sides when no shorter deadline is
 	// given.
 	defaultCallTimeout = 30 * time.Second
-	// acceptRetryDelay is the pause after a failed accept.
-	acceptRetryDelay = 100 * time.Millisecond
 )
 
 // yamuxConfig returns the settings of the yamux sessions, here called
@@ -104,8 +102,8 @@
 	}
 }
 
-// Serve accepts connections on l until Close, and then returns nil. Other errors of the
-// listener, such as a lack of descriptors, pass, so it goes on after a pause.
+// Serve accepts connections on l until Close, and then returns nil. It returns an
+// error when accepting fails otherwise.
 func (s *Server) Serve(l net.Listener) error {
 	s.mu.Lock()
 	if s.closed {
@@ -116,18 +114,13 @@
 	s.mu.Unlock()
 	for {
 		conn, err := l.Accept()
-		if err == nil {
-			s.wg.Go(func() { s.serveConn(conn) })
-			continue
-		}
-		if errors.Is(err, net.ErrClosed) {
-			return nil
-		}
-		s.log.WithError(err).Warn("cannot accept a connection; trying again")
-		select {
-		case <-s.ctx.Done():
-		case <-time.After(acceptRetryDelay):
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			return fmt.Errorf("accept: %w", err)
 		}
+		s.wg.Go(func() { s.serveConn(conn) })
 	}
 }
 
