placement: isolate tasks by unexplained losses of minions too

Cause: since unexplained losses count as crashes, the look-ups that decide whether a round has isolated tasks, and which of them wait, still counted certain crashes only. A task with two losses, or with a crash and a loss, was placed like one with a single crash, beside up to three other suspects and any number of other tasks. If another task of its job was isolated, such a task was kept back but got no minion, and a gang with two losses waited for ever.

Ruled out: a lag of the counts. The ends of a minion's runs and their counts are one command, and a task is planned again only after it.

Change: both look-ups use the same count as the rest of placement (batch.CrashesUnder).

TestIsolationHoldsInAnyState now draws losses too and found the gang that waits for ever after 2 tests.

--- a/internal/batch/crashes.go
+++ b/internal/batch/crashes.go
@@ -49,7 +49,12 @@
 		return 0
 	}
 	st := o.Steps[ref.Step]
-	return recordOf(j.Steps[ref.Step], st, st.Tasks[ref.Index]).possible()
+	return CrashesUnder(j.Steps[ref.Step], st, st.Tasks[ref.Index])
+}
+
+// CrashesUnder is like Job.Crashes for a task whose state is at hand.
+func CrashesUnder(step *apiv1.BatchStep, st *apiv1.BatchStepState, task *apiv1.BatchTask) uint32 {
+	return recordOf(step, st, task).possible()
 }
 
 // countCrash updates the crash record of a task, or of its gang, after the end of
--- a/internal/placement/isolation.go
+++ b/internal/placement/isolation.go
@@ -12,9 +12,10 @@
 // crash too, and the state gives up a task after its third crash. To keep tasks
 // that only were neighbors from that, tasks with one crash (suspects) are spread
 // over the minions, and tasks with isolationCrashes or more (isolated tasks) run
-// on a minion without others. A gang is isolated as a whole: its tasks may share
-// minions with one another. An isolation unit is such a task or gang; its
-// reference is that of the task, or of the gang's first task.
+// on a minion without others. An unexplained loss of a minion counts as a crash
+// here. A gang is isolated as a whole: its tasks may share minions with one another.
+// An isolation unit is such a task or gang; its reference is that of the task, or of
+// the gang's first task.
 //
 // In a pool under load hardly any minion becomes empty by itself. So each round
 // first sets minions aside for isolated tasks, that is, closes them to other work.
@@ -202,8 +203,8 @@
 // or is done.
 func hasIsolated(j *batch.Job) bool {
 	for _, o := range j.Occurrences {
-		for _, st := range o.Steps {
-			if st.GangCrashes >= isolationCrashes || slices.ContainsFunc(st.Tasks, func(t *apiv1.BatchTask) bool { return t.Crashes >= isolationCrashes }) {
+		for s, st := range o.Steps {
+			if slices.ContainsFunc(st.Tasks, func(t *apiv1.BatchTask) bool { return batch.CrashesUnder(j.Steps[s], st, t) >= isolationCrashes }) {
 				return true
 			}
 		}
@@ -221,14 +222,15 @@
 				continue
 			}
 			ref := batch.TaskRef{Job: j.Id, Occurrence: o.Number, Step: number}
-			if step := j.Steps[s]; step.Gang {
-				if st.GangCrashes >= isolationCrashes && j.Waiting(o.Number, number) == step.Count {
+			step := j.Steps[s]
+			if step.Gang {
+				if isIsolated(j, ref) && j.Waiting(o.Number, number) == step.Count {
 					out = append(out, ref)
 				}
 				continue
 			}
 			for i, t := range st.Tasks {
-				if t.Crashes >= isolationCrashes && !t.Done && len(t.Runs) == 0 {
+				if batch.CrashesUnder(step, st, t) >= isolationCrashes && !t.Done && len(t.Runs) == 0 {
 					ref.Index = uint32(i)
 					out = append(out, ref)
 				}
--- a/internal/placement/isolation_test.go
+++ b/internal/placement/isolation_test.go
@@ -357,6 +357,7 @@
 				id := fmt.Sprint("j", round, i)
 				h.submitCrashed(id, uint32(rapid.IntRange(0, 3).Draw(t, "crashes")), step)
 				h.state.Job(id).Occurrence(0).Steps[0].Tasks[0].Crashes = uint32(rapid.IntRange(0, 3).Draw(t, "first"))
+				h.lose(id, rapid.IntRange(0, 2).Draw(t, "losses"))
 			}
 			checkIsolation(t, h, h.round())
 			h.endRuns(rapid.IntRange(0, 3).Draw(t, "ends"))
