--- a/internal/dispatch/announce.go
+++ b/internal/dispatch/announce.go
@@ -137,9 +137,10 @@
 	return err
 }
 
-// differsFromRecord reports whether a minion's announcement, which is not older
-// than the recorded one, differs from it. An incarnation that drains (is about to end) never accepts work
-// again, so differsFromRecord sets Draining in m when it is recorded.
+// differsFromRecord reports whether a minion's announcement, which is not older than
+// the recorded one, differs from it. An incarnation that drains (is about to end)
+// never accepts work again, so differsFromRecord sets Draining in m when it is
+// recorded.
 func differsFromRecord(recorded, m *apiv1.BatchMinion) bool {
 	if recorded == nil || recorded.Life.BornUnixMs < m.Life.BornUnixMs {
 		return true
