dispatch: order maintenance only after a round without new work

Cause: a wave ordered the maintenance of an idle machine in the round in which it chose the machine, while a planning round was committing starts on its minion. The order then ended tasks that had just started.

Ruled out: a wrong count of the other ends. The four crashes of that task before were all counted (run 1 as a loss after a new leader, runs 2, 3 and 5 after the lease).

Change: like a move, maintenance waits until the minion has been reserved, that is, closed to new work, since the last round of the fleet manager (50 ms). A machine without a minion needs no such wait.

TestMaintenanceEndsNoTasksThatJustStarted lets tasks arrive at each millisecond of a round, with commits that take 5 ms. The fake control replica gets a commit time.

Open: a planning round whose commit takes longer than a round of the fleet manager may still hit the order, as for moves.

--- a/internal/dispatch/fakecluster_test.go
+++ b/internal/dispatch/fakecluster_test.go
@@ -20,18 +20,23 @@
 
 func (c bubbleClock) Now() time.Duration { return time.Since(c.start) }
 
-// fakeNode is a control replica that applies each proposal at once, without a
-// log. While deposed is set, it commits and confirms nothing.
+// fakeNode is a control replica that applies each proposal after commitTime, without
+// a log. While deposed is set, it commits and confirms nothing.
 type fakeNode struct {
-	mu      sync.Mutex
-	machine *state.Machine
-	index   uint64
-	deposed bool
+	mu         sync.Mutex
+	machine    *state.Machine
+	index      uint64
+	deposed    bool
+	commitTime time.Duration
 }
 
 var errNoQuorum = errors.New("no quorum")
 
 func (n *fakeNode) Propose(_ context.Context, cmd *apiv1.Command) (*apiv1.CommandResult, error) {
+	n.mu.Lock()
+	commitTime := n.commitTime
+	n.mu.Unlock()
+	time.Sleep(commitTime)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.deposed {
--- a/internal/dispatch/waves.go
+++ b/internal/dispatch/waves.go
@@ -130,6 +130,8 @@
 type machineLoad struct {
 	// maintenance is the committed state of the machine's maintenance.
 	maintenance *apiv1.MachineService
+	// incarnation is that of the machine's minion, zero if it has none.
+	incarnation batch.Incarnation
 	// finite lists the runs (executions) of tasks that end by themselves.
 	finite []batch.RunKey
 	// longRunningRank is 1 when the machine has long-running tasks, else 0.
@@ -244,10 +246,10 @@
 	return 1
 }
 
-// drain reports whether no finite task is left on the machine, and stops those
-// that are left after timeout. They are stopped rather than ended with the
-// machine, since their ends and checkpoints must be known before the minion is
-// gone.
+// drain reports whether the machine has got no new work for a whole round and no
+// finite task is left on it, and stops those that are left after timeout. They are
+// stopped rather than ended with the machine, since their ends and checkpoints must
+// be known before the minion is gone.
 func (f *fleetManager) drain(l machineLoad, timeout time.Duration) bool {
 	since, ok := f.drainingSince[l.maintenance.Machine]
 	if ok && f.d.clock.Now()-since > timeout {
@@ -255,7 +257,9 @@
 			f.d.stopRun(run)
 		}
 	}
-	return len(l.finite) == 0
+	// A planning round may have started a task on a minion that got work until now.
+	reserved := l.incarnation == (batch.Incarnation{}) || f.isReserved(l.incarnation)
+	return reserved && len(l.finite) == 0
 }
 
 // drainTimeout returns how long finite tasks are awaited on each machine. The
@@ -313,6 +317,7 @@
 		return l
 	}
 	inc := batch.IncarnationOf(minion.Life)
+	l.incarnation = inc
 	for _, r := range st.LoadOf(inc).Runs() {
 		if !r.Step.LongRunning {
 			l.finite = append(l.finite, r.Key())
--- a/internal/dispatch/waves_test.go
+++ b/internal/dispatch/waves_test.go
@@ -186,6 +186,33 @@
 	})
 }
 
+// Guards against maintenance that ends tasks which were started on an idle machine
+// at the moment of the order. The tasks arrive at different times of a round of the
+// fleet manager, and commits take time.
+func TestMaintenanceEndsNoTasksThatJustStarted(t *testing.T) {
+	for offset := time.Duration(0); offset <= fleetInterval; offset += time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			h, p := newWaveHarness(t)
+			defer h.endTerm()
+			h.propose(&apiv1.BatchCommand{Body: &apiv1.BatchCommand_Cancel{Cancel: &apiv1.CancelBatchJob{JobId: "long-running", AnyAccount: true}}})
+			time.Sleep(3 * time.Second)
+			h.cluster.endless = false
+			h.startWave()
+			h.node.mu.Lock()
+			h.node.commitTime = 5 * time.Millisecond
+			h.node.mu.Unlock()
+			time.Sleep(offset)
+			h.submit("job0", 12)
+			time.Sleep(30 * time.Second)
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			g.Expect(p.maintained).To(ConsistOf("m0", "m1", "m2"))
+			g.Expect(p.interrupted).To(HaveEach(0), "tasks arrived %v after the wave", offset)
+		})
+	}
+}
+
 // Guards against a repeated order whose answer, that it was carried out, is
 // taken for the end of the incarnation (lifetime of the minion's process) that
 // started after the maintenance: the tasks of that incarnation would run twice.
