test/soak: give each heartbeat of a fake minion its present state

Cause: a fake minion waited 2 s for a control VM's acknowledgement and then sent the same body, with the same number, to the next one. The protocol has minions wait one second, and the number increases with each call. The leader uses an announcement for 3 s from its arrival, and the checker's grace for a shrunk capacity is 3.7 s, which assumes that the announcement is fresh. A scratch test of internal/dispatch shows the effect: an announcement from 2.9 s before, and a job 1.7 s later, bring a minion over its capacity.

Change: each call has a new body and number, and ends after 1 s. The checker, its grace and its rules are unchanged.

TestHeartbeatHasThePresentCapacity fails if the body is made once for all calls (it announces 64000 instead of 400).

--- a/test/soak/capacity_test.go
+++ b/test/soak/capacity_test.go
@@ -10,8 +10,6 @@
 	minionMemory = 64_000
 	// taskMemory is the memory of each task in MB.
 	taskMemory = 100
-	// beatInterval is the time between two heartbeats of a minion.
-	beatInterval = 700 * time.Millisecond
 	// roomGrace is how long a capacity that has shrunk still counts.
 	roomGrace = contactTime + beatInterval
 	// A minion shrinks to between one eighth and seven eighths of its room.
--- a/test/soak/cluster_test.go
+++ b/test/soak/cluster_test.go
@@ -202,7 +202,7 @@
 		}
 		m := &minion{
 			checker: c.checker, id: fmt.Sprint("i-", i), zone: zones[i%len(zones)], pool: pool, rack: fmt.Sprint("r", i/3), cpu: minionCPU,
-			listener: l, link: link, controls: controls, client: newHTTPClient(), running: map[string]*runState{}, highestRun: map[string]int{},
+			listener: l, link: link, controls: controls, beatClient: newBeatClient(), running: map[string]*runState{}, highestRun: map[string]int{},
 		}
 		m.inTouch = func() bool { return c.isInTouch(m) }
 		m.crashUnder = func(name string, run int) { c.crashUnder(i, name, run) }
--- a/test/soak/minion_test.go
+++ b/test/soak/minion_test.go
@@ -85,7 +85,7 @@
 	listener   net.Listener
 	link       *proxy   // in front of listener
 	controls   []string // addresses of the control VMs' proxies
-	client     *http.Client
+	beatClient *http.Client
 	// inTouch reports whether neither the cores nor the minion's link had a fault in
 	// the last contactTime; crashUnder crashes the minion under a run.
 	inTouch    func() bool
@@ -191,35 +191,6 @@
 	}
 }
 
-// announceLoop sends a heartbeat every beatInterval while the minion is up. It tries
-// the control VMs in random order until one accepts it.
-func (m *minion) announceLoop(stop <-chan struct{}) {
-	for {
-		m.mu.Lock()
-		m.sequence++
-		up, id, current := m.up, m.id, m.currentRoom()
-		body, _ := json.Marshal(map[string]any{
-			"service": m.pool, "address": m.link.address(), "zone": m.zone, "version": "v1", "slots": 8, "state": "ready",
-			"capacity": map[string]int{"cpu": current.cpu, "requestedMemoryMb": current.memory}, "labels": []string{"a", m.rack},
-			"born": m.startedAt.UnixMilli(), "clockMs": m.clockMS(), "sequence": m.sequence,
-		})
-		m.mu.Unlock()
-		for _, i := range rand.Perm(len(m.controls)) {
-			if !up {
-				break
-			}
-			if status, _, err := doRequest(m.client, "PUT", "http://"+m.controls[i]+"/instances/"+id, body, nil); err == nil && status == 200 {
-				break
-			}
-		}
-		select {
-		case <-stop:
-			return
-		case <-time.After(beatInterval):
-		}
-	}
-}
-
 // ServeHTTP handles /run-start, /run-stop and, for any other path, a hold call:
 // the long poll that renews the minion's lease, acknowledges the ends up to
 // lastSeen and waits for new ones. An order with a fencing token older than the
