--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -18,8 +18,9 @@
 //   - a run number of a task is never used twice, and a task of a step that is
 //     not long-running never starts again once it is done or has failed
 //     max_attempts times;
-//   - a task of any step never starts again once MaxCrashes minions have crashed
-//     under it, as crashes are counted (see countCrash);
+//   - a task of any step never starts again once MaxCrashes minions, or maxLosses for
+//     a long-running step, have crashed under it, as crashes are counted (see
+//     countCrash);
 //   - an ended job never runs again.
 package batch
 
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -270,6 +270,7 @@
 		} else {
 			best = bestCandidate(step, ref, pool)
 		}
+		// The summary closes a candidate on which an isolated task runs.
 		if best == nil || !p.anyIsolated || p.summarize(best).isolated == 0 {
 			return best
 		}
