--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -285,7 +285,7 @@
 	if leader == "" {
 		return
 	}
-	req := &apiv1.JoinRequest{ReplicaId: n.folder.ReplicaID(), RpcAddress: n.opts.RPCAddress}
+	req := &apiv1.JoinRequest{ReplicaId: n.replicaID, RpcAddress: n.opts.RPCAddress}
 	if err := n.call(leader, "Raft.Join", req, &apiv1.GroupConfig{}); err != nil {
 		n.log.WithError(err).Debug("request to join the group failed")
 	}
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -34,7 +34,9 @@
 	opts   Options
 	log    *logrus.Entry
 	folder dataFolder
-	core   *consensus.Core
+	// replicaID is that of the folder, which only the loop may ask.
+	replicaID uint64
+	core      *consensus.Core
 
 	inbox     chan *apiv1.RaftBatch
 	proposals chan *proposal
@@ -102,7 +104,7 @@
 	stopped := make(chan struct{})
 	close(stopped)
 	return &Node{
-		opts: o, folder: folder, ctx: ctx, cancel: cancel,
+		opts: o, folder: folder, replicaID: folder.ReplicaID(), ctx: ctx, cancel: cancel,
 		log:              o.Log.WithField("replica_id", fmt.Sprintf("%016x", folder.ReplicaID())),
 		inbox:            make(chan *apiv1.RaftBatch, inboxCapacity),
 		proposals:        make(chan *proposal, requestQueueCapacity),
--- a/internal/replica/node_test.go
+++ b/internal/replica/node_test.go
@@ -251,3 +251,23 @@
 	c.g.Expect(after).NotTo(Equal(before))
 	c.g.Expect(read.done).To(Receive(HaveOccurred()))
 }
+
+// Guards against a data race of the goroutines that read this replica's id with the
+// loop, which records the cluster in the data folder.
+func TestReplicaIDIsReadWhileClusterIsRecorded(t *testing.T) {
+	c := newCluster(t, 1)
+	n := c.leader().node
+	read := make(chan struct{})
+	go func() {
+		defer close(read)
+		chunk := &apiv1.SnapshotChunk{Message: &apiv1.RaftMessage{Snapshot: &apiv1.Snapshot{Meta: &apiv1.SnapshotMeta{}}}}
+		for range 100 {
+			_, _ = n.handleChunk(t.Context(), chunk)
+			n.requestJoin("127.0.0.1:1")
+		}
+	}()
+	for range 3 {
+		c.g.Expect(n.runInLoop(t.Context(), func() { c.g.Expect(n.folder.SetClusterID(n.clusterID)).To(Succeed()) })).To(Succeed())
+	}
+	<-read
+}
--- a/internal/replica/snapshot_transfer.go
+++ b/internal/replica/snapshot_transfer.go
@@ -76,7 +76,7 @@
 // whole snapshot to the loop, the goroutine that runs the replica.
 func (n *Node) handleChunk(ctx context.Context, chunk *apiv1.SnapshotChunk) (*apiv1.Empty, error) {
 	cluster := n.Status().ClusterID
-	if chunk.Message.GetSnapshot().GetMeta() == nil || chunk.Message.To != n.folder.ReplicaID() || cluster != 0 && cluster != chunk.ClusterId {
+	if chunk.Message.GetSnapshot().GetMeta() == nil || chunk.Message.To != n.replicaID || cluster != 0 && cluster != chunk.ClusterId {
 		return nil, result.NotRun(apiv1.ResultCode_RESULT_CODE_INVALID_ARGUMENT, "snapshot is for another replica")
 	}
 	m, err := n.incomingSnapshot.addChunk(chunk)
