--- a/internal/placement/isolation.go
+++ b/internal/placement/isolation.go
@@ -64,7 +64,7 @@
 	suspects, isolated int
 	// Long-running tasks, which end only when their job is canceled, and their
 	// resources.
-	longRunning          int
+	longRunningRuns      int
 	longRunningResources batch.Usage
 	// Number of other tasks, the latest of their expected ends in Unix milliseconds,
 	// and whether one of them should have ended long ago.
@@ -98,7 +98,7 @@
 		}
 	}
 	if r.Step.LongRunning && !r.Obsolete() {
-		s.longRunning++
+		s.longRunningRuns++
 		s.longRunningResources = s.longRunningResources.Add(batch.ResourcesOnMinion(r.Step), 1)
 		return
 	}
@@ -297,7 +297,7 @@
 			continue
 		}
 		all = append(all, c)
-		if p.summarize(c).longRunning == 0 {
+		if p.summarize(c).longRunningRuns == 0 {
 			empty = append(empty, c)
 			places += n
 		}
@@ -351,7 +351,7 @@
 // become overdue.
 func (p *planner) compareEmptying(a, b *candidate, step *apiv1.BatchStep) int {
 	x, y := p.summarize(a), p.summarize(b)
-	return cmp.Or(cmp.Compare(x.longRunning, y.longRunning), compareBool(a.suspect, b.suspect), compareBool(x.overdue, y.overdue),
+	return cmp.Or(cmp.Compare(x.longRunningRuns, y.longRunningRuns), compareBool(a.suspect, b.suspect), compareBool(x.overdue, y.overdue),
 		cmp.Compare(x.emptyMS, y.emptyMS), compareBool(!isOnRack(a, step), !isOnRack(b, step)),
 		cmp.Compare(a.used.CPUMillis, b.used.CPUMillis), cmp.Compare(a.incarnation.ID, b.incarnation.ID))
 }
