dispatch: let a new session know the committed runs before its first call

Cause: a session's goroutine may have its first hold call answered before the planning loop has synced it. All runs that the minion lists then seemed uncommitted, and the new leader stopped them and started them again.

Change: the session syncs itself before its first call.

TestNewSessionKnowsCommittedRuns failed before (all three runs stopped).

--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -55,7 +55,8 @@
 	}
 	// An earlier session of the incarnation may have sent the orders of all runs
 	// that this one finds.
-	first := s.stateRevision == 0
+	first := !s.synced
+	s.synced = true
 	s.loadRevision, s.stateRevision = load.loadRevision, load.stateRevision
 	present := make(map[batch.RunKey]bool, len(load.runs))
 	for _, r := range load.runs {
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -117,6 +117,8 @@
 	// loadRevision is the revision of the committed load that orders reflects,
 	// stateRevision the revision of the whole state that it was read from.
 	loadRevision, stateRevision uint64
+	// synced is set once orders reflects a committed load.
+	synced bool
 	// ackedEnd is the number of the last committed end. The next hold call
 	// acknowledges it.
 	ackedEnd uint64
@@ -148,6 +150,8 @@
 // run makes one hold call after the other until ctx ends or the incarnation has
 // ended.
 func (s *session) run(ctx context.Context) {
+	// A run that the session doesn't know would be stopped as uncommitted.
+	s.d.syncSession(s)
 	for ctx.Err() == nil {
 		if !s.d.leadershipConfirmed() {
 			sleep(ctx, retryDelay)
--- a/internal/dispatch/silence_test.go
+++ b/internal/dispatch/silence_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"context"
 	"errors"
 	"testing"
 	"testing/synctest"
@@ -167,3 +168,32 @@
 		g.Expect(h.cluster.disconnected).To(HaveKey(batch.Incarnation{ID: "a", StartedMS: m.startedMS}))
 	})
 }
+
+// Guards against the runs of an earlier leader that are stopped as uncommitted because
+// a minion lists them to a new session before the planning loop has synced it.
+func TestNewSessionKnowsCommittedRuns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		h := newHarness(t, 1)
+		defer h.endTerm()
+		h.cluster.endless = true
+		m := h.cluster.add("a")
+		h.announce(m)
+		h.submit("job0", 3)
+		time.Sleep(3 * time.Second)
+		before := h.runsOf("job0")
+		g.Expect(before).To(HaveLen(3))
+		h.endTerm()
+		ctx, cancel := context.WithCancel(t.Context())
+		d := New(ctx, h.term+1, h.dispatcher.opts, h.metrics)
+		defer func() {
+			cancel()
+			d.wg.Wait()
+		}()
+		d.openSessions([]sessionTarget{{Target: Target{Incarnation: batch.Incarnation{ID: "a", StartedMS: m.startedMS}, Address: m.address}, recorded: true}})
+		time.Sleep(500 * time.Millisecond)
+		h.cluster.mu.Lock()
+		defer h.cluster.mu.Unlock()
+		g.Expect(m.running).To(HaveLen(3))
+	})
+}
