consensus: let a leader outside its group step down

Cause: StepDown left the only voter alone, and counted the voters without asking whether the leader is one of them: a leader that is being removed kept the leadership when one other voter was left. TestLeaderOutsideItsGroupStepsDown failed before.

--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -254,7 +254,7 @@
 // StepDown turns a leader into a follower of the same term, unless it is the
 // only voter. On other replicas it does nothing.
 func (c *Core) StepDown() {
-	if c.role == Leader && c.voterCount() > 1 {
+	if c.role == Leader && (c.voterCount() > 1 || !c.isVoter(c.id)) {
 		c.becomeFollower(c.term, 0)
 	}
 }
--- a/internal/consensus/step_test.go
+++ b/internal/consensus/step_test.go
@@ -141,3 +141,13 @@
 	g.Expect(rd.MustSync).To(BeTrue())
 	g.Expect(rd.HardState.Vote).To(BeNumerically("==", 3))
 }
+
+// Guards against a leader that is being removed and can't give up the leadership,
+// since only one other voter is left.
+func TestLeaderOutsideItsGroupStepsDown(t *testing.T) {
+	g := NewWithT(t)
+	c := newLeader(g)
+	c.groupHistory = append(c.groupHistory, groupVersion{index: c.LastIndex(), group: &apiv1.GroupConfig{Replicas: []*apiv1.Replica{{Id: 2, RpcAddress: "x"}}}})
+	c.StepDown()
+	g.Expect(c.Role()).To(Equal(Follower))
+}
