replica: begin no leader's work just before the leadership ends

Cause: when the write that waited for space also committed the leader's first entry, OnLeader was called and canceled a moment later. TestWaitDefersOnLeader failed before.

--- a/internal/replica/full_disk.go
+++ b/internal/replica/full_disk.go
@@ -76,6 +76,16 @@
 	return result.NotRun(apiv1.ResultCode_RESULT_CODE_NOT_LEADER, "this replica cannot lead while its disk is full")
 }
 
+// leadFromNow starts OnLeader, unless the replica has waited for space: then finishWait
+// decides.
+func (n *Node) leadFromNow() {
+	if n.hasWaited {
+		n.resumeOnLeader = true
+		return
+	}
+	n.startOnLeader()
+}
+
 // finishWait gives up the leadership after a wait for space, during which
 // OnLeader was stopped. The only voter of a group stays leader, so OnLeader is called
 // again.
--- a/internal/replica/full_disk_test.go
+++ b/internal/replica/full_disk_test.go
@@ -177,3 +177,23 @@
 	c.g.Expect(m.diskFull.Load()).To(BeTrue())
 	c.propose("after")
 }
+
+// Guards against the work of a leader that begins just before the replica gives up the
+// leadership, because its first entry was committed by the write that waited.
+func TestWaitDefersOnLeader(t *testing.T) {
+	c := newCluster(t, 1)
+	n := c.leader().node
+	noop := &apiv1.LogEntry{Kind: apiv1.EntryKind_ENTRY_KIND_NOOP}
+	var during, after bool
+	c.g.Expect(n.runInLoop(t.Context(), func() {
+		n.stopOnLeader()
+		n.hasWaited, n.resumeOnLeader = true, false
+		noop.Index, noop.Term = n.applied, n.core.Term()
+		c.g.Expect(n.apply(noop)).To(Succeed())
+		during = n.cancelOnLeader != nil
+		n.finishWait()
+		after = n.cancelOnLeader != nil // the only voter stays leader
+	})).To(Succeed())
+	c.g.Expect(during).To(BeFalse())
+	c.g.Expect(after).To(BeTrue())
+}
--- a/internal/replica/ready.go
+++ b/internal/replica/ready.go
@@ -128,7 +128,7 @@
 		n.finishProposal(p, e, res)
 	}
 	if e.Kind == apiv1.EntryKind_ENTRY_KIND_NOOP && n.core.Role() == consensus.Leader && e.Term == n.core.Term() {
-		n.startOnLeader()
+		n.leadFromNow()
 	}
 	return nil
 }
