replica: don't ask to join while the disk is full

Cause: a replica that waits for space knows no leader, so it asked to join again, became a learner, was removed after 10 s without an answer, and so on; a learner that was just added permits the removal of another silent voter. TestReplicaWithFullDiskDoesNotJoinAgain failed before (a member again at once).

--- a/internal/replica/full_disk.go
+++ b/internal/replica/full_disk.go
@@ -21,6 +21,8 @@
 	n.log.WithError(err).Error("disk is full; the replica waits for space")
 	n.metrics.diskFull.Set(1)
 	defer n.metrics.diskFull.Set(0)
+	n.diskFull.Store(true)
+	defer n.diskFull.Store(false)
 	start := n.opts.Clock.Now()
 	n.resumeOnLeader = n.cancelOnLeader != nil
 	n.stopOnLeader()
--- a/internal/replica/full_disk_test.go
+++ b/internal/replica/full_disk_test.go
@@ -197,3 +197,28 @@
 	c.g.Expect(during).To(BeFalse())
 	c.g.Expect(after).To(BeTrue())
 }
+
+// Guards against a replica that joins as a learner again and again while its disk is
+// full: it can't store the log, is removed, and each time counts as a replacement that
+// permits the removal of another voter.
+func TestReplicaWithFullDiskDoesNotJoinAgain(t *testing.T) {
+	c := newSeededCluster(t)
+	c.propose("before")
+	full := c.follower()
+	full.diskFull.Store(true)
+	c.propose("during")
+	c.joinAt("replacement")
+	isMember := func() bool {
+		for _, r := range c.leader().node.Status().Group.Replicas {
+			if r.RpcAddress == full.address {
+				return true
+			}
+		}
+		return false
+	}
+	c.g.Eventually(isMember).Should(BeFalse())
+	c.g.Consistently(isMember).WithTimeout(3 * rejoinElectionTimeouts * c.options.ElectionTimeout).Should(BeFalse())
+	full.diskFull.Store(false)
+	c.g.Eventually(isMember).Should(BeTrue())
+	c.expectApplied(full, []string{"before", "during"})
+}
--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -221,7 +221,8 @@
 	lastLeaderContact := n.opts.Clock.Now()
 	for {
 		st := n.Status()
-		if st.LeaderID != 0 {
+		// While the disk is full, the replica could not store the log as a learner either.
+		if st.LeaderID != 0 || n.diskFull.Load() {
 			lastLeaderContact = n.opts.Clock.Now()
 		}
 		hasNoGroup := len(st.Group.GetReplicas()) == 0
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -68,6 +68,7 @@
 	incomingSnapshot snapshotAssembler
 
 	status      atomic.Pointer[Status]
+	diskFull    atomic.Bool // while the loop waits for space
 	metrics     *metrics
 	ctx         context.Context
 	cancel      context.CancelFunc
