dispatch: give no work to a minion that runs what isn't committed

Cause: a run that a minion lists and the state doesn't have there, such as a delayed order of an earlier incarnation, takes room that neither the commit nor the check before an order counts, so a start could bring the minion over its capacity (LIMIT).

Change: a minion is not usable while its last hold reply lists such a run. After the run was stopped, the leader asks at once, so that a reply that was overtaken costs no second.

TestMinionWithUncommittedRunGetsNoStarts failed before.

--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -291,8 +291,8 @@
 }
 
 // stopUncommitted sends one stop order for a run that the committed state does
-// not have on this minion. Every hold reply that lists the run leads to another
-// one.
+// not have on this minion, and asks whether it is gone. Every hold reply that lists the
+// run leads to another one.
 func (s *session) stopUncommitted(key batch.RunKey) {
 	if !s.acquireSlot() {
 		return
@@ -302,5 +302,7 @@
 	defer cancel()
 	if _, err := s.d.opts.Minions.Stop(ctx, s.target, key, s.token); err != nil {
 		s.log.WithError(err).WithField("run", key.String()).Warn("stop of an uncommitted run failed; it is tried again after the next hold call")
+		return
 	}
+	s.probe()
 }
--- a/internal/dispatch/room_test.go
+++ b/internal/dispatch/room_test.go
@@ -268,3 +268,24 @@
 		})
 	}
 }
+
+// Guards against a start that brings a minion over its room because a run that no
+// committed state has there, such as a delayed order of an earlier incarnation, still
+// runs on it.
+func TestMinionWithUncommittedRunGetsNoStarts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		h := newHarness(t, 1)
+		defer h.endTerm()
+		s := newSession(h.dispatcher, Target{Incarnation: batch.Incarnation{ID: "a", StartedMS: 1}})
+		reply := &HoldReply{StartedMS: 1, ClockMS: 1}
+		s.handleReply(t.Context(), reply, 0)
+		g.Expect(s.usable(h.dispatcher.clock.Now())).To(BeTrue())
+		reply.Running = []RunStatus{{Run: batch.RunKey{TaskRef: batch.TaskRef{Job: "job0"}, Number: 1}}}
+		s.handleReply(t.Context(), reply, 0)
+		g.Expect(s.usable(h.dispatcher.clock.Now())).To(BeFalse())
+		reply.Running = nil
+		s.handleReply(t.Context(), reply, 0)
+		g.Expect(s.usable(h.dispatcher.clock.Now())).To(BeTrue())
+	})
+}
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -117,6 +117,9 @@
 	// loadRevision is the revision of the committed load that orders reflects,
 	// stateRevision the revision of the whole state that it was read from.
 	loadRevision, stateRevision uint64
+	// listsUncommitted is set while the last hold reply listed a run that isn't
+	// committed. It takes room that the state doesn't know of.
+	listsUncommitted bool
 	// synced is set once orders reflects a committed load.
 	synced bool
 	// ackedEnd is the number of the last committed end. The next hold call
@@ -289,6 +292,7 @@
 // The caller holds mu.
 func (s *session) reconcile(reply *HoldReply, sentAt, now time.Duration) []*apiv1.EndedRun {
 	running := map[batch.RunKey]bool{}
+	s.listsUncommitted = false
 	for _, r := range reply.Running {
 		running[r.Run] = true
 		s.observeRunning(r, now)
@@ -317,6 +321,7 @@
 	o := s.orders[r.Run]
 	if o == nil {
 		s.log.WithField("run", r.Run.String()).Warn("minion executes an uncommitted run; stopping it")
+		s.listsUncommitted = true
 		go s.stopUncommitted(r.Run)
 		return
 	}
@@ -372,7 +377,7 @@
 func (s *session) usable(now time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.answering || !s.lease.clockKnown || now-s.answeredAt >= maxHoldAge || now < s.backoffUntil {
+	if !s.answering || s.listsUncommitted || !s.lease.clockKnown || now-s.answeredAt >= maxHoldAge || now < s.backoffUntil {
 		return false
 	}
 	for _, o := range s.orders {
