dispatch: failing test of work in time past the leader's limit

The dispatcher with a simulated leader of one processor, 1 ms a start and 0.5 ms a hold call, minions with room for everything, jobs of two steps.

--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -23,6 +24,8 @@
 	ended   []ReportedEnd
 	last    uint64
 	changed chan struct{}
+	// taskTime replaces benchTaskTime unless it is zero.
+	taskTime time.Duration
 }
 
 const benchTaskTime = 100 * time.Millisecond
@@ -34,7 +37,7 @@
 	m.mu.Lock()
 	m.running[o.Run] = true
 	m.mu.Unlock()
-	time.AfterFunc(benchTaskTime, func() {
+	time.AfterFunc(cmp.Or(m.taskTime, benchTaskTime), func() {
 		m.mu.Lock()
 		delete(m.running, o.Run)
 		m.last++
--- /dev/null
+++ b/internal/dispatch/overload_test.go
@@ -0,0 +1,148 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+
+	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+	"bergamotdrum.example/bergamotdrum/internal/batch"
+	"bergamotdrum.example/bergamotdrum/internal/state"
+)
+
+const (
+	// Processor time of the simulated leader for one half of a call to a minion:
+	// sending it, and reading the answer.
+	startCost = 500 * time.Microsecond
+	holdCost  = 250 * time.Microsecond
+	// overloadTaskTime and overloadWidth describe the jobs: two steps of
+	// overloadWidth tasks, one after the other.
+	overloadTaskTime = 500 * time.Millisecond
+	overloadWidth    = 8
+	// overloadLimit is the latency limit of a job.
+	overloadLimit = 2*overloadTaskTime*1600/1000 + 600*time.Millisecond
+)
+
+// limitedLeader makes each call to a minion take processor time of the leader,
+// which has one processor. The minions answer at once.
+type limitedLeader struct {
+	benchMinions
+	processor chan struct{}
+	starts    int
+	timeouts  int
+}
+
+// use takes processor time, or returns the error of ctx once its deadline has
+// passed.
+func (l *limitedLeader) use(ctx context.Context, cost time.Duration) error {
+	l.processor <- struct{}{}
+	time.Sleep(cost)
+	err := ctx.Err()
+	if err != nil {
+		l.timeouts++
+	}
+	<-l.processor
+	return err
+}
+
+func (l *limitedLeader) Start(ctx context.Context, to Target, o StartOrder) (int64, error) {
+	if err := l.use(ctx, startCost); err != nil {
+		return 0, err
+	}
+	l.starts++
+	clockMS, err := l.benchMinions.Start(ctx, to, o)
+	if lost := l.use(ctx, startCost); lost != nil {
+		return 0, lost
+	}
+	return clockMS, err
+}
+
+func (l *limitedLeader) Hold(ctx context.Context, to Target, o HoldRequest) (*HoldReply, error) {
+	if err := l.use(ctx, holdCost); err != nil {
+		return nil, err
+	}
+	reply, err := l.benchMinions.Hold(ctx, to, o)
+	if lost := l.use(ctx, holdCost); lost != nil {
+		return nil, lost
+	}
+	return reply, err
+}
+
+// playOverload submits jobsPerSecond jobs for some seconds to a leader that can
+// start some 650 tasks a second, on minions with room for all tasks. It returns how
+// many jobs are completed within their latency limit.
+func playOverload(t *testing.T, jobsPerSecond int) (inTime int) {
+	const minions, seconds = 40, 8
+	quiet := logrus.New()
+	quiet.SetOutput(io.Discard)
+	node := &fakeNode{machine: state.New(), commitTime: 10 * time.Millisecond}
+	propose := func(cmd *apiv1.BatchCommand) {
+		if _, err := node.Propose(t.Context(), &apiv1.Command{Body: &apiv1.Command_Batch{Batch: cmd}}); err != nil {
+			t.Error(err)
+		}
+	}
+	queue := &apiv1.BatchQueue{Name: "q", Pool: "p", MaxAttempts: 3, StretchMilli: 1600, TargetLatencyMs: 600}
+	propose(&apiv1.BatchCommand{Body: &apiv1.BatchCommand_PutCatalog{PutCatalog: &apiv1.Catalog{
+		Version: 1, Pools: []*apiv1.BatchPool{{Name: "p", GuardsCapacity: true}}, Queues: []*apiv1.BatchQueue{queue},
+	}}})
+	leader := &limitedLeader{benchMinions: benchMinions{}, processor: make(chan struct{}, 1)}
+	observed := &apiv1.ObserveMinions{}
+	for i := range minions {
+		id := fmt.Sprintf("m%05d", i)
+		leader.benchMinions[id] = &benchMinion{running: map[batch.RunKey]bool{}, changed: make(chan struct{}, 1), taskTime: overloadTaskTime}
+		observed.Minions = append(observed.Minions, &apiv1.BatchMinion{
+			Life: &apiv1.MinionLife{Id: id, BornUnixMs: 1}, Address: id, Pool: "p", Capacity: &apiv1.Resources{CpuMillis: 500_000, MemoryMb: 64_000},
+		})
+	}
+	propose(&apiv1.BatchCommand{Body: &apiv1.BatchCommand_ObserveMinions{ObserveMinions: observed}})
+	ctx, cancel := context.WithCancel(t.Context())
+	d := New(ctx, 1, Options{
+		Minions: leader, StateMachine: node.machine, Node: node, Clock: bubbleClock{time.Now()}, Log: logrus.NewEntry(quiet),
+		Lease: 4 * time.Second, MaxLease: 6 * time.Second, Retention: time.Hour,
+	}, NewMetrics(nil))
+	done := make(chan struct{})
+	go func() { d.Run(); close(done) }()
+	time.Sleep(2 * time.Second)
+	jobs := jobsPerSecond * seconds
+	for i := range jobs {
+		go propose(&apiv1.BatchCommand{Body: &apiv1.BatchCommand_Submit{Submit: &apiv1.BatchJob{
+			Id: fmt.Sprint("job", i), Queue: "q", AcceptedQueue: queue, Steps: []*apiv1.BatchStep{
+				{Count: overloadWidth, Resources: &apiv1.Resources{CpuMillis: 8000, MemoryMb: 10}, EstimatedMs: uint32(overloadTaskTime.Milliseconds())},
+				{Count: overloadWidth, Resources: &apiv1.Resources{CpuMillis: 8000, MemoryMb: 10}, EstimatedMs: uint32(overloadTaskTime.Milliseconds()), After: []uint32{0}},
+			},
+		}}})
+		time.Sleep(time.Second / time.Duration(jobsPerSecond))
+	}
+	time.Sleep(2 * overloadLimit)
+	node.machine.Read(func(st *state.State) {
+		for i := range jobs {
+			j := st.Batch.Job(fmt.Sprint("job", i))
+			if j != nil && j.State == apiv1.BatchState_BATCH_STATE_COMPLETED && j.EndedUnixMs-j.SubmittedUnixMs <= overloadLimit.Milliseconds() {
+				inTime++
+			}
+		}
+	})
+	t.Logf("%d jobs a second: %d of %d in time, %d starts, %d calls without an answer in time", jobsPerSecond, inTime, jobs, leader.starts, leader.timeouts)
+	cancel()
+	<-done
+	return inTime
+}
+
+// Guards against work done in time that collapses when more is asked of the leader
+// than it can start, instead of levelling off.
+func TestWorkInTimeLevelsOffPastTheLeadersLimit(t *testing.T) {
+	results := map[int]int{}
+	for _, rate := range []int{20, 40, 80, 160} {
+		synctest.Test(t, func(t *testing.T) { results[rate] = playOverload(t, rate) })
+	}
+	g := NewWithT(t)
+	for _, rate := range []int{80, 160} {
+		g.Expect(results[rate]).To(BeNumerically(">=", results[40]*8/10), "jobs in time at %d jobs a second, against %d at the limit", rate, results[40])
+	}
+}
