dispatch: bound the starts in flight by the leader's speed

Cause: the bound on unsent starts stopped counting a start when it got one of the minion's order slots, before it was sent, and was the same on a slow leader. Past the leader's limit hundreds of starts wait for the processor; from 250 ms on their minions get no new work, from 400 ms on the order counts as unanswered and the run is stopped.

Change: a start counts until it is answered, and the bound (24 to 192) gets smaller while answers come later than 100 ms and grows again while they don't. Silent minions don't count. Two gauges show it.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -27,10 +27,6 @@
 	// the tasks to start. Some work becomes due by time alone, without a change of
 	// the state.
 	planInterval = 100 * time.Millisecond
-	// maxUnsentStarts bounds the committed starts of tasks whose order is not yet
-	// sent to the minion, the worker process that is to run the task. More of them
-	// would only wait for the processor, and in no particular order.
-	maxUnsentStarts = 192
 	// forgetInterval is the time between two removals of jobs that ended longer
 	// than Options.Retention ago.
 	forgetInterval = 10 * time.Second
@@ -96,8 +92,7 @@
 	minionsRevision uint64
 	targetsReadAt   time.Duration
 
-	// unsentStarts counts the committed starts whose order is not sent yet.
-	unsentStarts atomic.Int64
+	startWindow *startWindow
 
 	// endedIncarnations counts the incarnations that ended or were replaced during
 	// the term, so that each new session, the leader's exchange with one
@@ -119,6 +114,7 @@
 		inheritedLeaseEnd: now + longestLease(o.MaxLease) + leadershipTTL,
 		sessions:          map[batch.Incarnation]*session{},
 		latest:            map[string]int64{},
+		startWindow:       newStartWindow(),
 	}
 	d.confirmedAt.Store(int64(now))
 	d.ends.wakeup = make(chan struct{}, 1)
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -18,6 +18,8 @@
 	minionsCrashed  prometheus.Counter
 	startSeconds    prometheus.Histogram
 	planSeconds     prometheus.Histogram
+	startWindow     prometheus.Gauge
+	startsInFlight  prometheus.Gauge
 }
 
 // Metrics holds the metrics of all dispatchers of a process, one for each term.
@@ -46,9 +48,15 @@
 			Name: "bergamot_batch_plan_seconds", Help: "Duration of a planning round.",
 			Buckets: prometheus.ExponentialBuckets(0.0001, 2, 12),
 		}),
+		startWindow: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "bergamot_batch_start_window", Help: "Bound on the starts in flight. It is lower while answers are late.",
+		}),
+		startsInFlight: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "bergamot_batch_starts_in_flight", Help: "Committed starts whose order is not answered, at the last planning round.",
+		}),
 	}
 	if r != nil {
-		r.MustRegister(m.startsCommitted, m.runsEnded, m.startsRefused, m.minionsCrashed, m.startSeconds, m.planSeconds)
+		r.MustRegister(m.startsCommitted, m.runsEnded, m.startsRefused, m.minionsCrashed, m.startSeconds, m.planSeconds, m.startWindow, m.startsInFlight)
 	}
 	return &Metrics{m}
 }
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -111,7 +111,7 @@
 			go s.sendStop(key, o)
 		case !o.stopRequested && o.state == orderUnsent && s.answering:
 			o.state = orderSending
-			s.d.unsentStarts.Add(1)
+			s.d.startWindow.begin()
 			go s.sendStart(key, o)
 		}
 	}
@@ -131,9 +131,9 @@
 // sendStart sends the start order of a run once, and commits an end when the
 // minion refused it for good.
 func (s *session) sendStart(key batch.RunKey, o *runOrder) {
-	acquired := s.acquireSlot()
-	s.d.unsentStarts.Add(-1)
-	if !acquired {
+	began, answered := s.d.clock.Now(), false
+	defer func() { s.d.startWindow.end(s.d.clock.Now()-began, answered) }()
+	if !s.acquireSlot() {
 		return
 	}
 	defer func() { <-s.orderSlots }()
@@ -145,6 +145,7 @@
 	defer cancel()
 	clockMS, err := s.d.opts.Minions.Start(ctx, s.target, start)
 	now := s.d.clock.Now()
+	answered = isAnswer(err)
 	s.d.metrics.startSeconds.Observe((now - o.sentAt).Seconds())
 	s.log.WithFields(logrus.Fields{"run": key.String(), "job_id": key.Job, "outcome": outcomeName(err)}).Info("start ordered")
 	s.mu.Lock()
@@ -156,6 +157,12 @@
 	}
 }
 
+// isAnswer reports whether the result of an order is the minion's answer.
+func isAnswer(err error) bool {
+	refusal, refused := errors.AsType[*Refusal](err)
+	return err == nil || refused && refusal.Reason != NotSent
+}
+
 // prepareStart returns the start order of a run. It returns false, and has the
 // run stopped instead, when the run is no longer wanted, the minion has no room
 // for it any more or this leader may not send orders to the minion any more.
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -108,10 +108,13 @@
 // plan returns the starts to commit now.
 func (d *Dispatcher) plan() []*apiv1.StartedRun {
 	now := d.clock.Now()
+	window, inFlight := d.startWindow.status()
+	d.metrics.startWindow.Set(float64(window))
+	d.metrics.startsInFlight.Set(float64(inFlight))
 	in := placement.Input{
 		NowUnixMS: time.Now().UnixMilli(),
 		Health:    map[batch.Incarnation]placement.Health{},
-		MaxStarts: maxUnsentStarts - int(d.unsentStarts.Load()),
+		MaxStarts: window - inFlight,
 	}
 	in.Reserved, in.MaintenanceDue = d.fleet.reservedAndDue()
 	for _, s := range d.sessionList() {
--- /dev/null
+++ b/internal/dispatch/startwindow_test.go
@@ -0,0 +1,43 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// answerStarts fills the window and answers its starts after duration, n times.
+func answerStarts(w *startWindow, n int, duration time.Duration, answered bool) {
+	for range n {
+		starts := w.free()
+		for range starts {
+			w.begin()
+		}
+		for range starts {
+			w.end(duration, answered)
+		}
+	}
+}
+
+// Guards against a leader that commits more starts than it can send in time, and
+// against one that stays slow once it can send more again.
+func TestStartWindowFollowsTheLeadersSpeed(t *testing.T) {
+	g := NewWithT(t)
+	w := newStartWindow()
+	answerStarts(w, 1, lateStart, true)
+	g.Expect(w.free()).To(Equal(maxStartWindow*3/4), "one window of late answers is one decrease")
+	answerStarts(w, 20, lateStart, true)
+	g.Expect(w.free()).To(Equal(minStartWindow))
+	answerStarts(w, 100, lateStart/2, true)
+	g.Expect(w.free()).To(Equal(maxStartWindow))
+}
+
+// Guards against minions that don't answer, as in a zone that is cut off, slowing
+// down the starts on all others.
+func TestSilentMinionsKeepTheStartWindow(t *testing.T) {
+	g := NewWithT(t)
+	w := newStartWindow()
+	answerStarts(w, 20, orderTimeout, false)
+	g.Expect(w.free()).To(Equal(maxStartWindow))
+}
