placement: finish begun jobs first, then the newest

Cause: jobs that could still be on time came by value per remaining work, then by deadline. The small ones go first, and a larger one waits until it has just enough time left. When it is begun then, each delay between its steps, which the plan doesn't know, makes it late, and it has displaced one that had time.

Change: within a priority and lateness, begun jobs come first, by deadline; of the others the newest. The order doesn't depend on the size of a job. The worthless ones stay in the order of their deadlines, so that none waits for good. The mean work of a queue's jobs isn't needed any more.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -81,10 +81,7 @@
 	candidates map[string][]*candidate
 	// Resources of the tasks that this round starts, by client account.
 	startedUsage map[string]batch.Usage
-	// Mean work of the active jobs of each queue, in thousandths of a core times
-	// milliseconds.
-	meanWork map[string]int64
-	starts   []*apiv1.StartedRun
+	starts       []*apiv1.StartedRun
 	// For each pool, the smallest task resources known to fit on no candidate.
 	// They stay unplaceable, since free resources only shrink during a round, and
 	// closed candidates stay closed.
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -34,8 +34,10 @@
 	return h
 }
 
-func (h *harness) apply(cmd *apiv1.BatchCommand) *apiv1.BatchResult {
-	res, err := h.state.Apply(nowMS, cmd)
+func (h *harness) apply(cmd *apiv1.BatchCommand) *apiv1.BatchResult { return h.applyAt(nowMS, cmd) }
+
+func (h *harness) applyAt(logTimeMS int64, cmd *apiv1.BatchCommand) *apiv1.BatchResult {
+	res, err := h.state.Apply(logTimeMS, cmd)
 	if err != nil {
 		panic(err)
 	}
@@ -55,11 +57,16 @@
 
 // submit adds a job of account "a" to a queue.
 func (h *harness) submit(id, queue string, steps ...*apiv1.BatchStep) {
+	h.submitAt(nowMS, id, queue, steps...)
+}
+
+// submitAt is submit at a log time.
+func (h *harness) submitAt(logTimeMS int64, id, queue string, steps ...*apiv1.BatchStep) {
 	q := h.state.Catalog().Queues[0]
 	if queue == "low" {
 		q = h.state.Catalog().Queues[1]
 	}
-	h.apply(&apiv1.BatchCommand{Body: &apiv1.BatchCommand_Submit{Submit: &apiv1.BatchJob{Id: id, Queue: queue, Account: "a", Steps: steps, AcceptedQueue: q}}})
+	h.applyAt(logTimeMS, &apiv1.BatchCommand{Body: &apiv1.BatchCommand_Submit{Submit: &apiv1.BatchJob{Id: id, Queue: queue, Account: "a", Steps: steps, AcceptedQueue: q}}})
 }
 
 func (h *harness) plan() []*apiv1.StartedRun {
@@ -244,11 +251,9 @@
 	g.Expect(minionsByJob(h.plan())["small"]).To(ConsistOf("m1", "m2"))
 }
 
-// Load: a flood of small jobs for one pool, and a few large ones of lower priority
-// for another, while the leader can send only some of the orders. Guards against
-// machines of the second pool that stay idle until the flood is over.
-func TestFloodOfOnePoolSparesAnother(t *testing.T) {
-	g := NewWithT(t)
+// newTwoPoolHarness returns a harness in which the queue "low" leads to a pool of its
+// own, "other". Each pool has one minion.
+func newTwoPoolHarness() *harness {
 	h := newHarness(nil)
 	h.apply(&apiv1.BatchCommand{Body: &apiv1.BatchCommand_PutCatalog{PutCatalog: &apiv1.Catalog{
 		Version: 2, Pools: []*apiv1.BatchPool{{Name: "p"}, {Name: "other"}},
@@ -256,8 +261,16 @@
 	}}})
 	h.addMinion("m", 64_000)
 	h.addMinion("n", 64_000)
-	minion := h.state.Minion("n")
-	minion.Pool = "other"
+	h.state.Minion("n").Pool = "other"
+	return h
+}
+
+// Load: a flood of small jobs for one pool, and a few large ones of lower priority
+// for another, while the leader can send only some of the orders. Guards against
+// machines of the second pool that stay idle until the flood is over.
+func TestFloodOfOnePoolSparesAnother(t *testing.T) {
+	g := NewWithT(t)
+	h := newTwoPoolHarness()
 	for i := range 50 {
 		h.submit(fmt.Sprintf("flood%02d", i), "q", newStep(2, 100))
 	}
@@ -265,3 +278,35 @@
 	starts := Plan(Input{State: h.state, NowUnixMS: nowMS, Health: h.health, MaxStarts: 10})
 	g.Expect(minionsByJob(starts)["large"]).To(HaveLen(3))
 }
+
+// Load: more jobs than can be on time. Guards against jobs that are begun and then
+// held up by others until they are late, so that the work done for them is wasted.
+func TestBegunJobsAreFinishedFirst(t *testing.T) {
+	g := NewWithT(t)
+	h := newHarness(nil)
+	h.addMinion("m", 64_000)
+	second := newStep(2, 100)
+	second.After = []uint32{0}
+	h.submit("begun", "q", newStep(2, 100), second)
+	h.round()
+	h.endRuns(2)
+	for i := range 5 {
+		h.submit(fmt.Sprint("small", i), "q", newStep(1, 100))
+	}
+	starts := Plan(Input{State: h.state, NowUnixMS: nowMS, Health: h.health, MaxStarts: 2})
+	g.Expect(minionsByJob(starts)).To(HaveKeyWithValue("begun", HaveLen(2)))
+}
+
+// Load: more jobs than can be on time, of different sizes. Guards against jobs that
+// wait until they have just enough time left and then displace those that have more,
+// and against a choice by size, which would give large jobs nothing.
+func TestNewestJobsComeFirstOfThoseOnTime(t *testing.T) {
+	g := NewWithT(t)
+	h := newHarness(nil)
+	h.addMinion("m", 64_000)
+	for i, count := range []uint32{1, 2, 4} {
+		h.submitAt(nowMS+int64(i)*100, fmt.Sprint("j", i), "q", newStep(count, 100))
+	}
+	starts := Plan(Input{State: h.state, NowUnixMS: nowMS + 200, Health: h.health, MaxStarts: 4})
+	g.Expect(minionsByJob(starts)).To(HaveKeyWithValue("j2", HaveLen(4)))
+}
--- a/internal/placement/rank.go
+++ b/internal/placement/rank.go
@@ -11,11 +11,9 @@
 // jobOrder returns the jobs that have tasks to start, in the order in which the
 // planning round places them: jobs with long-running tasks first, then by the
 // queue's priority (0 is the most urgent). Within a priority, jobs that can
-// still meet their latency limit come first, by value per remaining work, then
-// the others by deadline.
+// still meet their latency limit come first.
 func (p *planner) jobOrder() []*batch.Job {
 	ranks := make([]jobRank, 0, len(p.in.State.ActiveJobs()))
-	p.computeMeanWork()
 	for _, j := range p.in.State.ActiveJobs() {
 		if hasStartableTasks(j) {
 			ranks = append(ranks, p.rankJob(j))
@@ -75,14 +73,18 @@
 	isLongRunning bool
 	priority      uint32
 	lateness      lateness
-	// The job's value divided by its remaining work, in thousandths. Only set
-	// for jobs that can be on time.
-	valuePerWork int64
-	// The time in Unix milliseconds at which the latency limit ends.
-	deadline int64
+	// Some task of the job has been started.
+	begun bool
+	// The time in Unix milliseconds from which the latency limit counts, and the one
+	// at which it ends.
+	due, deadline int64
 }
 
-// compareRanks orders the job to place first as the lower one.
+// compareRanks orders the job to place first as the lower one. When not all jobs can
+// be on time, those that are begun and then done late are wasted, so begun jobs come
+// first. Of the others the newest come first: they have the most time left for delays
+// that the plan can't foresee, and a job that waits until it has just enough time
+// would only hold up others. The choice between jobs doesn't depend on their size.
 func compareRanks(a, b jobRank) int {
 	if a.isLongRunning != b.isLongRunning {
 		if a.isLongRunning {
@@ -90,7 +92,18 @@
 		}
 		return 1
 	}
-	return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.lateness, b.lateness), cmp.Compare(b.valuePerWork, a.valuePerWork), cmp.Compare(a.deadline, b.deadline))
+	if c := cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.lateness, b.lateness)); c != 0 {
+		return c
+	}
+	switch {
+	case a.begun != b.begun && a.begun:
+		return -1
+	case a.begun != b.begun:
+		return 1
+	case a.begun || a.lateness == worthless:
+		return cmp.Compare(a.deadline, b.deadline)
+	}
+	return cmp.Compare(b.due, a.due)
 }
 
 // rankJob computes the rank of a job by its first occurrence.
@@ -98,11 +111,14 @@
 	q := p.in.State.QueueOf(j)
 	limit := latencyLimitMS(q, j)
 	dueMS := j.DueMS(0)
-	r := jobRank{job: j, priority: q.GetPriority(), deadline: dueMS + limit, isLongRunning: hasLongRunning(j)}
+	r := jobRank{
+		job: j, priority: q.GetPriority(), due: dueMS, deadline: dueMS + limit, isLongRunning: hasLongRunning(j),
+		begun: j.State != apiv1.BatchState_BATCH_STATE_QUEUED,
+	}
 	remaining := p.remainingCriticalPathMS(j)
 	switch {
 	case p.in.NowUnixMS+remaining <= dueMS+limit:
-		r.lateness, r.valuePerWork = onTime, p.valuePerWork(j)
+		r.lateness = onTime
 	case p.in.NowUnixMS+remaining <= dueMS+lateFactor*limit:
 		r.lateness = late
 	default:
@@ -111,50 +127,6 @@
 	return r
 }
 
-// A job's value is the sum of these parts, in thousandths: fixedValue of the
-// mean work of the jobs in its queue, whatever its size, and workValue of its
-// own work.
-const (
-	fixedValue = 300
-	workValue  = 700
-)
-
-// valuePerWork returns the value of a job divided by its remaining work, in
-// thousandths. It is higher for jobs that are nearly done and for small ones:
-// when not all jobs can be on time, this order gets more of them done on time.
-func (p *planner) valuePerWork(j *batch.Job) int64 {
-	total, remaining := estimatedWork(j)
-	value := fixedValue*p.meanWork[j.Queue] + workValue*total
-	return value / max(remaining, 1)
-}
-
-// computeMeanWork sets p.meanWork to the mean work of each queue's active jobs.
-func (p *planner) computeMeanWork() {
-	count := map[string]int64{}
-	p.meanWork = map[string]int64{}
-	for _, j := range p.in.State.ActiveJobs() {
-		total, _ := estimatedWork(j)
-		p.meanWork[j.Queue] += total
-		count[j.Queue]++
-	}
-	for queue, n := range count {
-		p.meanWork[queue] /= n
-	}
-}
-
-// estimatedWork returns the estimated work of the job's first occurrence, in
-// total and of the tasks that are not done, in thousandths of a core times
-// milliseconds.
-func estimatedWork(j *batch.Job) (total, remaining int64) {
-	for s, step := range j.Steps {
-		perTask := int64(step.GetResources().GetCpuMillis()) * int64(max(step.EstimatedMs, 1))
-		waiting, running := countTasks(j, 0, uint32(s))
-		total += int64(step.Count) * perTask
-		remaining += (waiting + running) * perTask
-	}
-	return total, remaining
-}
-
 // hasLongRunning reports whether any step of the job is long-running: its tasks
 // run until the job is canceled.
 func hasLongRunning(j *batch.Job) bool {
