placement: late work of a pool yields to work on time of all pools

What callers saw: past the leader's limit late work of one pool made work of another late too.

Cause: the pools took turns in a round by the position of their jobs alone, so a pool with nothing but late jobs got as many of the leader's starts as one whose jobs could be on time. Jobs of a queue without a latency limit counted as late from the start.

Change: pools whose next job is late wait until no other pool has one that can be on time. Long-running jobs and those of queues without a limit are always on time.

TestLateWorkYieldsToAnotherPoolsWorkOnTime failed before; TestFloodOfOnePoolSparesAnother, whose pools' jobs are all on time, holds.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -99,9 +99,9 @@
 func Plan(in Input) []*apiv1.StartedRun {
 	p := &planner{in: in, candidates: map[string][]*candidate{}, startedUsage: map[string]batch.Usage{}, unplaceable: map[string]batch.Usage{}}
 	p.collectMinions()
-	jobs := p.jobOrder()
-	p.setMinionsAside(jobs)
-	for _, j := range p.alternatePools(jobs) {
+	ranks := p.jobOrder()
+	p.setMinionsAside(jobsOf(ranks))
+	for _, j := range p.alternatePools(ranks) {
 		if len(p.starts) >= in.MaxStarts {
 			break
 		}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -279,6 +279,23 @@
 	g.Expect(minionsByJob(starts)["large"]).To(HaveLen(3))
 }
 
+// Load: the late backlog of one pool, and jobs of another that can be on time, while
+// the leader can send only some of the orders. Guards against orders for late work
+// that make the work of another pool late too.
+func TestLateWorkYieldsToAnotherPoolsWorkOnTime(t *testing.T) {
+	g := NewWithT(t)
+	h := newTwoPoolHarness()
+	for i := range 5 {
+		h.submit(fmt.Sprint("late", i), "q", newStep(2, 100))
+		h.submit(fmt.Sprint("on-time", i), "low", newStep(2, 100))
+	}
+	starts := Plan(Input{State: h.state, NowUnixMS: nowMS + 1000, Health: h.health, MaxStarts: 10})
+	for job := range minionsByJob(starts) {
+		g.Expect(job).To(HavePrefix("on-time"))
+	}
+	g.Expect(starts).To(HaveLen(10))
+}
+
 // Load: more jobs than can be on time. Guards against jobs that are begun and then
 // held up by others until they are late, so that the work done for them is wasted.
 func TestBegunJobsAreFinishedFirst(t *testing.T) {
--- a/internal/placement/rank.go
+++ b/internal/placement/rank.go
@@ -12,7 +12,7 @@
 // planning round places them: jobs with long-running tasks first, then by the
 // queue's priority (0 is the most urgent). Within a priority, jobs that can
 // still meet their latency limit come first.
-func (p *planner) jobOrder() []*batch.Job {
+func (p *planner) jobOrder() []jobRank {
 	ranks := make([]jobRank, 0, len(p.in.State.ActiveJobs()))
 	for _, j := range p.in.State.ActiveJobs() {
 		if hasStartableTasks(j) {
@@ -20,6 +20,11 @@
 		}
 	}
 	slices.SortStableFunc(ranks, compareRanks)
+	return ranks
+}
+
+// jobsOf returns the jobs of ranks, in their order.
+func jobsOf(ranks []jobRank) []*batch.Job {
 	jobs := make([]*batch.Job, len(ranks))
 	for i, r := range ranks {
 		jobs[i] = r.job
@@ -29,22 +34,26 @@
 
 // alternatePools reorders jobs so that the pools take turns, one job each, and
 // keeps the order within each pool. When the starts of a round don't suffice for
-// all, many small jobs of one pool don't keep the machines of another idle.
-func (p *planner) alternatePools(jobs []*batch.Job) []*batch.Job {
-	byPool := map[string][]*batch.Job{}
+// all, many small jobs of one pool don't keep the machines of another idle. Pools
+// whose next job is late wait until no other pool has one that can be on time.
+func (p *planner) alternatePools(ranks []jobRank) []*batch.Job {
+	byPool := map[string][]jobRank{}
 	var pools []string
-	for _, j := range jobs {
-		pool := p.in.State.QueueOf(j).GetPool()
+	for _, r := range ranks {
+		pool := p.in.State.QueueOf(r.job).GetPool()
 		if byPool[pool] == nil {
 			pools = append(pools, pool)
 		}
-		byPool[pool] = append(byPool[pool], j)
+		byPool[pool] = append(byPool[pool], r)
 	}
-	out := make([]*batch.Job, 0, len(jobs))
-	for i := 0; len(out) < len(jobs); i++ {
-		for _, pool := range pools {
-			if i < len(byPool[pool]) {
-				out = append(out, byPool[pool][i])
+	out := make([]*batch.Job, 0, len(ranks))
+	for class := onTime; len(out) < len(ranks); class++ {
+		for added := true; added; {
+			added = false
+			for _, pool := range pools {
+				if next := byPool[pool]; len(next) > 0 && next[0].lateness <= class {
+					out, byPool[pool], added = append(out, next[0].job), next[1:], true
+				}
 			}
 		}
 	}
@@ -106,7 +115,8 @@
 	return cmp.Compare(b.due, a.due)
 }
 
-// rankJob computes the rank of a job by its first occurrence.
+// rankJob computes the rank of a job by its first occurrence. Long-running jobs, and
+// those of a queue without a latency limit, are always on time.
 func (p *planner) rankJob(j *batch.Job) jobRank {
 	q := p.in.State.QueueOf(j)
 	limit := latencyLimitMS(q, j)
@@ -117,6 +127,8 @@
 	}
 	remaining := p.remainingCriticalPathMS(j)
 	switch {
+	case r.isLongRunning || limit == 0:
+		r.lateness = onTime
 	case p.in.NowUnixMS+remaining <= dueMS+limit:
 		r.lateness = onTime
 	case p.in.NowUnixMS+remaining <= dueMS+lateFactor*limit:
