dispatch: refuse jobs that the leader can't start in time

Cause: nothing bounds the accepted work. Each planning round and each round of the fleet manager walks through all of it.

Change: when the window of starts has limited all planning rounds for 0.4 s, the rate of answered starts is the leader's limit. A job whose pool's waiting tasks, all accepted work included, can't be started within the time that the job can lose is refused with QUEUE_FULL, and its Retry-After grows with the backlog of its pool, spread over twice that. A refusal is true: a job that is in the state, or whose submission may still be committed, isn't refused.

--- a/internal/batchservice/calls.go
+++ b/internal/batchservice/calls.go
@@ -17,9 +17,9 @@
 // leader that gets none within this time is assumed to have lost leadership.
 const confirmTimeout = time.Second
 
-// submit proposes a job. The call's path names the job id, the queue and the
+// submit proposes a job, unless it can't be started in time. The call's path names the job id, the queue and the
 // client account; those in the request's job are overwritten.
-func (s *Server) submit(ctx context.Context, _ *dispatch.Dispatcher, req *apiv1.SubmitBatchRequest) (*apiv1.SubmitBatchResponse, error) {
+func (s *Server) submit(ctx context.Context, d *dispatch.Dispatcher, req *apiv1.SubmitBatchRequest) (*apiv1.SubmitBatchResponse, error) {
 	caller, err := s.authorize(ctx, req.Call)
 	if err != nil {
 		return nil, err
@@ -36,11 +36,21 @@
 	if refused := batch.CheckJob(job); refused != nil {
 		return nil, refused
 	}
-	_, err = s.propose(ctx, &apiv1.BatchCommand{Body: &apiv1.BatchCommand_Submit{Submit: job}})
+	err = s.proposeJob(ctx, d, job)
 	s.logCall("job submitted", err, logrus.Fields{"job_id": job.Id, "queue": job.Queue, "account": job.Account, "steps": len(job.Steps)})
 	return &apiv1.SubmitBatchResponse{}, err
 }
 
+// proposeJob proposes the submission of a job, unless the dispatcher refuses the job.
+func (s *Server) proposeJob(ctx context.Context, d *dispatch.Dispatcher, job *apiv1.BatchJob) error {
+	if refused := d.AdmitJob(job); refused != nil {
+		return refused
+	}
+	_, err := s.propose(ctx, &apiv1.BatchCommand{Body: &apiv1.BatchCommand_Submit{Submit: job}})
+	d.SubmissionEnded(job.Id, err)
+	return err
+}
+
 // errWithout returns the error for a request that lacks a part.
 func errWithout(part string) error {
 	return result.NotRun(apiv1.ResultCode_RESULT_CODE_INVALID_ARGUMENT, "request has no %s", part)
--- /dev/null
+++ b/internal/dispatch/admission.go
@@ -0,0 +1,149 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+	"bergamotdrum.example/bergamotdrum/internal/placement"
+	"bergamotdrum.example/bergamotdrum/internal/result"
+	"bergamotdrum.example/bergamotdrum/internal/state"
+)
+
+const (
+	// limitedAge is how long after a planning round that had more tasks to start than
+	// the window of starts allowed the leader counts as the limit.
+	limitedAge = 250 * time.Millisecond
+	// startRateWindow is the shortest time over which the rate of starts is measured.
+	startRateWindow = 400 * time.Millisecond
+	// waitingInterval is the shortest time between two counts of the waiting tasks.
+	waitingInterval = 100 * time.Millisecond
+	// minSubmitRetryAfter is the shortest time after which a refused caller is asked to
+	// come back.
+	minSubmitRetryAfter = time.Second
+)
+
+// admission refuses jobs that the leader can't start in time (see
+// placement.Admission). It refuses none unless the leader has been the limit for
+// startRateWindow.
+type admission struct {
+	mu sync.Mutex
+	// decider is nil until the rate of starts is known.
+	decider   *placement.Admission
+	countedAt time.Duration
+	// limitedAt is the last planning round that the window of starts limited,
+	// limitedSince the first of an unbroken series.
+	limitedAt, limitedSince time.Duration
+	// answersSince is the number of answered starts at limitedSince.
+	answersSince uint64
+	// proposed holds the jobs whose submission was proposed in this term and that may
+	// not be in the state yet. They must not be refused: a job that is refused must
+	// not run.
+	proposed map[string]bool
+}
+
+func newAdmission() *admission { return &admission{proposed: map[string]bool{}} }
+
+// observeRound records whether the window of starts limited a planning round, and
+// how many starts were answered during the term.
+func (a *admission) observeRound(now time.Duration, limited bool, answers uint64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !limited {
+		return
+	}
+	if a.limitedAt == 0 || now-a.limitedAt > limitedAge {
+		a.limitedSince, a.answersSince = now, answers
+		a.decider = nil
+	}
+	a.limitedAt = now
+	if elapsed := now - a.limitedSince; elapsed >= startRateWindow {
+		if a.decider == nil {
+			a.decider = &placement.Admission{}
+		}
+		a.decider.StartsPerSecond = float64(answers-a.answersSince) / elapsed.Seconds()
+		a.limitedSince, a.answersSince = now, answers
+	}
+}
+
+// isLimited reports whether the leader is the limit, and whether the waiting tasks are
+// to be counted again.
+func (a *admission) isLimited(now time.Duration) (limited, countDue bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	limited = a.decider != nil && now-a.limitedAt <= limitedAge
+	return limited, limited && (a.decider.Waiting == nil || now-a.countedAt >= waitingInterval)
+}
+
+func (a *admission) setWaiting(now time.Duration, waiting map[string]int64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.decider != nil {
+		a.decider.Waiting, a.countedAt = waiting, now
+	}
+}
+
+// decide returns zero when the job is accepted, and then counts it. Otherwise it
+// returns after how long the caller may come back.
+func (a *admission) decide(q *apiv1.BatchQueue, j *apiv1.BatchJob) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.decider != nil && a.decider.Waiting != nil && !a.proposed[j.Id] {
+		if wait := a.decider.Decide(q, j); wait > 0 {
+			return wait
+		}
+		a.decider.Add(q, j)
+	}
+	a.proposed[j.Id] = true
+	return 0
+}
+
+// AdmitJob returns nil when a job may be submitted. Then SubmissionEnded is called
+// with the outcome. Otherwise the error says that the job was not accepted and when
+// the caller may come back.
+func (d *Dispatcher) AdmitJob(j *apiv1.BatchJob) *result.Error {
+	now := d.clock.Now()
+	limited, countDue := d.admission.isLimited(now)
+	known := false
+	var waiting map[string]int64
+	d.opts.StateMachine.Read(func(st *state.State) {
+		known = st.Batch.Job(j.Id) != nil
+		if countDue {
+			waiting = placement.WaitingTasks(st.Batch)
+		}
+	})
+	if countDue {
+		d.admission.setWaiting(now, waiting)
+	}
+	if known || !limited {
+		d.admission.markProposed(j.Id)
+		return nil
+	}
+	wait := d.admission.decide(j.AcceptedQueue, j)
+	if wait == 0 {
+		return nil
+	}
+	d.metrics.jobsRefused.Inc()
+	err := result.NotRun(apiv1.ResultCode_RESULT_CODE_QUEUE_FULL, "queue %s has more tasks than can be started in time; submit the job again later", j.Queue)
+	// Callers that were refused together are not to return together.
+	err.RetryAfter = minSubmitRetryAfter + wait + rand.N(wait)
+	return err
+}
+
+func (a *admission) markProposed(id string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.proposed[id] = true
+}
+
+// SubmissionEnded records the outcome of a job's submission. A job whose submission
+// may still be committed stays among those that are not refused.
+func (d *Dispatcher) SubmissionEnded(id string, err error) {
+	if err != nil && !result.From(err).NotRun {
+		return
+	}
+	d.admission.mu.Lock()
+	defer d.admission.mu.Unlock()
+	delete(d.admission.proposed, id)
+}
--- /dev/null
+++ b/internal/dispatch/admission_test.go
@@ -0,0 +1,77 @@
+package dispatch
+
+import (
+	"errors"
+	"io"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+
+	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+	"bergamotdrum.example/bergamotdrum/internal/result"
+	"bergamotdrum.example/bergamotdrum/internal/state"
+)
+
+// newIdleDispatcher returns a dispatcher that doesn't run, of a process that started a
+// minute ago.
+func newIdleDispatcher(t *testing.T) (*Dispatcher, *fakeNode) {
+	quiet := logrus.New()
+	quiet.SetOutput(io.Discard)
+	node := &fakeNode{machine: state.New()}
+	d := New(t.Context(), 1, Options{
+		StateMachine: node.machine, Node: node, Clock: bubbleClock{time.Now().Add(-time.Minute)}, Log: logrus.NewEntry(quiet),
+	}, NewMetrics(nil))
+	return d, node
+}
+
+// limitStarts makes the leader the limit: one of its tasks is answered in each of the
+// planning rounds of half a second.
+func limitStarts(d *Dispatcher) {
+	for i := range 6 {
+		d.admission.observeRound(d.clock.Now()-time.Duration(5-i)*100*time.Millisecond, true, uint64(i))
+	}
+}
+
+func newRefusedJob(id string) *apiv1.BatchJob {
+	return &apiv1.BatchJob{
+		Id: id, Queue: "q", AcceptedQueue: &apiv1.BatchQueue{Name: "q", Pool: "p", MaxAttempts: 3, StretchMilli: 1000, TargetLatencyMs: 1000},
+		Steps: []*apiv1.BatchStep{{Count: 100, EstimatedMs: 10}},
+	}
+}
+
+// Guards against jobs that are refused although the leader isn't the limit, and
+// against callers that aren't told when to come back.
+func TestJobsAreRefusedOnlyAtTheLeadersLimit(t *testing.T) {
+	g := NewWithT(t)
+	d, _ := newIdleDispatcher(t)
+	g.Expect(d.AdmitJob(newRefusedJob("a"))).To(BeNil())
+	d.admission.observeRound(d.clock.Now()-time.Second, true, 0)
+	g.Expect(d.AdmitJob(newRefusedJob("b"))).To(BeNil(), "one round says nothing")
+	limitStarts(d)
+	err := d.AdmitJob(newRefusedJob("c"))
+	g.Expect(err).NotTo(BeNil())
+	g.Expect(err.NotRun).To(BeTrue())
+	g.Expect(err.RetryAfter).To(BeNumerically(">", minSubmitRetryAfter))
+}
+
+// Guards against "not run" for a job that runs: its submission was committed, or may
+// still be.
+func TestJobThatMayBeAcceptedIsNotRefused(t *testing.T) {
+	g := NewWithT(t)
+	d, node := newIdleDispatcher(t)
+	pending, lost, refused, known := newRefusedJob("pending"), newRefusedJob("lost"), newRefusedJob("refused"), newRefusedJob("known")
+	for _, j := range []*apiv1.BatchJob{pending, lost, refused} {
+		g.Expect(d.AdmitJob(j)).To(BeNil())
+	}
+	d.SubmissionEnded(lost.Id, errors.New("the outcome is unknown"))
+	d.SubmissionEnded(refused.Id, result.NotRun(apiv1.ResultCode_RESULT_CODE_NO_QUORUM, "not proposed"))
+	_, err := node.Propose(t.Context(), &apiv1.Command{Body: &apiv1.Command_Batch{Batch: &apiv1.BatchCommand{Body: &apiv1.BatchCommand_Submit{Submit: known}}}})
+	g.Expect(err).NotTo(HaveOccurred())
+	limitStarts(d)
+	for _, j := range []*apiv1.BatchJob{pending, lost, known} {
+		g.Expect(d.AdmitJob(j)).To(BeNil(), j.Id)
+	}
+	g.Expect(d.AdmitJob(refused)).NotTo(BeNil())
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -93,6 +93,7 @@
 	targetsReadAt   time.Duration
 
 	startWindow *startWindow
+	admission   *admission
 
 	// endedIncarnations counts the incarnations that ended or were replaced during
 	// the term, so that each new session, the leader's exchange with one
@@ -115,6 +116,7 @@
 		sessions:          map[batch.Incarnation]*session{},
 		latest:            map[string]int64{},
 		startWindow:       newStartWindow(),
+		admission:         newAdmission(),
 	}
 	d.confirmedAt.Store(int64(now))
 	d.ends.wakeup = make(chan struct{}, 1)
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -20,6 +20,7 @@
 	planSeconds     prometheus.Histogram
 	startWindow     prometheus.Gauge
 	startsInFlight  prometheus.Gauge
+	jobsRefused     prometheus.Counter
 }
 
 // Metrics holds the metrics of all dispatchers of a process, one for each term.
@@ -54,9 +55,12 @@
 		startsInFlight: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "bergamot_batch_starts_in_flight", Help: "Committed starts whose order is not answered, at the last planning round.",
 		}),
+		jobsRefused: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "bergamot_batch_jobs_refused_total", Help: "Submissions refused since the leader could not start the job's tasks in time.",
+		}),
 	}
 	if r != nil {
-		r.MustRegister(m.startsCommitted, m.runsEnded, m.startsRefused, m.minionsCrashed, m.startSeconds, m.planSeconds, m.startWindow, m.startsInFlight)
+		r.MustRegister(m.startsCommitted, m.runsEnded, m.startsRefused, m.minionsCrashed, m.startSeconds, m.planSeconds, m.startWindow, m.startsInFlight, m.jobsRefused)
 	}
 	return &Metrics{m}
 }
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -108,7 +108,7 @@
 // plan returns the starts to commit now.
 func (d *Dispatcher) plan() []*apiv1.StartedRun {
 	now := d.clock.Now()
-	window, inFlight := d.startWindow.status()
+	window, inFlight, answers := d.startWindow.status()
 	d.metrics.startWindow.Set(float64(window))
 	d.metrics.startsInFlight.Set(float64(inFlight))
 	in := placement.Input{
@@ -128,6 +128,7 @@
 	}
 	var starts []*apiv1.StartedRun
 	if in.MaxStarts <= 0 {
+		d.admission.observeRound(now, true, answers)
 		return nil
 	}
 	d.opts.StateMachine.Read(func(st *state.State) {
@@ -137,6 +138,7 @@
 		}
 		starts = placement.Plan(in)
 	})
+	d.admission.observeRound(now, len(starts) >= in.MaxStarts, answers)
 	return starts
 }
 
--- a/internal/dispatch/startwindow.go
+++ b/internal/dispatch/startwindow.go
@@ -31,23 +31,25 @@
 	mu       sync.Mutex
 	size     float64
 	inFlight int
-	// answers counts the answers since the last decrease.
-	answers int
+	// answers counts the answers since the last decrease, totalAnswers all.
+	answers      int
+	totalAnswers uint64
 }
 
 func newStartWindow() *startWindow { return &startWindow{size: maxStartWindow} }
 
 // free returns how many more starts may be committed now.
 func (w *startWindow) free() int {
-	size, inFlight := w.status()
+	size, inFlight, _ := w.status()
 	return size - inFlight
 }
 
-// status returns the size of the window and the starts in flight.
-func (w *startWindow) status() (size, inFlight int) {
+// status returns the size of the window, the starts in flight and the number of
+// answers so far.
+func (w *startWindow) status() (size, inFlight int, answers uint64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return int(w.size), w.inFlight
+	return int(w.size), w.inFlight, w.totalAnswers
 }
 
 // begin counts a committed start whose order is to be sent.
@@ -67,6 +69,7 @@
 		return
 	}
 	w.answers++
+	w.totalAnswers++
 	switch {
 	case duration < lateStart:
 		w.size = min(w.size+startWindowIncrease/w.size, maxStartWindow)
--- a/internal/placement/demand.go
+++ b/internal/placement/demand.go
@@ -58,7 +58,7 @@
 // addJobDemand adds the demand of a job's due occurrences, the repetitions of a
 // recurring job.
 func addJobDemand(d *Demand, q *apiv1.BatchQueue, j *batch.Job, nowUnixMS int64) {
-	limit := latencyLimitMS(q, j)
+	limit := latencyLimitMS(q, j.BatchJob)
 	for k := range j.NumOccurrences() {
 		if !j.IsDue(k, nowUnixMS) {
 			return
--- a/internal/placement/lateness.go
+++ b/internal/placement/lateness.go
@@ -24,7 +24,7 @@
 const lateFactor = 3
 
 // latencyLimitMS returns the latency limit of a job of the queue in milliseconds.
-func latencyLimitMS(q *apiv1.BatchQueue, j *batch.Job) int64 {
+func latencyLimitMS(q *apiv1.BatchQueue, j *apiv1.BatchJob) int64 {
 	return criticalPathMS(j)*int64(q.GetStretchMilli())/1000 + int64(q.GetTargetLatencyMs())
 }
 
@@ -33,6 +33,6 @@
 // tasks started now. It is negative once the limit can't be met. Steps of which no
 // task waits are taken as done: they need no further capacity.
 func slackMS(limitMS int64, j *batch.Job, occurrence uint32, nowMS int64) int64 {
-	remaining := criticalPathWithoutMS(j, func(step int) bool { return j.Waiting(occurrence, uint32(step)) == 0 })
+	remaining := criticalPathWithoutMS(j.BatchJob, func(step int) bool { return j.Waiting(occurrence, uint32(step)) == 0 })
 	return j.DueMS(occurrence) + limitMS - nowMS - remaining
 }
--- a/internal/placement/rank.go
+++ b/internal/placement/rank.go
@@ -119,10 +119,10 @@
 // those of a queue without a latency limit, are always on time.
 func (p *planner) rankJob(j *batch.Job) jobRank {
 	q := p.in.State.QueueOf(j)
-	limit := latencyLimitMS(q, j)
+	limit := latencyLimitMS(q, j.BatchJob)
 	dueMS := j.DueMS(0)
 	r := jobRank{
-		job: j, priority: q.GetPriority(), due: dueMS, deadline: dueMS + limit, isLongRunning: hasLongRunning(j),
+		job: j, priority: q.GetPriority(), due: dueMS, deadline: dueMS + limit, isLongRunning: hasLongRunning(j.BatchJob),
 		begun: j.State != apiv1.BatchState_BATCH_STATE_QUEUED,
 	}
 	remaining := p.remainingCriticalPathMS(j)
@@ -141,25 +141,25 @@
 
 // hasLongRunning reports whether any step of the job is long-running: its tasks
 // run until the job is canceled.
-func hasLongRunning(j *batch.Job) bool {
+func hasLongRunning(j *apiv1.BatchJob) bool {
 	return slices.ContainsFunc(j.Steps, func(s *apiv1.BatchStep) bool { return s.LongRunning })
 }
 
 // criticalPathMS returns the estimated duration of the longest chain of
 // dependent steps, in milliseconds.
-func criticalPathMS(j *batch.Job) int64 {
+func criticalPathMS(j *apiv1.BatchJob) int64 {
 	return criticalPathWithoutMS(j, func(int) bool { return false })
 }
 
 // remainingCriticalPathMS is criticalPathMS without the steps of the first
 // occurrence that are done.
 func (p *planner) remainingCriticalPathMS(j *batch.Job) int64 {
-	return criticalPathWithoutMS(j, func(step int) bool { return j.Progress(0, uint32(step)).Done == j.Steps[step].Count })
+	return criticalPathWithoutMS(j.BatchJob, func(step int) bool { return j.Progress(0, uint32(step)).Done == j.Steps[step].Count })
 }
 
 // criticalPathWithoutMS returns the critical path in milliseconds, with done
 // steps counted as 0. Steps depend only on steps before them in the list.
-func criticalPathWithoutMS(j *batch.Job, done func(step int) bool) int64 {
+func criticalPathWithoutMS(j *apiv1.BatchJob, done func(step int) bool) int64 {
 	ends := make([]int64, len(j.Steps))
 	longest := int64(0)
 	for i, step := range j.Steps {
