--- a/internal/batchservice/calls.go
+++ b/internal/batchservice/calls.go
@@ -17,8 +17,9 @@
 // leader that gets none within this time is assumed to have lost leadership.
 const confirmTimeout = time.Second
 
-// submit proposes a job, unless it can't be started in time. The call's path names the job id, the queue and the
-// client account; those in the request's job are overwritten.
+// submit proposes a job, unless it can't be started in time. The call's path names
+// the job id, the queue and the client account; those in the request's job are
+// overwritten.
 func (s *Server) submit(ctx context.Context, d *dispatch.Dispatcher, req *apiv1.SubmitBatchRequest) (*apiv1.SubmitBatchResponse, error) {
 	caller, err := s.authorize(ctx, req.Call)
 	if err != nil {
