--- a/internal/dispatch/fakecluster_test.go
+++ b/internal/dispatch/fakecluster_test.go
@@ -110,13 +110,14 @@
 	startedMS   int64
 	started     time.Time
 	unreachable bool
-	// crashed is set when the process has ended: connections are refused.
-	crashed      bool
-	token        uint64
-	leaseUntilMS int64
-	running      map[batch.RunKey]time.Time
-	ended        []ReportedEnd
-	lastEnd      uint64
+	// crashed is set when the process has ended: connections are refused. refuses is
+	// set while they are refused although the process goes on.
+	crashed, refuses bool
+	token            uint64
+	leaseUntilMS     int64
+	running          map[batch.RunKey]time.Time
+	ended            []ReportedEnd
+	lastEnd          uint64
 	// highest is the highest run number that was stopped or ended, by task.
 	highest map[batch.TaskRef]uint32
 	// lastEndBeforeLapse is the number of the last end before the lease expired. An
@@ -228,7 +229,7 @@
 		c.mu.Unlock()
 		<-ctx.Done()
 		return ctx.Err()
-	case m.crashed:
+	case m.crashed || m.refuses:
 		c.mu.Unlock()
 		return syscall.ECONNREFUSED
 	case roll < c.lostRequestPercent+c.delayedRequestPercent:
