batch: clear the loss of a minion when it answers, not when an announcement arrives

The bound of five crashes and losses leaves no margin: each of the first five crashes has to count. A minion that crashes and is back only after its lease counts as lost for an unknown reason, and any announcement of that incarnation cleared the loss. An announcement that was sent before the crash and arrives after the lease (a slow link, a paused replica that forwards it) records the ended incarnation again and clears its loss, so the task is started without bound.

TestDeadlyTaskIsGivenUp has the case "back after the lease, late announcement". On the code before it failed with 34 starts in place of 5; TestLossOfMinionThatAnswersAgainIsCleared failed since an announcement of a silent minion cleared the loss. TestUnexplainedLossesCountUntilMinionIsHeardAgain asserted that an announcement clears the loss, which is the fault; its successor, TestUnexplainedLossesCountUntilMinionAnswersAgain, asserts that an announcement doesn't and that an answer does, and failed before with 0 losses in place of 4.

Now the leader commits that a lost incarnation answered a hold call, and only that clears its losses.

Ruled out by reading, no run: gangs and copies (the soak has none), long-running tasks (none in the soak), a count in the soak's checker. Not ruled out: a crash on a machine whose maintenance was ordered, or may have been, counts as planned, so not at all.

--- a/internal/batch/crashes.go
+++ b/internal/batch/crashes.go
@@ -14,7 +14,7 @@
 	// three crashes.
 	MaxCrashes = 3
 	// maxLosses is the number of crashes and unexplained losses of minions under one
-	// task, or gang, at which its job fails. A minion that was cut off is heard again
+	// task, or gang, at which its job fails. A minion that was cut off answers again
 	// later, so this many losses that stay unexplained are crashes.
 	maxLosses = 5
 	// youngRunMS is the age of a run of a long-running step from which a crash is
@@ -40,7 +40,7 @@
 func (r crashRecord) possible() uint32 { return *r.crashes + uint32(len(*r.lostOn)) }
 
 // Crashes returns how many minions have crashed under the task, or may have: those
-// that were lost for an unknown reason and not heard again count too. For a gang (a
+// that were lost for an unknown reason and didn't answer again count too. For a gang (a
 // step whose tasks run only together) it counts those under the gang. It is zero for
 // a task that has not begun, and once the job has ended and has no runs left.
 func (j *Job) Crashes(ref TaskRef) uint32 {
@@ -95,7 +95,7 @@
 	s.losses[incarnation] = append(s.losses[incarnation], ref)
 }
 
-// clearLosses removes an incarnation that is heard again from the crash records: it
+// clearLosses removes an incarnation that answered again from the crash records: it
 // was only cut off or suspended.
 func (s *State) clearLosses(incarnation Incarnation) {
 	for _, ref := range s.losses[incarnation] {
@@ -130,3 +130,7 @@
 		s.addLoss(ref, m)
 	}
 }
+
+// HasLosses reports whether unexplained losses of an incarnation, one lifetime of a
+// minion's process, count against tasks.
+func (s *State) HasLosses(incarnation Incarnation) bool { return len(s.losses[incarnation]) > 0 }
--- a/internal/batch/crashes_test.go
+++ b/internal/batch/crashes_test.go
@@ -117,9 +117,10 @@
 }
 
 // Guards against starts without end of a task whose minions vanish for longer than
-// their leases, and against a task that is given up because its minions were cut off
+// their leases, also when an announcement arrives that such a minion had sent before
+// it crashed, and against a task that is given up because its minions were cut off
 // for a while, also when a replica restarts from a snapshot in between.
-func TestUnexplainedLossesCountUntilMinionIsHeardAgain(t *testing.T) {
+func TestUnexplainedLossesCountUntilMinionAnswersAgain(t *testing.T) {
 	f := newFixture(t)
 	f.submit("j", "b", step(1))
 	task, run := ref("j", 0, 0), uint32(0)
@@ -128,12 +129,19 @@
 		f.startAndEnd(task, run, apiv1.RunEnd_RUN_END_MINION_LOST, 0)
 		f.s.Restore(proto.CloneOf(f.s.Snapshot()))
 	}
+	observe := func(o *apiv1.ObserveMinions) {
+		f.apply(&apiv1.BatchCommand{Body: &apiv1.BatchCommand_ObserveMinions{ObserveMinions: o}})
+	}
+	m1 := f.s.Minion("m1")
 	for range maxLosses - 1 {
 		lose()
 	}
+	f.Expect(f.s.HasLosses(IncarnationOf(m1.Life))).To(BeTrue())
+	observe(&apiv1.ObserveMinions{Minions: []*apiv1.BatchMinion{m1}})
 	f.Expect(f.s.Job("j").Crashes(task)).To(BeEquivalentTo(maxLosses - 1))
-	f.apply(&apiv1.BatchCommand{Body: &apiv1.BatchCommand_ObserveMinions{ObserveMinions: &apiv1.ObserveMinions{Minions: []*apiv1.BatchMinion{f.s.Minion("m1")}}}})
+	observe(&apiv1.ObserveMinions{Answered: []*apiv1.MinionLife{m1.Life}})
 	f.Expect(f.s.Job("j").Crashes(task)).To(BeZero())
+	f.Expect(f.s.HasLosses(IncarnationOf(m1.Life))).To(BeFalse())
 	for range maxLosses {
 		f.Expect(f.state("j")).To(Equal(apiv1.BatchState_BATCH_STATE_RUNNING))
 		lose()
--- a/internal/batch/minions.go
+++ b/internal/batch/minions.go
@@ -14,13 +14,13 @@
 // that they have ended. An announcement without an id is ignored, and so is one
 // that is older than the recorded one, except that it drains: an incarnation that
 // drains is about to end and never gets work again. Runs (executions of tasks) on
-// an incarnation that is gone end as lost.
+// an incarnation that is gone end as lost. Losses of incarnations that answered again
+// are cleared.
 func (s *State) observeMinions(logTimeMS int64, cmd *apiv1.ObserveMinions) {
 	for _, m := range cmd.Minions {
 		if m.Life.GetId() == "" {
 			continue
 		}
-		s.clearLosses(IncarnationOf(m.Life))
 		known := s.minions[m.Life.Id]
 		switch {
 		case known == nil || known.Life.BornUnixMs < m.Life.BornUnixMs:
@@ -29,6 +29,9 @@
 			s.setMinion(laterAnnouncement(known, m))
 		}
 	}
+	for _, life := range cmd.Answered {
+		s.clearLosses(IncarnationOf(life))
+	}
 	for _, gone := range cmd.Gone {
 		incarnation := IncarnationOf(gone)
 		for _, r := range s.loads[incarnation].Runs() {
--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"context"
 	"errors"
 	"syscall"
 	"time"
@@ -148,6 +149,29 @@
 	return apiv1.RunEnd_RUN_END_MINION_LOST
 }
 
+// clearLosses commits that the session's incarnation has answered, if it was lost
+// before for an unknown reason. It does so once for each session, since an
+// incarnation is lost only when its session ends.
+func (s *session) clearLosses(ctx context.Context) {
+	if s.lossesCleared {
+		return
+	}
+	inc := s.target.Incarnation
+	lost := false
+	s.d.opts.StateMachine.Read(func(st *state.State) { lost = st.Batch.HasLosses(inc) })
+	if lost {
+		ctx, cancel := context.WithTimeout(ctx, holdWait) // the next hold call must not wait for long
+		defer cancel()
+		answered := &apiv1.ObserveMinions{Answered: []*apiv1.MinionLife{inc.Message()}}
+		if _, err := s.d.propose(ctx, &apiv1.BatchCommand{Body: &apiv1.BatchCommand_ObserveMinions{ObserveMinions: answered}}); err != nil {
+			s.log.WithError(err).Warn("answer of a lost minion was not committed; its next answer is")
+			return
+		}
+		s.log.Info("minion that was lost answers again")
+	}
+	s.lossesCleared = true
+}
+
 // logGivenUp logs the jobs that failed because minions crashed under a task.
 func (d *Dispatcher) logGivenUp(tasks []*apiv1.TaskName) {
 	for _, t := range tasks {
--- a/internal/dispatch/crashes_test.go
+++ b/internal/dispatch/crashes_test.go
@@ -53,6 +53,14 @@
 				h.announce(h.cluster.addAt(m.address, otherID(m)))
 			}
 		},
+		"back after the lease, late announcement": func(h *harness) func(m *fakeMinion) {
+			return func(m *fakeMinion) {
+				h.setUnreachable(m, true)
+				time.Sleep(2 * testMaxLease)
+				h.announce(m)
+				h.announce(h.cluster.addAt(m.address, otherID(m)))
+			}
+		},
 		"leader changes": func(h *harness) func(m *fakeMinion) {
 			return func(m *fakeMinion) {
 				h.endTerm()
@@ -79,7 +87,7 @@
 				h.cluster.mu.Unlock()
 				time.Sleep(2 * restartDelay)
 				most := batch.MaxCrashes
-				if name == "back after the lease" {
+				if strings.HasPrefix(name, "back after the lease") {
 					most += 2 // a third start after three crashes would be one too many
 				}
 				g.Expect(h.cluster.deadlyStarts).To(Equal(most))
@@ -163,6 +171,43 @@
 	}
 }
 
+// Guards against a loss that counts against a task although the minion was only cut
+// off for longer than its lease: it answers again, in the same term or the next one.
+func TestLossOfMinionThatAnswersAgainIsCleared(t *testing.T) {
+	for name, leaderChanges := range map[string]bool{"same leader": false, "leader changes": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				h := newHarness(t, 1)
+				defer func() { h.endTerm() }()
+				h.cluster.endless = true
+				m := h.cluster.add("m0")
+				h.announce(m)
+				h.submit("job0", 1)
+				time.Sleep(2 * testMaxLease)
+				h.setUnreachable(m, true)
+				time.Sleep(3 * testMaxLease)
+				_, possible := h.crashes(batch.TaskRef{Job: "job0"})
+				g.Expect(possible).To(BeEquivalentTo(1))
+				if leaderChanges {
+					h.endTerm()
+					h.startTerm()
+				}
+				h.announce(m)
+				time.Sleep(time.Second)
+				_, possible = h.crashes(batch.TaskRef{Job: "job0"})
+				g.Expect(possible).To(BeEquivalentTo(1), "only an announcement arrived")
+				h.setUnreachable(m, false)
+				time.Sleep(2 * testMaxLease)
+				h.announce(m)
+				time.Sleep(time.Second)
+				_, possible = h.crashes(batch.TaskRef{Job: "job0"})
+				g.Expect(possible).To(BeZero())
+			})
+		})
+	}
+}
+
 // orderMaintenance commits an order of maintenance that this term's leader didn't
 // give.
 func (h *harness) orderMaintenance(machine string) {
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -56,3 +56,21 @@
 
 // quarantined reports whether the minion gets no new work.
 func (h *healthRecord) quarantined(now time.Duration) bool { return now < h.quarantinedUntil }
+
+// usable reports whether the minion answers and takes orders: it answered
+// recently and has neither refused an order nor left a start order unanswered
+// lately. A quarantine, the exclusion from new work after failed runs, is not
+// considered.
+func (s *session) usable(now time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.answering || s.listsUncommitted || !s.lease.clockKnown || now-s.answeredAt >= maxHoldAge || now < s.backoffUntil {
+		return false
+	}
+	for _, o := range s.orders {
+		if o.state == orderSending && o.sentAt > 0 && now-o.sentAt > slowOrderThreshold {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -132,6 +132,9 @@
 	// backoffUntil is when a minion that refused an order may get new work again.
 	backoffUntil time.Duration
 	health       healthRecord
+	// lossesCleared is set once no loss of the incarnation counts as a possible crash.
+	// Only the goroutine of the hold calls uses it.
+	lossesCleared bool
 	// closing is set when the incarnation has ended and its end is being
 	// committed. The dispatcher's mu guards closing and notice.
 	closing bool
@@ -181,6 +184,7 @@
 			return
 		}
 		s.handleReply(ctx, reply, sentAt)
+		s.clearLosses(ctx)
 	}
 }
 
@@ -370,24 +374,6 @@
 	return nil
 }
 
-// usable reports whether the minion answers and takes orders: it answered
-// recently and has neither refused an order nor left a start order unanswered
-// lately. A quarantine, the exclusion from new work after failed runs, is not
-// considered.
-func (s *session) usable(now time.Duration) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !s.answering || s.listsUncommitted || !s.lease.clockKnown || now-s.answeredAt >= maxHoldAge || now < s.backoffUntil {
-		return false
-	}
-	for _, o := range s.orders {
-		if o.state == orderSending && o.sentAt > 0 && now-o.sentAt > slowOrderThreshold {
-			return false
-		}
-	}
-	return true
-}
-
 // sleep waits for d, or until ctx ends.
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
