dispatch: count a task as available only by a recent answer of a live incarnation

Callers see AVAIL on the large site under load: a long-running task is ended by an order while as many others of its step are away as may be. An order rests on the leader's view of the tasks, and the view had two holes. The tasks of an incarnation whose end was found, by a restart that is awaited or by a later announcement, counted as available for up to 1.5 s after the last answer. And an answer counted from the moment at which the leader processed it: on a busy leader its content is older by the time that the hold call and the processing took, without a bound.

Now a task counts as available only if its session is current, which excludes ended and replaced incarnations, and if the hold call whose answer shows it at full speed was sent within 2.5 s: the answer is held back for 1 s, and the next one is due 1.5 s after it. Everything else counts as away. The age is kept for each run, since an answer with unreadable rows doesn't list all.

TestOnlyFreshAnswersMakeTasksAvailable failed before, with all three tasks available while the end of an incarnation was being committed. With only the check of the incarnation, or only that of the age, taken out, it fails at the part that guards it.

--- a/internal/dispatch/availability.go
+++ b/internal/dispatch/availability.go
@@ -1,13 +1,21 @@
 package dispatch
 
 import (
+	"time"
+
 	"bergamotdrum.example/bergamotdrum/internal/batch"
 	"bergamotdrum.example/bergamotdrum/internal/state"
 )
 
-// fullSpeed is the RunStatus.SpeedPercent of a task that is not slowed down. It
-// is lower while a task starts up.
-const fullSpeed = 100
+const (
+	// fullSpeed is the RunStatus.SpeedPercent of a task that is not slowed down. It
+	// is lower while a task starts up.
+	fullSpeed = 100
+	// maxStatusAge is the age, from the sending of the hold call that returned it, at
+	// which a run's status is too old to show that its task is available. The reply
+	// may be held back for holdWait, and the next one arrives within maxHoldAge.
+	maxStatusAge = holdWait + maxHoldAge
+)
 
 // taskAvailability says which long-running tasks are available, that is, can do
 // their work, in one round of the fleet manager, which moves machines and takes
@@ -93,8 +101,9 @@
 	}
 }
 
-// availableTasks returns the long-running tasks that run at full speed, are not
-// being stopped, and whose machine has no unanswered maintenance order.
+// availableTasks returns the long-running tasks that run at full speed according to a
+// recent answer, are not being stopped, and whose incarnation is the minion's latest
+// one and has no unanswered maintenance order for its machine.
 func (f *fleetManager) availableTasks() map[batch.TaskRef]bool {
 	now := f.d.clock.Now()
 	out := map[batch.TaskRef]bool{}
@@ -103,12 +112,12 @@
 		ordered[f.maintainedIncarnation[machine]] = true
 	}
 	for _, s := range f.d.sessionList() {
-		if !s.usable(now) || ordered[s.target.Incarnation] {
+		if !f.d.isCurrent(s) || ordered[s.target.Incarnation] || !s.usable(now) {
 			continue
 		}
 		s.mu.Lock()
 		for key, o := range s.orders {
-			if o.isLongRunning && o.state == orderStarted && !o.released && !o.stopRequested && o.lastStatus.SpeedPercent >= fullSpeed {
+			if o.isAvailable(now) {
 				out[key.TaskRef] = true
 			}
 		}
@@ -116,3 +125,10 @@
 	}
 	return out
 }
+
+// isAvailable reports whether the run of a long-running task was at full speed when
+// the minion last listed it, which is not long ago, and is not being stopped.
+func (o *runOrder) isAvailable(now time.Duration) bool {
+	return o.isLongRunning && o.state == orderStarted && !o.released && !o.stopRequested &&
+		o.lastStatus.SpeedPercent >= fullSpeed && now-o.statusAt < maxStatusAge
+}
--- /dev/null
+++ b/internal/dispatch/availability_test.go
@@ -0,0 +1,85 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+	"bergamotdrum.example/bergamotdrum/internal/batch"
+)
+
+// minionOf returns the minion at an address and how many runs it executes.
+func (h *harness) minionOf(address string) (m *fakeMinion, runs int) {
+	h.cluster.mu.Lock()
+	defer h.cluster.mu.Unlock()
+	m = h.cluster.minions[address]
+	return m, len(m.running)
+}
+
+// unavailable returns how many tasks of the long-running step don't run.
+func (h *harness) unavailable() int {
+	running := 0
+	for i := range 3 {
+		_, runs := h.minionOf(fmt.Sprint("m", i))
+		running += runs
+	}
+	return longRunningTasks - running
+}
+
+// newSpreadWaveHarness is like newWaveHarness, with one long-running task on each
+// machine and no room for a second one, so that a task stays unavailable until its
+// machine is back.
+func newSpreadWaveHarness(t *testing.T) (*harness, *fakeProvider) {
+	h, p := newWaveHarness(t)
+	h.propose(&apiv1.BatchCommand{Body: &apiv1.BatchCommand_Cancel{Cancel: &apiv1.CancelBatchJob{JobId: "long-running", AnyAccount: true}}})
+	h.propose(&apiv1.BatchCommand{Body: &apiv1.BatchCommand_Submit{Submit: &apiv1.BatchJob{
+		Id: "spread", Queue: "q", AcceptedQueue: &apiv1.BatchQueue{Name: "q", Pool: "p"},
+		Steps: []*apiv1.BatchStep{{Count: longRunningTasks, Resources: &apiv1.Resources{CpuMillis: 1000}, LongRunning: true, MaxUnavailable: 1, MaxPerMinion: 1}},
+	}}})
+	time.Sleep(3 * time.Second)
+	if n := h.unavailable(); n > 0 {
+		t.Fatalf("%d tasks don't run", n)
+	}
+	return h, p
+}
+
+// Guards against the tasks of an incarnation, a lifetime of a minion's process, that
+// count as available after it has ended: until its runs are released, or because the
+// last answers of its minion are old.
+func TestOnlyFreshAnswersMakeTasksAvailable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		h, _ := newSpreadWaveHarness(t)
+		defer h.endTerm()
+		d := h.dispatcher
+		m, _ := h.minionOf("m0")
+		inc := batch.Incarnation{ID: "m0", StartedMS: m.startedMS}
+		d.mu.Lock()
+		s := d.sessions[inc]
+		d.mu.Unlock()
+		g.Expect(d.fleet.availableTasks()).To(HaveLen(longRunningTasks))
+		d.mu.Lock()
+		s.closing = true
+		d.mu.Unlock()
+		g.Expect(d.fleet.availableTasks()).To(HaveLen(longRunningTasks-1), "its end is being committed")
+		d.mu.Lock()
+		s.closing = false
+		d.latest["m0"]++
+		d.mu.Unlock()
+		g.Expect(d.fleet.availableTasks()).To(HaveLen(longRunningTasks-1), "a later incarnation is known")
+		d.mu.Lock()
+		d.latest["m0"]--
+		d.mu.Unlock()
+		g.Expect(d.fleet.availableTasks()).To(HaveLen(longRunningTasks))
+		s.mu.Lock()
+		for _, o := range s.orders {
+			o.statusAt -= maxStatusAge
+		}
+		s.mu.Unlock()
+		g.Expect(d.fleet.availableTasks()).To(HaveLen(longRunningTasks-1), "the answer was awaited for too long")
+	})
+}
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -80,6 +80,8 @@
 	checkpoint string
 	// lastStatus is the last status that the minion reported.
 	lastStatus RunStatus
+	// statusAt is when the hold call was sent whose reply gave lastStatus.
+	statusAt time.Duration
 	// endInNextIncarnation is how the run ended when a delayed start order was
 	// carried out by the minion's next incarnation, that is, after a restart.
 	endInNextIncarnation apiv1.RunEnd
@@ -300,6 +302,9 @@
 	for _, r := range reply.Running {
 		running[r.Run] = true
 		s.observeRunning(r, now)
+		if o := s.orders[r.Run]; o != nil {
+			o.statusAt = max(o.statusAt, sentAt)
+		}
 	}
 	ended := map[batch.RunKey]bool{}
 	var ends []*apiv1.EndedRun
