dispatch: regard a machine as going down while its order is unanswered

Callers can see AVAIL when the machine API is slow: an order whose answer isn't awaited any more (2 s) may still be carried out. From then until the order was repeated, the leader counted the tasks on that machine as available and ordered the maintenance of another machine. A machine whose move had no answer was given new work as well, which the move then ended.

Now the incarnation on the machine is kept as ending while the order is sent, and for 2 s after a lost answer, unless the order was refused. Its tasks count as unavailable, and it gets no work. For the decisions of a round, tasks on each machine with a committed order of maintenance without known answer count as unavailable too, also when an earlier leader committed it.

TestUnansweredOrderMakesTasksUnavailable failed before: two tasks were unavailable after the second maintenance, and one may be. TestMachineWithPendingOrderGetsNoWork now also plays a move that is carried out 0.5 s after its answer is given up; with ending incarnations not reserved it failed with "m0 is moved while it executes 4 tasks that it got after the order". The stand-in now obeys the context of the call.

--- a/internal/dispatch/availability.go
+++ b/internal/dispatch/availability.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
 	"bergamotdrum.example/bergamotdrum/internal/batch"
 	"bergamotdrum.example/bergamotdrum/internal/state"
 )
@@ -62,15 +63,20 @@
 	return batch.RunKey{}, false
 }
 
-// taskAvailability returns the availability of all tasks now. It is empty while
-// no wave (a list of machines to be maintained) is open, since only waves use
-// it.
+// taskAvailability returns the availability of all tasks now, for the decisions of a
+// round: tasks on machines whose maintenance has been decided count as unavailable.
+// It is empty while no wave (a list of machines to be maintained) is open, since only
+// waves use it.
 func (f *fleetManager) taskAvailability() taskAvailability {
 	if !f.wavesOpen() {
 		return taskAvailability{}
 	}
 	t := taskAvailability{available: f.availableTasks(), unavailable: map[batch.TaskRef]int{}, usable: f.usableIncarnations(f.d.clock.Now())}
+	decided := f.incarnationsToMaintain()
 	f.d.opts.StateMachine.Read(func(st *state.State) {
+		for inc := range decided {
+			st.Batch.LoadOf(inc).Each(func(r *batch.ActiveRun) { delete(t.available, r.Ref) })
+		}
 		for _, j := range st.Batch.ActiveJobs() {
 			countUnavailable(j, t.available, t.unavailable)
 		}
@@ -78,6 +84,27 @@
 	return t
 }
 
+// incarnationsToMaintain returns the incarnations whose machine has an order of
+// maintenance that is about to be sent or whose answer isn't known.
+func (f *fleetManager) incarnationsToMaintain() map[batch.Incarnation]bool {
+	machines := f.orders.pendingMachines()
+	f.d.opts.StateMachine.Read(func(st *state.State) {
+		for _, w := range st.Batch.OpenWaves() {
+			for _, sv := range w.Services {
+				if sv.State == apiv1.MachineServiceState_MACHINE_SERVICE_STATE_ORDERED {
+					machines = append(machines, sv.Machine)
+				}
+			}
+		}
+	})
+	out := map[batch.Incarnation]bool{}
+	for _, machine := range machines {
+		out[f.incarnationOn(machine)] = true
+		out[f.maintainedIncarnation[machine]] = true
+	}
+	return out
+}
+
 // countUnavailable adds the tasks of a job that are not available to their
 // steps' counts. Tasks that don't run anywhere are included.
 func countUnavailable(j *batch.Job, available map[batch.TaskRef]bool, unavailable map[batch.TaskRef]int) {
@@ -103,16 +130,12 @@
 
 // availableTasks returns the long-running tasks that run at full speed according to a
 // recent answer, are not being stopped, and whose incarnation is the minion's latest
-// one and has no unanswered maintenance order for its machine.
+// one and isn't about to end.
 func (f *fleetManager) availableTasks() map[batch.TaskRef]bool {
 	now := f.d.clock.Now()
 	out := map[batch.TaskRef]bool{}
-	ordered := map[batch.Incarnation]bool{}
-	for _, machine := range f.orders.pendingMachines() {
-		ordered[f.maintainedIncarnation[machine]] = true
-	}
 	for _, s := range f.d.sessionList() {
-		if !f.d.isCurrent(s) || ordered[s.target.Incarnation] || !s.usable(now) {
+		if !f.d.isCurrent(s) || f.ending.contains(s.target.Incarnation, now) || !s.usable(now) {
 			continue
 		}
 		s.mu.Lock()
--- a/internal/dispatch/availability_test.go
+++ b/internal/dispatch/availability_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -12,6 +13,18 @@
 	"bergamotdrum.example/bergamotdrum/internal/batch"
 )
 
+// expectTasksKept fails the test when a maintenance ended a running task while the
+// step had as many unavailable tasks as it permits.
+func (p *fakeProvider) expectTasksKept(g Gomega) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i := range p.maintained {
+		if p.interrupted[i] > 0 {
+			g.Expect(p.interrupted[i]+p.unavailable[i]).To(BeNumerically("<=", 1), "maintenance %d of %v", i, p.maintained)
+		}
+	}
+}
+
 // minionOf returns the minion at an address and how many runs it executes.
 func (h *harness) minionOf(address string) (m *fakeMinion, runs int) {
 	h.cluster.mu.Lock()
@@ -47,6 +60,43 @@
 	return h, p
 }
 
+// lateProvider carries out the first order of maintenance later than its answer is
+// awaited.
+type lateProvider struct {
+	*fakeProvider
+	first string
+}
+
+func (p *lateProvider) StartMaintenance(ctx context.Context, o MachineOrder, wave uint64) error {
+	if p.first == "" {
+		p.first = o.Machine
+		time.AfterFunc(providerTimeout+time.Second/2, func() { _ = p.fakeProvider.StartMaintenance(context.Background(), o, wave) })
+	}
+	if p.first == o.Machine {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return p.fakeProvider.StartMaintenance(ctx, o, wave)
+}
+
+// Guards against tasks that count as available although an order without answer may
+// still take their machine down.
+func TestUnansweredOrderMakesTasksUnavailable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		h, p := newSpreadWaveHarness(t)
+		defer func() { h.endTerm() }()
+		h.endTerm()
+		h.fleet.Provider = &lateProvider{fakeProvider: p}
+		h.startTerm()
+		time.Sleep(2 * time.Second)
+		h.startWave()
+		time.Sleep(40 * time.Second)
+		p.expectTasksKept(g)
+		g.Expect(p.maintained).To(ConsistOf("m0", "m1", "m2"))
+	})
+}
+
 // Guards against the tasks of an incarnation, a lifetime of a minion's process, that
 // count as available after it has ended: until its runs are released, or because the
 // last answers of its minion are old.
--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -92,6 +93,8 @@
 	failedAt map[string]time.Duration
 	// movingTo holds the destination pools of machines that are moving.
 	movingTo map[string]string
+	// ending holds the incarnations that an order may end. It synchronizes itself.
+	ending endingIncarnations
 	// orders limits the orders and holds those that are not answered yet.
 	orders *machineOrders
 	// capacityLoggedAt is when the capacity of the pools was last logged.
@@ -116,6 +119,7 @@
 		maintainedIncarnation: map[string]batch.Incarnation{},
 		relocatedAt:           map[string]time.Duration{},
 		movingTo:              map[string]string{},
+		ending:                endingIncarnations{until: map[batch.Incarnation]time.Duration{}},
 		orders:                newMachineOrders(d.opts.Fleet.OrdersPerSecond),
 		idleSince:             map[string]time.Duration{},
 		samples:               map[string][]demandSample{},
@@ -197,7 +201,7 @@
 func (f *fleetManager) setReserved(machines []string, incarnations []batch.Incarnation) {
 	now := f.d.clock.Now()
 	reserved := map[batch.Incarnation]bool{}
-	for _, inc := range incarnations {
+	for _, inc := range slices.Concat(incarnations, f.ending.list(now)) {
 		reserved[inc] = true
 	}
 	since := map[string]time.Duration{}
@@ -242,7 +246,10 @@
 	// When a repeated order finds that the first one was carried out, another
 	// incarnation may run on the machine already, and must not be released.
 	incarnation batch.Incarnation
-	send        func(ctx context.Context) error
+	// affected is the incarnation that is on the machine when the order is sent, zero
+	// if none is known.
+	affected batch.Incarnation
+	send     func(ctx context.Context) error
 	// maintenance, the state of the machine's maintenance, and its wave are set
 	// for an order of maintenance, not for a move.
 	maintenance *apiv1.MachineService
@@ -265,6 +272,7 @@
 	if !f.d.leadershipConfirmed() || !f.orders.tryBegin(c.machine, f.d.clock.Now()) {
 		return false
 	}
+	c.affected = f.incarnationOn(c.machine)
 	f.d.wg.Go(func() { f.orders.recordAnswer(machineAnswer{c, f.executeOrder(c)}) })
 	return true
 }
@@ -281,7 +289,14 @@
 		return errNotSent
 	}
 	first := f.d.markOrdered(c.incarnation)
+	earlierUnanswered := f.ending.contains(c.affected, f.d.clock.Now())
+	f.ending.add(c.affected)
 	err := f.callProvider(c)
+	if outcomeOf(err).refused && !earlierUnanswered {
+		f.ending.remove(c.affected)
+	} else {
+		f.ending.expireAt(c.affected, f.d.clock.Now()+lateOrderTime)
+	}
 	if first && outcomeOf(err).refused {
 		f.d.unmarkOrdered(c.incarnation)
 	}
--- a/internal/dispatch/machineorders_test.go
+++ b/internal/dispatch/machineorders_test.go
@@ -56,18 +56,18 @@
 }
 
 // slowProvider answers a move long after the order was sent, and ends the minion
-// only then. It has the machines m0 and m1, each with a minion of the same name.
+// only then, also when the answer is no longer awaited. It has the machines m0 and m1,
+// each with a minion of the same name.
 type slowProvider struct {
-	harness *harness
-	mu      sync.Mutex
+	harness  *harness
+	moveTime time.Duration
+	mu       sync.Mutex
 	// ordered holds when each machine's move was ordered.
 	ordered map[string]time.Time
 	// moved holds the machines whose move is done.
 	moved map[string]bool
 }
 
-const moveTime = 900 * time.Millisecond
-
 func (p *slowProvider) Machines(context.Context) ([]Machine, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -83,11 +83,22 @@
 	return out, nil
 }
 
-func (p *slowProvider) Move(_ context.Context, o MachineOrder, _ string) error {
+func (p *slowProvider) Move(ctx context.Context, o MachineOrder, _ string) error {
 	p.mu.Lock()
-	p.ordered[o.Machine] = time.Now()
+	if _, again := p.ordered[o.Machine]; !again {
+		time.AfterFunc(p.moveTime, func() { p.finishMove(o) })
+		p.ordered[o.Machine] = time.Now()
+	}
 	p.mu.Unlock()
-	time.Sleep(moveTime)
+	select {
+	case <-time.After(p.moveTime):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (p *slowProvider) finishMove(o MachineOrder) {
 	p.harness.cluster.mu.Lock()
 	m := p.harness.cluster.minions[o.Machine]
 	if n := len(m.running); n > 0 {
@@ -99,7 +110,6 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.moved[o.Machine] = true
-	return nil
 }
 
 func (p *slowProvider) StartMaintenance(context.Context, MachineOrder, uint64) error {
@@ -107,8 +117,14 @@
 }
 
 // Guards against new work for a minion whose machine has an unanswered order,
-// which would end that work.
+// which would end that work, also when the answer is no longer awaited.
 func TestMachineWithPendingOrderGetsNoWork(t *testing.T) {
+	for _, moveTime := range []time.Duration{900 * time.Millisecond, providerTimeout + time.Second/2} {
+		t.Run(moveTime.String(), func(t *testing.T) { testMachineWithPendingOrder(t, moveTime) })
+	}
+}
+
+func testMachineWithPendingOrder(t *testing.T, moveTime time.Duration) {
 	synctest.Test(t, func(t *testing.T) {
 		h := newHarness(t, 1)
 		h.endTerm()
@@ -116,7 +132,7 @@
 			Version: 2, Pools: []*apiv1.BatchPool{{Name: "p"}, {Name: "off", Spare: true}},
 			Queues: []*apiv1.BatchQueue{{Name: "q", Pool: "p", MaxAttempts: 3}},
 		}}})
-		p := &slowProvider{harness: h, ordered: map[string]time.Time{}, moved: map[string]bool{}}
+		p := &slowProvider{harness: h, moveTime: moveTime, ordered: map[string]time.Time{}, moved: map[string]bool{}}
 		h.fleet = FleetOptions{Provider: p, Holder: "leader"}
 		h.startTerm()
 		defer h.endTerm()
