dispatch: check what a machine order ends when it is sent and when it is written

Callers see AVAIL on the large site under load ("a task of a long-running step is ended while three others are away and three may be; these three come back 15 s later"). Decision and order are apart: a round decides, the order is then committed, waits for the commit without a bound on a busy leader, and waits for a connection. What had become unavailable in that time was not looked at. An order that was committed and not sent, or whose answer was lost, was repeated, by the next leader too, without any look at the tasks.

Now an order is sent only if the present state and recent answers permit it, and the client asks again when it writes it. For each step with a limit and tasks on the machine, the tasks elsewhere that are not known to be available and all tasks on the machine together have to be within the limit. The check and the record that the incarnation is about to end are one step, so that orders under way at the same time are counted together. A repeated order passes the same check in its round, without a commit in between, so a slow commit delays an order and doesn't starve it.

TestOrderIsCheckedAgainWhenItIsSent, TestOrderIsCheckedAgainWhenItIsWritten and TestRepeatedOrderWaitsForAvailability failed before, each with the maintenance of m0 while the task of another machine was away; the second one with only the check in the client taken out. They also play the wave to its end. TestEndsWithoutCrashCountNothing hands its order to the part after the check, since it moves a machine with a run on purpose.

A machine whose order is committed and may not be sent counts against the wave's limit and gets no work until it may.

--- a/internal/dispatch/availability_test.go
+++ b/internal/dispatch/availability_test.go
@@ -133,3 +133,119 @@
 		g.Expect(d.fleet.availableTasks()).To(HaveLen(longRunningTasks-1), "the answer was awaited for too long")
 	})
 }
+
+// setCommitTime sets how long each commit takes.
+func (h *harness) setCommitTime(commitTime time.Duration) {
+	h.node.mu.Lock()
+	defer h.node.mu.Unlock()
+	h.node.commitTime = commitTime
+}
+
+// Guards against maintenance that was decided while all tasks were available and is
+// ordered when they no longer are, since its commit took long: the minion of another
+// machine has crashed meanwhile.
+func TestOrderIsCheckedAgainWhenItIsSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		h, p := newSpreadWaveHarness(t)
+		defer h.endTerm()
+		h.startWave()
+		h.setCommitTime(2 * time.Second)
+		crashed := ""
+		time.Sleep(time.Second)
+		pending := h.dispatcher.fleet.orders.pendingMachines()
+		g.Expect(pending).To(HaveLen(1))
+		for i := range 3 {
+			if id := fmt.Sprint("m", i); id != pending[0] {
+				crashed = id
+			}
+		}
+		m, _ := h.minionOf(crashed)
+		m.crash()
+		time.Sleep(3 * time.Second)
+		p.mu.Lock()
+		g.Expect(p.maintained).NotTo(ContainElement(pending[0]))
+		p.mu.Unlock()
+		h.setCommitTime(0)
+		h.announce(h.cluster.add(crashed))
+		time.Sleep(40 * time.Second)
+		p.expectTasksKept(g)
+		g.Expect(p.maintained).To(ConsistOf("m0", "m1", "m2"))
+	})
+}
+
+// Guards against maintenance that an earlier leader ordered, or was about to, and
+// that its successor repeats while another task of the step is unavailable.
+func TestRepeatedOrderWaitsForAvailability(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		h, p := newSpreadWaveHarness(t)
+		defer func() { h.endTerm() }()
+		h.endTerm()
+		h.startWave()
+		h.propose(&apiv1.BatchCommand{Body: &apiv1.BatchCommand_UpdateServices{UpdateServices: &apiv1.UpdateServices{Wave: 1, Services: []*apiv1.MachineService{{
+			Machine: "m0", State: apiv1.MachineServiceState_MACHINE_SERVICE_STATE_ORDERED, OrderedUnixMs: time.Now().UnixMilli(),
+		}}}}})
+		m, _ := h.minionOf("m1")
+		m.crash()
+		h.startTerm()
+		time.Sleep(4 * time.Second)
+		p.mu.Lock()
+		g.Expect(p.maintained).NotTo(ContainElement("m0"))
+		p.mu.Unlock()
+		h.announce(h.cluster.add("m1"))
+		time.Sleep(30 * time.Second)
+		p.expectTasksKept(g)
+		g.Expect(p.maintained).To(ConsistOf("m0", "m1", "m2"))
+	})
+}
+
+// waitingProvider waits for a connection before it writes an order of maintenance.
+type waitingProvider struct {
+	*fakeProvider
+	waiting chan string
+}
+
+func (p *waitingProvider) StartMaintenance(ctx context.Context, o MachineOrder, wave uint64) error {
+	select {
+	case p.waiting <- o.Machine:
+	default:
+	}
+	time.Sleep(time.Second)
+	if !o.Permitted() {
+		return ErrNotPermitted
+	}
+	return p.fakeProvider.StartMaintenance(ctx, o, wave)
+}
+
+// Guards against maintenance that is ordered while too many tasks are unavailable,
+// since they were available when the order was handed to a client that then waited for
+// a connection.
+func TestOrderIsCheckedAgainWhenItIsWritten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		h, p := newSpreadWaveHarness(t)
+		defer func() { h.endTerm() }()
+		h.endTerm()
+		waiting := &waitingProvider{fakeProvider: p, waiting: make(chan string, 1)}
+		h.fleet.Provider = waiting
+		h.startTerm()
+		time.Sleep(2 * time.Second)
+		h.startWave()
+		ordered := <-waiting.waiting
+		crashed := "m0"
+		if ordered == crashed {
+			crashed = "m1"
+		}
+		m, _ := h.minionOf(crashed)
+		m.crash()
+		time.Sleep(2 * time.Second)
+		p.mu.Lock()
+		g.Expect(p.maintained).NotTo(ContainElement(ordered))
+		p.mu.Unlock()
+		h.announce(h.cluster.add(crashed))
+		time.Sleep(40 * time.Second)
+		p.expectTasksKept(g)
+		g.Expect(p.maintained).To(ConsistOf("m0", "m1", "m2"))
+	})
+}
--- a/internal/dispatch/capacity.go
+++ b/internal/dispatch/capacity.go
@@ -202,8 +202,8 @@
 // destinations until the provider lists the machines there.
 func (f *fleetManager) startMoves(moves []placement.Move) {
 	for _, m := range moves {
-		sent := f.sendOrder(machineCall{machine: m.Machine, name: "move to " + m.To, incarnation: m.Incarnation, send: func(ctx context.Context) error {
-			return f.opts.Provider.Move(ctx, f.newOrder(m.Machine), m.To)
+		sent := f.sendOrder(machineCall{machine: m.Machine, name: "move to " + m.To, incarnation: m.Incarnation, send: func(ctx context.Context, o MachineOrder) error {
+			return f.opts.Provider.Move(ctx, o, m.To)
 		}})
 		if !sent {
 			return
--- a/internal/dispatch/crashes_test.go
+++ b/internal/dispatch/crashes_test.go
@@ -219,10 +219,11 @@
 
 // orderEnd has a machine order end the minion's process. The order fails with err.
 func (h *harness) orderEnd(m *fakeMinion, err error) {
-	h.dispatcher.fleet.sendOrder(machineCall{
+	f := h.dispatcher.fleet
+	_ = f.executeChecked(f.withTarget(machineCall{
 		machine: m.id, name: "move", incarnation: batch.Incarnation{ID: m.id, StartedMS: m.startedMS},
-		send: func(context.Context) error { return err },
-	})
+		send: func(context.Context, MachineOrder) error { return err },
+	}), false)
 	time.Sleep(10 * time.Millisecond)
 	m.crash()
 }
--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -2,15 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"maps"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
-	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
 	"bergamotdrum.example/bergamotdrum/internal/batch"
 	"bergamotdrum.example/bergamotdrum/internal/state"
 )
@@ -95,6 +91,9 @@
 	movingTo map[string]string
 	// ending holds the incarnations that an order may end. It synchronizes itself.
 	ending endingIncarnations
+	// checks is held while it is checked whether an order may end tasks and until that
+	// is recorded, so that the orders are counted together.
+	checks sync.Mutex
 	// orders limits the orders and holds those that are not answered yet.
 	orders *machineOrders
 	// capacityLoggedAt is when the capacity of the pools was last logged.
@@ -233,85 +232,6 @@
 	f.mu.Unlock()
 }
 
-// newOrder returns an order for a machine in the name of this leader.
-func (f *fleetManager) newOrder(machine string) MachineOrder {
-	return MachineOrder{Machine: machine, Holder: f.opts.Holder, Token: f.d.term, Permitted: f.d.leadershipConfirmed}
-}
-
-// machineCall is one order for a machine, with what follows from its answer.
-type machineCall struct {
-	// machine is the machine's id; name describes the order in the log.
-	machine, name string
-	// incarnation is the one that the order ends, with the machine going down.
-	// When a repeated order finds that the first one was carried out, another
-	// incarnation may run on the machine already, and must not be released.
-	incarnation batch.Incarnation
-	// affected is the incarnation that is on the machine when the order is sent, zero
-	// if none is known.
-	affected batch.Incarnation
-	send     func(ctx context.Context) error
-	// maintenance, the state of the machine's maintenance, and its wave are set
-	// for an order of maintenance, not for a move.
-	maintenance *apiv1.MachineService
-	wave        uint64
-	// commitFirst is set when maintenance is to be committed before the order is
-	// sent.
-	commitFirst bool
-}
-
-// outcome is the result of a machineCall. The order was carried out when done is
-// set, and certainly was not when refused is set. When neither is set, it may
-// have been.
-type outcome struct{ done, refused bool }
-
-// sendOrder sends an order in the background, so that a slow provider doesn't
-// delay the rounds and with them other machines. It returns false when the order
-// can't be sent now, since it must wait for earlier ones or the leader is not
-// confirmed.
-func (f *fleetManager) sendOrder(c machineCall) bool {
-	if !f.d.leadershipConfirmed() || !f.orders.tryBegin(c.machine, f.d.clock.Now()) {
-		return false
-	}
-	c.affected = f.incarnationOn(c.machine)
-	f.d.wg.Go(func() { f.orders.recordAnswer(machineAnswer{c, f.executeOrder(c)}) })
-	return true
-}
-
-// errNotSent means that an order was not sent, since it could not be committed or
-// the leader is not confirmed.
-var errNotSent = errors.New("order was not sent")
-
-// executeOrder commits the order if it has to be, sends it, releases the runs on
-// the machine, and commits the state that follows from the answer. It returns
-// the error of the order.
-func (f *fleetManager) executeOrder(c machineCall) error {
-	if c.commitFirst && !f.commitMaintenance(c.wave, c.maintenance) || !f.d.leadershipConfirmed() {
-		return errNotSent
-	}
-	first := f.d.markOrdered(c.incarnation)
-	earlierUnanswered := f.ending.contains(c.affected, f.d.clock.Now())
-	f.ending.add(c.affected)
-	err := f.callProvider(c)
-	if outcomeOf(err).refused && !earlierUnanswered {
-		f.ending.remove(c.affected)
-	} else {
-		f.ending.expireAt(c.affected, f.d.clock.Now()+lateOrderTime)
-	}
-	if first && outcomeOf(err).refused {
-		f.d.unmarkOrdered(c.incarnation)
-	}
-	if err == nil {
-		f.endIncarnation(c.incarnation)
-	}
-	if c.maintenance == nil {
-		return err
-	}
-	if next := maintenanceAfterAnswer(c.maintenance, outcomeOf(err)); next != nil {
-		f.commitMaintenance(c.wave, next)
-	}
-	return err
-}
-
 // handleAnswers records the answers that arrived since the last round. A machine
 // whose move failed counts for the pool in which the provider lists it.
 func (f *fleetManager) handleAnswers() {
@@ -322,41 +242,6 @@
 	}
 }
 
-// callProvider sends an order to the provider.
-func (f *fleetManager) callProvider(c machineCall) error {
-	ctx, cancel := context.WithTimeout(f.d.ctx, providerTimeout)
-	defer cancel()
-	return c.send(ctx)
-}
-
-// recordOutcome records and logs how an order ended. The logged error tells
-// whether the order was refused, was not sent, or may have been carried out.
-func (f *fleetManager) recordOutcome(c machineCall, err error) outcome {
-	log := f.d.log.WithFields(logrus.Fields{"machine": c.machine, "order": c.name, "list_age_ms": (f.d.clock.Now() - f.listedAt).Milliseconds()})
-	if err == nil {
-		log.Info("machine order carried out")
-		f.answeredAt[c.machine] = f.d.clock.Now()
-		return outcome{done: true}
-	}
-	log.WithError(err).Info("machine order failed")
-	f.failedAt[c.machine] = f.d.clock.Now()
-	return outcomeOf(err)
-}
-
-// outcomeOf returns the outcome that an error means. An order refused as fenced
-// counts as unknown: a later leader has taken over.
-func outcomeOf(err error) outcome {
-	refusal, refused := errors.AsType[*ProviderRefusal](err)
-	return outcome{done: err == nil, refused: refused && refusal.Reason != ProviderFenced}
-}
-
-// failedRecently reports whether an order for the machine failed within
-// failedOrderBackoff.
-func (f *fleetManager) failedRecently(machine string) bool {
-	at, ok := f.failedAt[machine]
-	return ok && f.d.clock.Now()-at < failedOrderBackoff
-}
-
 // endIncarnation ends the session of an incarnation that the provider has ended
 // with its machine, and releases the runs there, so that their tasks may run
 // elsewhere.
--- a/internal/dispatch/waves.go
+++ b/internal/dispatch/waves.go
@@ -273,7 +273,8 @@
 
 // resendOrders repeats the committed maintenance orders whose answer is not known,
 // for instance those of an earlier leader. It returns the machines that such
-// orders are for, also when one of them is not repeated now.
+// orders are for, also when one of them is not repeated now: the first one may not
+// have been carried out, so what the next one ends is checked again.
 func (f *fleetManager) resendOrders(w *apiv1.MaintenanceWave) []string {
 	var machines []string
 	for _, sv := range w.Services {
@@ -281,8 +282,14 @@
 			continue
 		}
 		machines = append(machines, sv.Machine)
-		if !f.failedRecently(sv.Machine) && !f.orders.isPending(sv.Machine) {
-			f.orderMaintenance(w, sv, false)
+		if f.failedRecently(sv.Machine) || f.orders.isPending(sv.Machine) {
+			continue
+		}
+		call := f.maintenanceCall(w, sv, false)
+		if f.mayEnd(f.withTarget(call)) {
+			f.sendOrder(call)
+		} else {
+			f.listOutdated = f.listOutdated || f.d.clock.Now()-f.listedAt >= maxListAge
 		}
 	}
 	return machines
@@ -357,22 +364,22 @@
 func (f *fleetManager) startMaintenance(w *apiv1.MaintenanceWave, machines []*apiv1.MachineService) {
 	for _, sv := range machines {
 		f.maintainedIncarnation[sv.Machine] = f.incarnationOn(sv.Machine)
-		f.orderMaintenance(w, &apiv1.MachineService{
+		f.sendOrder(f.maintenanceCall(w, &apiv1.MachineService{
 			Machine: sv.Machine, State: apiv1.MachineServiceState_MACHINE_SERVICE_STATE_ORDERED,
 			OrderedUnixMs: time.Now().UnixMilli(), Term: f.d.term,
-		}, true)
+		}, true))
 	}
 }
 
-// orderMaintenance sends the order for the maintenance of a machine. If the order
-// must wait, a later round sends it.
-func (f *fleetManager) orderMaintenance(w *apiv1.MaintenanceWave, sv *apiv1.MachineService, commitFirst bool) {
-	f.sendOrder(machineCall{
+// maintenanceCall returns the order for the maintenance of a machine. If it can't be
+// sent, a later round repeats it.
+func (f *fleetManager) maintenanceCall(w *apiv1.MaintenanceWave, sv *apiv1.MachineService, commitFirst bool) machineCall {
+	return machineCall{
 		machine: sv.Machine, name: "service", incarnation: f.maintainedIncarnation[sv.Machine], maintenance: sv, wave: w.Number, commitFirst: commitFirst,
-		send: func(ctx context.Context) error {
-			return f.opts.Provider.StartMaintenance(ctx, f.newOrder(sv.Machine), w.Number)
+		send: func(ctx context.Context, o MachineOrder) error {
+			return f.opts.Provider.StartMaintenance(ctx, o, w.Number)
 		},
-	})
+	}
 }
 
 // maintenanceAfterAnswer returns the maintenance state that follows from the
