dispatch: check a relocation again when its stop is sent

A task of a step that has too many tasks on one machine is stopped before the machine's maintenance, so that it runs elsewhere. The stop was decided once and sent until the minion confirmed it: it waits for one of four slots, for a minion that doesn't answer and for the confirmation of the leader, without a bound. Callers can see AVAIL when other tasks of the step have become unavailable meanwhile.

Now each attempt to send the stop of a relocation is checked in the same way as the orders for machines and counted together with them. One that may not be sent is abandoned, and the run goes on; the machine's next rounds decide again. Stops for other reasons (the job was canceled, the run is no longer listed) are sent as before.

TestRelocationIsCheckedAgainWhenItIsSent failed with the check taken out: the task was stopped while the one on a crashed minion was away.

--- a/internal/dispatch/availability_test.go
+++ b/internal/dispatch/availability_test.go
@@ -11,6 +11,7 @@
 
 	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
 	"bergamotdrum.example/bergamotdrum/internal/batch"
+	"bergamotdrum.example/bergamotdrum/internal/state"
 )
 
 // expectTasksKept fails the test when a maintenance ended a running task while the
@@ -249,3 +250,44 @@
 		g.Expect(p.maintained).To(ConsistOf("m0", "m1", "m2"))
 	})
 }
+
+// Guards against the relocation of a task, a stop before the maintenance of its
+// machine, that is sent long after it was decided, when other tasks of the step have
+// become unavailable.
+func TestRelocationIsCheckedAgainWhenItIsSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		h, _ := newSpreadWaveHarness(t)
+		defer h.endTerm()
+		m, _ := h.minionOf("m0")
+		d := h.dispatcher
+		s := d.session(batch.Incarnation{ID: "m0", StartedMS: m.startedMS})
+		var run batch.RunKey
+		h.node.machine.Read(func(st *state.State) { run = st.Batch.LoadOf(s.target.Incarnation).Runs()[0].Key() })
+		isRunning := func() bool {
+			h.cluster.mu.Lock()
+			defer h.cluster.mu.Unlock()
+			_, running := m.running[run]
+			return running
+		}
+		for range maxParallelOrders {
+			s.orderSlots <- struct{}{}
+		}
+		d.fleet.relocate(run)
+		other, _ := h.minionOf("m1")
+		other.crash()
+		time.Sleep(time.Second)
+		g.Expect(isRunning()).To(BeTrue(), "no stop can be sent")
+		for range maxParallelOrders {
+			<-s.orderSlots
+		}
+		time.Sleep(time.Second)
+		g.Expect(isRunning()).To(BeTrue(), "another task is unavailable")
+		h.announce(h.cluster.add("m1"))
+		time.Sleep(3 * time.Second)
+		g.Expect(h.unavailable()).To(BeZero())
+		d.fleet.relocate(run)
+		time.Sleep(100 * time.Millisecond)
+		g.Expect(isRunning()).To(BeFalse(), "all tasks are available")
+	})
+}
--- a/internal/dispatch/ordercheck.go
+++ b/internal/dispatch/ordercheck.go
@@ -157,3 +157,51 @@
 	o := s.orders[key]
 	return o != nil && o.isAvailable(now)
 }
+
+// relocate has a run stopped, so that its task is started on another machine. The stop
+// is sent only if the task may be unavailable then.
+func (f *fleetManager) relocate(key batch.RunKey) {
+	for _, s := range f.d.sessionList() {
+		s.mu.Lock()
+		if o := s.orders[key]; o != nil && o.state == orderStarted && !o.stopRequested {
+			o.stopRequested, o.relocating = true, true
+			s.launchDue()
+		}
+		s.mu.Unlock()
+	}
+}
+
+// mayStop reports whether a stop may be sent now. A relocation that may not is
+// abandoned: the machine's maintenance decides again.
+func (s *session) mayStop(key batch.RunKey, o *runOrder) bool {
+	f := s.d.fleet
+	f.checks.Lock()
+	defer f.checks.Unlock()
+	s.mu.Lock()
+	relocating := o.relocating
+	s.mu.Unlock()
+	if !relocating || f.mayRelocate(key, s.target.Incarnation) {
+		return true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !o.relocating {
+		return true // the run has become obsolete meanwhile
+	}
+	s.log.WithField("run", key.String()).Info("task is not relocated: too many others are unavailable")
+	o.state, o.stopRequested, o.relocating = orderStarted, false, false
+	return false
+}
+
+// mayRelocate reports whether the task of a run on an incarnation may be unavailable.
+func (f *fleetManager) mayRelocate(key batch.RunKey, inc batch.Incarnation) bool {
+	var steps []limitedStep
+	f.d.opts.StateMachine.Read(func(st *state.State) {
+		for _, r := range st.Batch.LoadOf(inc).Runs() {
+			if r.Key() == key {
+				steps = limitedSteps([]*batch.ActiveRun{r})
+			}
+		}
+	})
+	return f.mayBeUnavailable(steps, f.d.clock.Now())
+}
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -70,7 +70,7 @@
 			s.orders[r.key] = o
 		}
 		if r.obsolete {
-			o.stopRequested = true
+			o.stopRequested, o.relocating = true, false
 		}
 	}
 	for key := range s.orders {
@@ -251,7 +251,7 @@
 		if s.stopObsolete(key, o) {
 			return
 		}
-		if s.isAnswering() && s.d.leadershipConfirmed() && s.tryStop(key, o) {
+		if s.isAnswering() && s.d.leadershipConfirmed() && (!s.mayStop(key, o) || s.tryStop(key, o)) {
 			return
 		}
 		sleep(s.d.ctx, retryDelay)
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -70,6 +70,9 @@
 	answeredAt time.Duration
 	// stopRequested is set when the run is to be stopped.
 	stopRequested bool
+	// relocating is set with stopRequested while the only reason is that the task is
+	// to run on another machine.
+	relocating    bool
 	isLongRunning bool
 	// resources is what the run takes of the minion's capacity.
 	resources batch.Usage
--- a/internal/dispatch/waves.go
+++ b/internal/dispatch/waves.go
@@ -227,7 +227,7 @@
 	}
 	if run, ok := f.availability.nextRelocation(l); ok {
 		f.relocatedAt[l.maintenance.Machine] = now
-		f.d.stopRun(run)
+		f.relocate(run)
 	}
 }
 
