dispatch: start nothing on a machine whose order is under way

A planning round reads which minions are reserved before it plans, and its commit may take any time on a busy leader. A start that was planned before the reservation could so be committed after the machine's move was ordered; the start was sent, and the move, carried out later, ended the task at work.

The incarnation is marked before it is checked what the order would end, so that of a start and an order that cross each other, at least one sees the other.

TestSlowCommitStartsNothingOnMovingMachine (commits of 0.3 s) failed before with "m0 is moved while it executes 4 tasks that it got after the order".

What an earlier unanswered order may still do is now kept until its own time when a later order is refused or not sent.

--- a/internal/dispatch/crashes_test.go
+++ b/internal/dispatch/crashes_test.go
@@ -223,7 +223,7 @@
 	_ = f.executeChecked(f.withTarget(machineCall{
 		machine: m.id, name: "move", incarnation: batch.Incarnation{ID: m.id, StartedMS: m.startedMS},
 		send: func(context.Context, MachineOrder) error { return err },
-	}), false)
+	}), 0)
 	time.Sleep(10 * time.Millisecond)
 	m.crash()
 }
--- a/internal/dispatch/ending.go
+++ b/internal/dispatch/ending.go
@@ -21,25 +21,25 @@
 	until map[batch.Incarnation]time.Duration
 }
 
-// add records that an order is about to be sent. Unless remove or expireAt is called,
-// the incarnation stays.
-func (e *endingIncarnations) add(inc batch.Incarnation) { e.expireAt(inc, math.MaxInt64) }
-
-// expireAt records that an order may be carried out until a time.
-func (e *endingIncarnations) expireAt(inc batch.Incarnation, at time.Duration) {
-	if inc == (batch.Incarnation{}) {
-		return
-	}
+// add records that an order is about to be sent, until expireAt is called. It returns
+// until when an earlier order may be carried out, zero if there is none.
+func (e *endingIncarnations) add(inc batch.Incarnation) (earlierUntil time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.until[inc] = at
+	earlierUntil = e.until[inc]
+	if inc != (batch.Incarnation{}) {
+		e.until[inc] = math.MaxInt64
+	}
+	return earlierUntil
 }
 
-// remove records that an order was certainly not carried out.
-func (e *endingIncarnations) remove(inc batch.Incarnation) {
+// expireAt records that orders sent so far may be carried out until a time.
+func (e *endingIncarnations) expireAt(inc batch.Incarnation, at time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	delete(e.until, inc)
+	if inc != (batch.Incarnation{}) {
+		e.until[inc] = at
+	}
 }
 
 // contains reports whether an order may end the incarnation.
--- a/internal/dispatch/machinecalls.go
+++ b/internal/dispatch/machinecalls.go
@@ -80,21 +80,21 @@
 	if c.commitFirst && !f.commitMaintenance(c.wave, c.maintenance) || !f.d.leadershipConfirmed() {
 		return errNotSent
 	}
-	earlierUnanswered := f.ending.contains(c.affected, f.d.clock.Now())
-	if !f.beginEnding(c) {
+	earlierUntil, ok := f.beginEnding(c)
+	if !ok {
 		return errTasksNeeded
 	}
-	return f.executeChecked(c, earlierUnanswered)
+	return f.executeChecked(c, earlierUntil)
 }
 
-// executeChecked is the part of executeOrder after the check. earlierUnanswered is set
-// when an earlier order for the machine may still be carried out.
-func (f *fleetManager) executeChecked(c machineCall, earlierUnanswered bool) error {
+// executeChecked is the part of executeOrder after the check. An earlier order for the
+// machine may be carried out until earlierUntil.
+func (f *fleetManager) executeChecked(c machineCall, earlierUntil time.Duration) error {
 	first := f.d.markOrdered(c.incarnation)
 	written, err := f.callProvider(c)
 	notCarriedOut := outcomeOf(err).refused || !written && errors.Is(err, ErrNotPermitted)
-	if notCarriedOut && !earlierUnanswered {
-		f.ending.remove(c.affected)
+	if notCarriedOut {
+		f.ending.expireAt(c.affected, earlierUntil)
 	} else {
 		f.ending.expireAt(c.affected, f.d.clock.Now()+lateOrderTime)
 	}
--- a/internal/dispatch/machineorders_test.go
+++ b/internal/dispatch/machineorders_test.go
@@ -199,3 +199,30 @@
 		g.Expect(p.written.Load()).To(BeZero())
 	})
 }
+
+// Guards against a task that starts on a machine whose move is under way: its start
+// was planned before the minion was reserved, and its commit took longer than that.
+func TestSlowCommitStartsNothingOnMovingMachine(t *testing.T) {
+	for offset := 2 * time.Second; offset < 4*time.Second; offset += 20 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			h := newHarness(t, 1)
+			h.endTerm()
+			h.propose(&apiv1.BatchCommand{Body: &apiv1.BatchCommand_PutCatalog{PutCatalog: &apiv1.Catalog{
+				Version: 2, Pools: []*apiv1.BatchPool{{Name: "p"}, {Name: "off", Spare: true}},
+				Queues: []*apiv1.BatchQueue{{Name: "q", Pool: "p", MaxAttempts: 3}},
+			}}})
+			p := &slowProvider{harness: h, moveTime: 900 * time.Millisecond, ordered: map[string]time.Time{}, moved: map[string]bool{}}
+			h.fleet = FleetOptions{Provider: p, Holder: "leader"}
+			h.cluster.endless = true
+			h.startTerm()
+			defer h.endTerm()
+			for i := range 2 {
+				h.announce(h.cluster.add(fmt.Sprint("m", i)))
+			}
+			time.Sleep(offset)
+			h.submit("job0", 8)
+			h.setCommitTime(300 * time.Millisecond)
+			time.Sleep(3 * time.Second)
+		})
+	}
+}
--- a/internal/dispatch/ordercheck.go
+++ b/internal/dispatch/ordercheck.go
@@ -29,15 +29,17 @@
 }
 
 // beginEnding records that the order is about to end the affected incarnation, if it
-// may.
-func (f *fleetManager) beginEnding(c machineCall) bool {
+// may. That is recorded before the check, so that a start committed after it isn't
+// sent. An earlier order without answer may be carried out until earlierUntil.
+func (f *fleetManager) beginEnding(c machineCall) (earlierUntil time.Duration, ok bool) {
 	f.checks.Lock()
 	defer f.checks.Unlock()
-	if !f.mayEnd(c) {
-		return false
+	earlierUntil = f.ending.add(c.affected)
+	if f.mayEnd(c) {
+		return earlierUntil, true
 	}
-	f.ending.add(c.affected)
-	return true
+	f.ending.expireAt(c.affected, earlierUntil)
+	return earlierUntil, false
 }
 
 // mayEnd reports whether the order may end the affected incarnation now, according to
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -158,14 +158,16 @@
 
 // prepareStart returns the start order of a run. It returns false, and has the
 // run stopped instead, when the run is no longer wanted, the minion has no room
-// for it any more or this leader may not send orders to the minion any more.
+// for it any more, its machine is about to go down or this leader may not send orders
+// to the minion any more.
 func (s *session) prepareStart(key batch.RunKey, o *runOrder) (StartOrder, bool) {
 	start, capacity, ok := s.d.startOrder(key, s.target.Incarnation)
 	current := s.d.isCurrent(s)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.d.clock.Now()
-	if !ok || o.stopRequested || !s.d.leadershipConfirmed() || !current || !s.hasRoom(o, capacity) {
+	ending := s.d.fleet.ending.contains(s.target.Incarnation, now)
+	if !ok || ending || o.stopRequested || !s.d.leadershipConfirmed() || !current || !s.hasRoom(o, capacity) {
 		// No start order was sent, but only the answer to a stop order releases the
 		// run.
 		o.state, o.stopRequested = orderUncertain, true
