dispatch: renew a minion's lease while the commit of its ends takes long

The hold call that collects ends also renews the lease, and the next one was made only once the ends of the last were committed. On a leader whose commits take longer than the rest of the lease, one ended task so ended all other runs on its minion: a task that has 3 s left of its lease waits for a commit that need not be soon. A lease that lapses with no disruption near counts as an order that ends its tasks (AVAIL), and the work is done again.

While a commit is awaited, the session now makes a hold call each second that has no wait and acknowledges nothing new; what it lists is ignored, since the ends in it are the ones being committed. It renews the lease only while the minion answers, as before.

--- a/internal/dispatch/endqueue.go
+++ b/internal/dispatch/endqueue.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
 )
@@ -21,6 +22,59 @@
 // commitEnds returns true once the ends are committed, or false when the term or
 // ctx ended first.
 func (d *Dispatcher) commitEnds(ctx context.Context, ends []*apiv1.EndedRun) bool {
+	select {
+	case ok := <-d.queueEnds(ends):
+		return ok
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// commitEnds is like Dispatcher.commitEnds. Until the ends are committed it renews the
+// minion's lease, since the next hold call has to wait: it acknowledges the ends.
+func (s *session) commitEnds(ctx context.Context, ends []*apiv1.EndedRun) bool {
+	done := s.d.queueEnds(ends)
+	answers := true
+	for {
+		select {
+		case ok := <-done:
+			return ok
+		case <-ctx.Done():
+			return false
+		case <-time.After(holdWait):
+			answers = answers && s.renewLease(ctx)
+		}
+	}
+}
+
+// renewLease makes a hold call, the long poll that lists the minion's runs, only to
+// renew the lease: it has no wait, and what it lists is ignored. renewLease returns
+// false when the minion doesn't answer, so that its lease isn't to be extended.
+func (s *session) renewLease(ctx context.Context) bool {
+	if !s.d.leadershipConfirmed() || !s.d.isCurrent(s) {
+		return true
+	}
+	s.mu.Lock()
+	if !s.answering {
+		s.mu.Unlock()
+		return false
+	}
+	o := HoldRequest{Token: s.token, LastAckedEnd: s.ackedEnd, LeaseUntilMS: s.lease.extend(s.d.clock.Now(), s.d.opts.Lease)}
+	s.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, holdGrace)
+	defer cancel()
+	reply, err := s.d.opts.Minions.Hold(ctx, s.target, o)
+	if err != nil || reply.StartedMS != s.target.Incarnation.StartedMS {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lease.observeClock(reply.ClockMS, s.d.clock.Now())
+	return true
+}
+
+// queueEnds has the ends committed. The channel gets the result.
+func (d *Dispatcher) queueEnds(ends []*apiv1.EndedRun) <-chan bool {
 	done := make(chan bool, 1)
 	d.ends.mu.Lock()
 	d.ends.ends = append(d.ends.ends, ends...)
@@ -30,12 +84,7 @@
 	case d.ends.wakeup <- struct{}{}:
 	default:
 	}
-	select {
-	case ok := <-done:
-		return ok
-	case <-ctx.Done():
-		return false
-	}
+	return done
 }
 
 // commitEndsLoop commits the queued ends, one batch after the other, until the
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -288,7 +288,7 @@
 	s.lease.observeClock(reply.ClockMS, now)
 	ends := s.reconcile(reply, sentAt, now)
 	s.mu.Unlock()
-	if len(ends) > 0 && !s.d.commitEnds(ctx, ends) {
+	if len(ends) > 0 && !s.commitEnds(ctx, ends) {
 		return
 	}
 	s.mu.Lock()
--- a/internal/dispatch/silence_test.go
+++ b/internal/dispatch/silence_test.go
@@ -197,3 +197,33 @@
 		g.Expect(m.running).To(HaveLen(3))
 	})
 }
+
+// Guards against a lease that lapses, with all runs on the minion, because its renewal
+// waits for the commit of an end, which takes longer than the lease on a busy leader.
+func TestSlowCommitOfEndsRenewsLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		h := newHarness(t, 1)
+		defer h.endTerm()
+		h.cluster.endless = true
+		m := h.cluster.add("a")
+		h.announce(m)
+		h.submit("job0", 3)
+		time.Sleep(2 * time.Second)
+		runs := h.runsOf("job0")
+		g.Expect(runs).To(HaveLen(3))
+		h.setCommitTime(3 * testMaxLease)
+		h.cluster.mu.Lock()
+		m.finish(runs[0], apiv1.RunEnd_RUN_END_DONE)
+		h.cluster.mu.Unlock()
+		for range 6 * testMaxLease / (100 * time.Millisecond) {
+			time.Sleep(100 * time.Millisecond)
+			h.cluster.mu.Lock()
+			m.advance()
+			_, first := m.running[runs[1]]
+			_, second := m.running[runs[2]]
+			h.cluster.mu.Unlock()
+			g.Expect(first && second).To(BeTrue(), "the lease has lapsed")
+		}
+	})
+}
