dispatch: count the end of a minion whose machine was ordered, but not taken, down

The order may wait, or never have been sent: by a leader whose commit took long, or that was replaced. A new leader reserves such a machine only when it gives its first orders, 3.3 s later, and starts tasks there until then.

An end of the minion now counts as planned only if this leader may have sent the order, or the state says that the maintenance began. If an order is committed and neither is so, the cause is unknown: an unexplained loss, five of which give the task up. It is still no certain crash.

A task that an earlier leader's order interrupts, when its answer is not known, now has a loss that is not its fault. Finite tasks are awaited before maintenance, and five such losses would be needed.

--- a/internal/batch/waves.go
+++ b/internal/batch/waves.go
@@ -64,18 +64,19 @@
 }
 
 // MaintenanceOrderedSince reports whether the maintenance of a machine was ordered,
-// or may have been, at or after a time in Unix milliseconds. An empty machine stands
-// for any.
-func (s *State) MaintenanceOrderedSince(machine string, sinceMS int64) bool {
+// or may have been, at or after a time in Unix milliseconds, and whether such an order
+// was certainly carried out. An empty machine stands for any.
+func (s *State) MaintenanceOrderedSince(machine string, sinceMS int64) (ordered, carriedOut bool) {
 	for _, w := range s.waves {
 		for _, sv := range w.Services {
-			ordered := sv.State != apiv1.MachineServiceState_MACHINE_SERVICE_STATE_UNSPECIFIED && sv.OrderedUnixMs >= sinceMS
-			if ordered && (machine == "" || sv.Machine == machine) {
-				return true
+			if sv.State == apiv1.MachineServiceState_MACHINE_SERVICE_STATE_UNSPECIFIED || sv.OrderedUnixMs < sinceMS || machine != "" && sv.Machine != machine {
+				continue
 			}
+			ordered = true
+			carriedOut = carriedOut || sv.State == apiv1.MachineServiceState_MACHINE_SERVICE_STATE_STARTED || sv.State == apiv1.MachineServiceState_MACHINE_SERVICE_STATE_FINISHED
 		}
 	}
-	return false
+	return ordered, carriedOut
 }
 
 // DownInWave returns how many machines of a wave are in down, the set of machines
--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -47,7 +47,8 @@
 
 const (
 	// causeUnknown means that contact was lost: the minion may have crashed, may be cut
-	// off, or may have been moved by an earlier leader.
+	// off, or may have been moved by an earlier leader or ended by its order of
+	// maintenance, which may not have been sent.
 	causeUnknown endCause = iota
 	// causePlanned means that the minion announced its end, or that an order for its
 	// machine may have ended it.
@@ -62,13 +63,13 @@
 	d.mu.Lock()
 	notice := s.notice
 	d.mu.Unlock()
-	maintained := false
+	ordered, maintained := false, false
 	d.opts.StateMachine.Read(func(st *state.State) {
 		if m := st.Batch.Minion(inc.ID); m != nil && batch.IncarnationOf(m.Life) == inc {
 			notice.recorded = true
 			notice.draining = notice.draining || m.Draining
 		}
-		maintained = st.Batch.MaintenanceOrderedSince(notice.machine, inc.StartedMS)
+		ordered, maintained = st.Batch.MaintenanceOrderedSince(notice.machine, inc.StartedMS)
 	})
 	// Moves are not committed. A minion that answered during this term was not
 	// ended by an earlier leader's move before.
@@ -76,7 +77,7 @@
 	switch {
 	case notice.draining || notice.ordered || maintained && notice.machine != "":
 		return causePlanned
-	case processEnded && notice.recorded && !maintained && !mayHaveMoved:
+	case processEnded && notice.recorded && !ordered && !mayHaveMoved:
 		return causeCrash
 	}
 	return causeUnknown
--- a/internal/dispatch/crashes_test.go
+++ b/internal/dispatch/crashes_test.go
@@ -61,6 +61,15 @@
 				h.announce(h.cluster.addAt(m.address, otherID(m)))
 			}
 		},
+		"maintenance ordered, not carried out": func(h *harness) func(m *fakeMinion) {
+			wave := uint64(0)
+			return func(m *fakeMinion) {
+				wave++
+				h.orderMaintenance(wave, m.address)
+				h.dispatcher.recordMachines([]Machine{{ID: m.address, MinionID: m.id}})
+				restart(h, otherID)(m)
+			}
+		},
 		"leader changes": func(h *harness) func(m *fakeMinion) {
 			return func(m *fakeMinion) {
 				h.endTerm()
@@ -87,7 +96,7 @@
 				h.cluster.mu.Unlock()
 				time.Sleep(2 * restartDelay)
 				most := batch.MaxCrashes
-				if strings.HasPrefix(name, "back after the lease") {
+				if strings.HasPrefix(name, "back after the lease") || strings.HasPrefix(name, "maintenance ordered") {
 					most += 2 // a third start after three crashes would be one too many
 				}
 				g.Expect(h.cluster.deadlyStarts).To(Equal(most))
@@ -129,11 +138,11 @@
 			h.startTerm()
 		}, 0},
 		"maintained by an earlier leader's order": {func(h *harness, m *fakeMinion) {
-			h.orderMaintenance("m0")
+			h.orderMaintenance(1, "m0")
 			m.crash()
 		}, 0},
 		"another machine is maintained": {func(h *harness, m *fakeMinion) {
-			h.orderMaintenance("m1")
+			h.orderMaintenance(1, "m1")
 			h.dispatcher.recordMachines([]Machine{{ID: "m0", MinionID: "m0"}})
 			m.crash()
 		}, 1},
@@ -210,9 +219,9 @@
 
 // orderMaintenance commits an order of maintenance that this term's leader didn't
 // give.
-func (h *harness) orderMaintenance(machine string) {
-	h.propose(&apiv1.BatchCommand{Body: &apiv1.BatchCommand_StartWave{StartWave: &apiv1.MaintenanceWave{Number: 1, Machines: []string{machine}, MaxDown: 1}}})
-	h.propose(&apiv1.BatchCommand{Body: &apiv1.BatchCommand_UpdateServices{UpdateServices: &apiv1.UpdateServices{Wave: 1, Services: []*apiv1.MachineService{{
+func (h *harness) orderMaintenance(wave uint64, machine string) {
+	h.propose(&apiv1.BatchCommand{Body: &apiv1.BatchCommand_StartWave{StartWave: &apiv1.MaintenanceWave{Number: wave, Machines: []string{machine}, MaxDown: 1}}})
+	h.propose(&apiv1.BatchCommand{Body: &apiv1.BatchCommand_UpdateServices{UpdateServices: &apiv1.UpdateServices{Wave: wave, Services: []*apiv1.MachineService{{
 		Machine: machine, State: apiv1.MachineServiceState_MACHINE_SERVICE_STATE_ORDERED, OrderedUnixMs: time.Now().UnixMilli(),
 	}}}}})
 }
