dispatch: hold the fake cluster's lock in the test of maintenance and starts

The race detector reported TestMaintenanceEndsNoTasksThatJustStarted: the test set endless while the fake minions read it. Nothing else changes; go test -race ./internal/dispatch passes now.

--- a/internal/dispatch/waves_test.go
+++ b/internal/dispatch/waves_test.go
@@ -197,7 +197,9 @@
 			defer h.endTerm()
 			h.propose(&apiv1.BatchCommand{Body: &apiv1.BatchCommand_Cancel{Cancel: &apiv1.CancelBatchJob{JobId: "long-running", AnyAccount: true}}})
 			time.Sleep(3 * time.Second)
+			h.cluster.mu.Lock()
 			h.cluster.endless = false
+			h.cluster.mu.Unlock()
 			h.startWave()
 			h.node.mu.Lock()
 			h.node.commitTime = 5 * time.Millisecond
