--- a/internal/dispatch/availability_test.go
+++ b/internal/dispatch/availability_test.go
@@ -291,3 +291,18 @@
 		g.Expect(isRunning()).To(BeFalse(), "all tasks are available")
 	})
 }
+
+// Guards against a wave that never completes, or makes too many tasks unavailable,
+// because each commit takes longer than what is known of the tasks stays valid.
+func TestWaveCompletesWithSlowCommits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		h, p := newSpreadWaveHarness(t)
+		defer h.endTerm()
+		h.startWave()
+		h.setCommitTime(2 * maxStatusAge)
+		time.Sleep(3 * time.Minute)
+		p.expectTasksKept(g)
+		g.Expect(p.maintained).To(ConsistOf("m0", "m1", "m2"))
+	})
+}
