--- a/internal/dispatch/availability.go
+++ b/internal/dispatch/availability.go
@@ -88,6 +88,7 @@
 // maintenance that is about to be sent or whose answer isn't known.
 func (f *fleetManager) incarnationsToMaintain() map[batch.Incarnation]bool {
 	machines := f.orders.pendingMachines()
+	out := map[batch.Incarnation]bool{}
 	f.d.opts.StateMachine.Read(func(st *state.State) {
 		for _, w := range st.Batch.OpenWaves() {
 			for _, sv := range w.Services {
@@ -96,12 +97,13 @@
 				}
 			}
 		}
+		for _, machine := range machines {
+			out[f.maintainedIncarnation[machine]] = true
+			if m := st.Batch.Minion(f.machines[machine].MinionID); m != nil {
+				out[batch.IncarnationOf(m.Life)] = true
+			}
+		}
 	})
-	out := map[batch.Incarnation]bool{}
-	for _, machine := range machines {
-		out[f.incarnationOn(machine)] = true
-		out[f.maintainedIncarnation[machine]] = true
-	}
 	return out
 }
 
