--- a/internal/dispatch/crashes_test.go
+++ b/internal/dispatch/crashes_test.go
@@ -53,6 +53,23 @@
 				h.announce(h.cluster.addAt(m.address, otherID(m)))
 			}
 		},
+		"back after the lease, late announcement": func(h *harness) func(m *fakeMinion) {
+			return func(m *fakeMinion) {
+				h.setUnreachable(m, true)
+				time.Sleep(2 * testMaxLease)
+				h.announce(m)
+				h.announce(h.cluster.addAt(m.address, otherID(m)))
+			}
+		},
+		"maintenance ordered, not carried out": func(h *harness) func(m *fakeMinion) {
+			wave := uint64(0)
+			return func(m *fakeMinion) {
+				wave++
+				h.orderMaintenance(wave, m.address)
+				h.dispatcher.recordMachines([]Machine{{ID: m.address, MinionID: m.id}})
+				restart(h, otherID)(m)
+			}
+		},
 		"leader changes": func(h *harness) func(m *fakeMinion) {
 			return func(m *fakeMinion) {
 				h.endTerm()
@@ -79,7 +96,7 @@
 				h.cluster.mu.Unlock()
 				time.Sleep(2 * restartDelay)
 				most := batch.MaxCrashes
-				if name == "back after the lease" {
+				if strings.HasPrefix(name, "back after the lease") || strings.HasPrefix(name, "maintenance ordered") {
 					most += 2 // a third start after three crashes would be one too many
 				}
 				g.Expect(h.cluster.deadlyStarts).To(Equal(most))
@@ -121,11 +138,11 @@
 			h.startTerm()
 		}, 0},
 		"maintained by an earlier leader's order": {func(h *harness, m *fakeMinion) {
-			h.orderMaintenance("m0")
+			h.orderMaintenance(1, "m0")
 			m.crash()
 		}, 0},
 		"another machine is maintained": {func(h *harness, m *fakeMinion) {
-			h.orderMaintenance("m1")
+			h.orderMaintenance(1, "m1")
 			h.dispatcher.recordMachines([]Machine{{ID: "m0", MinionID: "m0"}})
 			m.crash()
 		}, 1},
@@ -163,21 +180,59 @@
 	}
 }
 
+// Guards against a loss that counts against a task although the minion was only cut
+// off for longer than its lease: it answers again, in the same term or the next one.
+func TestLossOfMinionThatAnswersAgainIsCleared(t *testing.T) {
+	for name, leaderChanges := range map[string]bool{"same leader": false, "leader changes": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				h := newHarness(t, 1)
+				defer func() { h.endTerm() }()
+				h.cluster.endless = true
+				m := h.cluster.add("m0")
+				h.announce(m)
+				h.submit("job0", 1)
+				time.Sleep(2 * testMaxLease)
+				h.setUnreachable(m, true)
+				time.Sleep(3 * testMaxLease)
+				_, possible := h.crashes(batch.TaskRef{Job: "job0"})
+				g.Expect(possible).To(BeEquivalentTo(1))
+				if leaderChanges {
+					h.endTerm()
+					h.startTerm()
+				}
+				h.announce(m)
+				time.Sleep(time.Second)
+				_, possible = h.crashes(batch.TaskRef{Job: "job0"})
+				g.Expect(possible).To(BeEquivalentTo(1), "only an announcement arrived")
+				h.setUnreachable(m, false)
+				time.Sleep(2 * testMaxLease)
+				h.announce(m)
+				time.Sleep(time.Second)
+				_, possible = h.crashes(batch.TaskRef{Job: "job0"})
+				g.Expect(possible).To(BeZero())
+			})
+		})
+	}
+}
+
 // orderMaintenance commits an order of maintenance that this term's leader didn't
 // give.
-func (h *harness) orderMaintenance(machine string) {
-	h.propose(&apiv1.BatchCommand{Body: &apiv1.BatchCommand_StartWave{StartWave: &apiv1.MaintenanceWave{Number: 1, Machines: []string{machine}, MaxDown: 1}}})
-	h.propose(&apiv1.BatchCommand{Body: &apiv1.BatchCommand_UpdateServices{UpdateServices: &apiv1.UpdateServices{Wave: 1, Services: []*apiv1.MachineService{{
+func (h *harness) orderMaintenance(wave uint64, machine string) {
+	h.propose(&apiv1.BatchCommand{Body: &apiv1.BatchCommand_StartWave{StartWave: &apiv1.MaintenanceWave{Number: wave, Machines: []string{machine}, MaxDown: 1}}})
+	h.propose(&apiv1.BatchCommand{Body: &apiv1.BatchCommand_UpdateServices{UpdateServices: &apiv1.UpdateServices{Wave: wave, Services: []*apiv1.MachineService{{
 		Machine: machine, State: apiv1.MachineServiceState_MACHINE_SERVICE_STATE_ORDERED, OrderedUnixMs: time.Now().UnixMilli(),
 	}}}}})
 }
 
 // orderEnd has a machine order end the minion's process. The order fails with err.
 func (h *harness) orderEnd(m *fakeMinion, err error) {
-	h.dispatcher.fleet.sendOrder(machineCall{
+	f := h.dispatcher.fleet
+	_ = f.executeChecked(f.withTarget(machineCall{
 		machine: m.id, name: "move", incarnation: batch.Incarnation{ID: m.id, StartedMS: m.startedMS},
-		send: func(context.Context) error { return err },
-	})
+		send: func(context.Context, MachineOrder) error { return err },
+	}), 0)
 	time.Sleep(10 * time.Millisecond)
 	m.crash()
 }
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -70,6 +70,9 @@
 	answeredAt time.Duration
 	// stopRequested is set when the run is to be stopped.
 	stopRequested bool
+	// relocating is set with stopRequested while the only reason is that the task is
+	// to run on another machine.
+	relocating    bool
 	isLongRunning bool
 	// resources is what the run takes of the minion's capacity.
 	resources batch.Usage
@@ -80,6 +83,8 @@
 	checkpoint string
 	// lastStatus is the last status that the minion reported.
 	lastStatus RunStatus
+	// statusAt is when the hold call was sent whose reply gave lastStatus.
+	statusAt time.Duration
 	// endInNextIncarnation is how the run ended when a delayed start order was
 	// carried out by the minion's next incarnation, that is, after a restart.
 	endInNextIncarnation apiv1.RunEnd
@@ -132,6 +137,9 @@
 	// backoffUntil is when a minion that refused an order may get new work again.
 	backoffUntil time.Duration
 	health       healthRecord
+	// lossesCleared is set once no loss of the incarnation counts as a possible crash.
+	// Only the goroutine of the hold calls uses it.
+	lossesCleared bool
 	// closing is set when the incarnation has ended and its end is being
 	// committed. The dispatcher's mu guards closing and notice.
 	closing bool
@@ -181,6 +189,7 @@
 			return
 		}
 		s.handleReply(ctx, reply, sentAt)
+		s.clearLosses(ctx)
 	}
 }
 
@@ -279,7 +288,7 @@
 	s.lease.observeClock(reply.ClockMS, now)
 	ends := s.reconcile(reply, sentAt, now)
 	s.mu.Unlock()
-	if len(ends) > 0 && !s.d.commitEnds(ctx, ends) {
+	if len(ends) > 0 && !s.commitEnds(ctx, ends) {
 		return
 	}
 	s.mu.Lock()
@@ -296,6 +305,9 @@
 	for _, r := range reply.Running {
 		running[r.Run] = true
 		s.observeRunning(r, now)
+		if o := s.orders[r.Run]; o != nil {
+			o.statusAt = max(o.statusAt, sentAt)
+		}
 	}
 	ended := map[batch.RunKey]bool{}
 	var ends []*apiv1.EndedRun
@@ -370,24 +382,6 @@
 	return nil
 }
 
-// usable reports whether the minion answers and takes orders: it answered
-// recently and has neither refused an order nor left a start order unanswered
-// lately. A quarantine, the exclusion from new work after failed runs, is not
-// considered.
-func (s *session) usable(now time.Duration) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !s.answering || s.listsUncommitted || !s.lease.clockKnown || now-s.answeredAt >= maxHoldAge || now < s.backoffUntil {
-		return false
-	}
-	for _, o := range s.orders {
-		if o.state == orderSending && o.sentAt > 0 && now-o.sentAt > slowOrderThreshold {
-			return false
-		}
-	}
-	return true
-}
-
 // sleep waits for d, or until ctx ends.
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
