dispatch: record the longest lease, so that a new leader waits no longer

Cause: a new leader took all inherited leases to last for max_lease (10 s by the site's contract) from the start of its term, and one second more. Leaders give 4 s.

No leader gives a longer lease than is recorded, and none records a shorter one while an earlier leader's lease may last. In the usual case nothing is committed. Two things differ from what was planned: - A state without a record means max_lease unless it has no minions. That it has no runs isn't enough: an idle minion holds a lease too, and a run that is started there goes on under it (TestIdleMinionMayHoldAnUnrecordedLease). - An incarnation that started within max_lease before the term counts as before: a delayed renewal of the incarnation before it, under the same id, may have given it the longest lease.

The six seconds that the old bound left over also covered two narrow faults, which are gone: the lease's start is read before the permission is checked, not after, and a leader sends nothing before a quorum has confirmed it once in its term.

Each guard of the record was broken in turn and its test failed: lowered at once, given before recorded, no record and minions, no record and idle minions, first record too short, young incarnation.

TestDelayedStartInNextIncarnationIsStoppedFirst announced the next incarnation at 4.2 s, during the last hold call before the inherited lease of a new group ended (4.1 s). A new group has no inherited lease any more, so it announces at 3.3 s, before the minion's own lease ends. With the check that it guards removed from handleHoldError it fails as before.

In a steady term, a delayed renewal may give the next incarnation under the same id a lease that its leader doesn't know of, as before.

--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -54,6 +54,8 @@
 	waves map[uint64]*apiv1.MaintenanceWave
 	// losses holds the tasks under which an incarnation was lost for an unknown reason.
 	losses map[Incarnation][]TaskRef
+	// longestLeaseMS is described at LongestLeaseMS.
+	longestLeaseMS uint32
 	// revision increases whenever a run starts, ends or becomes obsolete (no
 	// longer needed). It is not replicated.
 	revision uint64
@@ -98,6 +100,9 @@
 		err = s.updateServices(c.UpdateServices)
 	case *apiv1.BatchCommand_ForgetJobs:
 		s.forgetJobs(c.ForgetJobs.EndedBeforeUnixMs)
+	case *apiv1.BatchCommand_RecordLongestLease:
+		s.recordLongestLease(c.RecordLongestLease)
+		res.LongestLeaseMs = s.longestLeaseMS
 	default:
 		err = result.NotRun(apiv1.ResultCode_RESULT_CODE_INVALID_ARGUMENT, "the batch command has no body that this version knows")
 	}
@@ -131,7 +136,7 @@
 // Snapshot returns the whole state. It shares memory with the state, so later
 // commands may change it.
 func (s *State) Snapshot() *apiv1.BatchSnapshot {
-	snap := &apiv1.BatchSnapshot{Catalog: s.catalog.Catalog, ZonesOut: s.ZonesOut()}
+	snap := &apiv1.BatchSnapshot{Catalog: s.catalog.Catalog, ZonesOut: s.ZonesOut(), LongestLeaseMs: s.longestLeaseMS}
 	for _, id := range sortedKeys(s.jobs) {
 		snap.Jobs = append(snap.Jobs, s.jobs[id].BatchJob)
 	}
@@ -149,6 +154,7 @@
 	*s = *New()
 	s.revision, s.minionsRevision = revision, minionsRevision+1
 	s.catalog = newCatalog(snap.GetCatalog())
+	s.longestLeaseMS = snap.GetLongestLeaseMs()
 	for _, z := range snap.GetZonesOut() {
 		s.zonesOut[z] = true
 	}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -56,7 +56,7 @@
 	// Registry may be nil.
 	Registry prometheus.Registerer
 	// Lease is the length of a minion's lease from each renewal. MaxLease is the
-	// longest lease that any leader may have given.
+	// longest lease that a minion accepts. Both are whole milliseconds.
 	Lease, MaxLease time.Duration
 	// MaxAnnouncementAge is the age of a minion's last announcement from which it
 	// gets no new work if it doesn't guard its capacity, which may have shrunk since.
@@ -78,8 +78,14 @@
 	clock   clock.Clock
 	log     *logrus.Entry
 	metrics *metrics
-	// inheritedLeaseEnd is when all leases given by earlier leaders have ended.
-	inheritedLeaseEnd time.Duration
+	// startedAt is when the term began, startedUnixMS the same by the time of day.
+	startedAt     time.Duration
+	startedUnixMS int64
+	// leases is what follows from the record of the longest lease at the term's start.
+	leases leaseRecord
+	// allowedLeaseNS is the length of the leases that may be given now, as a
+	// time.Duration.
+	allowedLeaseNS atomic.Int64
 	// confirmedAt is when the last confirmation by a quorum was requested, as a
 	// time.Duration of clock.
 	confirmedAt atomic.Int64
@@ -115,12 +121,14 @@
 	now := o.Clock.Now()
 	d := &Dispatcher{
 		opts: o, term: term, ctx: ctx, clock: o.Clock, metrics: m.m,
-		log:               o.Log.WithField("term", term),
-		inheritedLeaseEnd: now + longestLease(o.MaxLease) + leadershipTTL,
-		sessions:          map[batch.Incarnation]*session{},
-		latest:            map[string]int64{},
+		log:      o.Log.WithField("term", term),
+		sessions: map[batch.Incarnation]*session{},
+		latest:   map[string]int64{},
 	}
-	d.confirmedAt.Store(int64(now))
+	d.startedAt, d.startedUnixMS = now, time.Now().UnixMilli()
+	d.leases = readLeaseRecord(o.StateMachine, now, o.MaxLease)
+	d.allowRecorded(d.leases.recordedMS)
+	d.confirmedAt.Store(int64(now - leadershipTTL))
 	d.ends.wakeup = make(chan struct{}, 1)
 	d.announcements.latest = map[string]lastAnnouncement{}
 	d.fleet = newFleetManager(d, now)
@@ -129,8 +137,15 @@
 
 // Run works until the term ends and returns when all its goroutines have.
 func (d *Dispatcher) Run() {
-	d.log.WithField("inherited_lease_end_ms", d.inheritedLeaseEnd.Milliseconds()).Info("dispatcher started")
+	d.log.WithField("inherited_leases_end_in_ms", (d.leases.inheritedEnd - d.clock.Now()).Milliseconds()).Info("dispatcher started")
+	// The process may have been suspended since it was elected.
+	d.confirm()
+	for d.ctx.Err() == nil && !d.leadershipConfirmed() {
+		sleep(d.ctx, confirmInterval)
+		d.confirm()
+	}
 	d.wg.Go(d.confirmLoop)
+	d.wg.Go(d.leaseRecordLoop)
 	d.wg.Go(d.commitEndsLoop)
 	d.wg.Go(d.planLoop)
 	d.wg.Go(d.forgetLoop)
@@ -153,14 +168,18 @@
 // counts from when it was requested: another leader may exist soon after.
 func (d *Dispatcher) confirmLoop() {
 	for d.ctx.Err() == nil {
-		start := d.clock.Now()
-		ctx, cancel := context.WithTimeout(d.ctx, leadershipTTL)
-		err := d.opts.Node.Barrier(ctx)
-		cancel()
-		if err == nil {
-			d.confirmedAt.Store(int64(start))
-		}
 		sleep(d.ctx, confirmInterval)
+		d.confirm()
+	}
+}
+
+// confirm has a quorum confirm this leader once. It takes leadershipTTL at most.
+func (d *Dispatcher) confirm() {
+	start := d.clock.Now()
+	ctx, cancel := context.WithTimeout(d.ctx, leadershipTTL)
+	defer cancel()
+	if err := d.opts.Node.Barrier(ctx); err == nil {
+		d.confirmedAt.Store(int64(start))
 	}
 }
 
--- a/internal/dispatch/leaving_test.go
+++ b/internal/dispatch/leaving_test.go
@@ -112,6 +112,8 @@
 		g.Expect(h.running(a)).To(Equal(3))
 		time.Sleep(maxDowntime)
 		g.Expect(h.runsOf("job0")).To(HaveLen(3))
+		h.cluster.mu.Lock()
+		defer h.cluster.mu.Unlock()
 		g.Expect(h.cluster.starts).To(Equal(6))
 	})
 }
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -164,8 +164,8 @@
 	current := s.d.isCurrent(s)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := s.d.clock.Now()
-	if !ok || o.stopRequested || !s.d.leadershipConfirmed() || !current || !s.hasRoom(o, capacity) {
+	now, length := s.d.clock.Now(), s.d.allowedLease()
+	if !ok || o.stopRequested || length == 0 || !s.d.leadershipConfirmed() || !current || !s.hasRoom(o, capacity) {
 		// No start order was sent, but only the answer to a stop order releases the
 		// run.
 		o.state, o.stopRequested = orderUncertain, true
@@ -174,7 +174,7 @@
 	}
 	o.sentAt, o.mayHaveBegun = now, true
 	start.Token = s.token
-	start.LeaseUntilMS = s.lease.extend(now, s.d.opts.Lease)
+	start.LeaseUntilMS = s.lease.extend(now, length)
 	return start, true
 }
 
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -43,7 +43,7 @@
 	starts := d.plan()
 	planned := d.clock.Now()
 	d.metrics.planSeconds.Observe((planned - start).Seconds())
-	if len(starts) > 0 && d.leadershipConfirmed() {
+	if len(starts) > 0 && d.leadershipConfirmed() && d.allowedLease() > 0 {
 		d.commitStarts(starts)
 	}
 	return min(planPauseFactor*(planned-start), planInterval) - (d.clock.Now() - planned)
