dispatch: plan only the pools with waiting work

Each round read the health of all minions and made a candidate of each, also when nothing waited: most rounds follow the end of a run or the commit of starts. Rounds now look for the pools with tasks that may start, and read only the minions of these. The incarnations whose load changed are listed once each.

--- a/internal/batch/progress.go
+++ b/internal/batch/progress.go
@@ -1,7 +1,5 @@
 package batch
 
-import "slices"
-
 // Progress counts the tasks of one step in one occurrence, that is, one of the
 // repetitions of a recurring job; any other job has one occurrence. A step is a
 // number of equal tasks, and a run is one execution of a task on a minion.
@@ -71,14 +69,23 @@
 // least.
 const maxLoggedChanges = 1 << 13
 
-// ChangedSince returns the incarnations whose load changed after a revision, some of
-// them more than once. It returns false when the changes since then are no longer
-// kept, in which case any load may have changed.
+// ChangedSince returns the incarnations whose load changed after a revision, each
+// once. It returns false when the changes since then are no longer kept, in which
+// case any load may have changed.
 func (s *State) ChangedSince(revision uint64) ([]Incarnation, bool) {
 	if revision > s.revision || s.revision-revision > uint64(len(s.changes)) {
 		return nil, false
 	}
-	return slices.Clone(s.changes[uint64(len(s.changes))-(s.revision-revision):]), true
+	latest := s.changes[uint64(len(s.changes))-(s.revision-revision):]
+	out := make([]Incarnation, 0, len(latest))
+	seen := make(map[Incarnation]bool, len(latest))
+	for _, inc := range latest {
+		if !seen[inc] {
+			seen[inc] = true
+			out = append(out, inc)
+		}
+	}
+	return out, true
 }
 
 // markChanged raises the revision because the runs on an incarnation changed or
--- a/internal/dispatch/incarnations.go
+++ b/internal/dispatch/incarnations.go
@@ -79,16 +79,14 @@
 	return out
 }
 
-// sessionsOf returns the sessions with the given incarnations, each once. Some of
-// the incarnations may have none.
+// sessionsOf returns the sessions with the given incarnations. Some of these may have
+// none.
 func (d *Dispatcher) sessionsOf(incarnations []batch.Incarnation) []*session {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var out []*session
-	seen := make(map[batch.Incarnation]bool, len(incarnations))
+	out := make([]*session, 0, len(incarnations))
 	for _, inc := range incarnations {
-		if s := d.sessions[inc]; s != nil && !seen[inc] {
-			seen[inc] = true
+		if s := d.sessions[inc]; s != nil {
 			out = append(out, s)
 		}
 	}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -105,31 +105,34 @@
 	return out
 }
 
-// plan returns the starts to commit now.
+// plan returns the starts to commit now. It reads the health only of minions in
+// pools with work that waits.
 func (d *Dispatcher) plan() []*apiv1.StartedRun {
 	now := d.clock.Now()
 	in := placement.Input{
 		NowUnixMS: time.Now().UnixMilli(),
-		Health:    map[batch.Incarnation]placement.Health{},
 		MaxStarts: maxUnsentStarts - int(d.unsentStarts.Load()),
 	}
-	in.Reserved, in.MaintenanceDue = d.fleet.reservedAndDue()
-	for _, s := range d.sessionList() {
-		usable := s.usable(now)
-		s.mu.Lock()
-		in.Health[s.target.Incarnation] = placement.Health{
-			Usable:  usable && !s.health.quarantined(now),
-			Suspect: s.health.suspect(now),
-		}
-		s.mu.Unlock()
-	}
-	var starts []*apiv1.StartedRun
 	if in.MaxStarts <= 0 {
 		return nil
 	}
+	var pools map[string]bool
+	var incarnations []batch.Incarnation
+	d.opts.StateMachine.Read(func(st *state.State) {
+		pools = placement.WaitingPools(st.Batch, in.NowUnixMS)
+		for _, m := range minionsOf(st.Batch, pools) {
+			incarnations = append(incarnations, batch.IncarnationOf(m.Life))
+		}
+	})
+	if len(incarnations) == 0 {
+		return nil
+	}
+	in.Health = d.placementHealth(incarnations, now)
+	in.Reserved, in.MaintenanceDue = d.fleet.reservedAndDue()
+	var starts []*apiv1.StartedRun
 	d.opts.StateMachine.Read(func(st *state.State) {
 		in.State = st.Batch
-		for _, inc := range d.announcements.outdated(st.Batch, st.Batch.Minions(), now, d.opts.MaxAnnouncementAge) {
+		for _, inc := range d.announcements.outdated(st.Batch, minionsOf(st.Batch, pools), now, d.opts.MaxAnnouncementAge) {
 			delete(in.Health, inc)
 		}
 		starts = placement.Plan(in)
@@ -137,6 +140,35 @@
 	return starts
 }
 
+// minionsOf returns the minions of the given pools.
+func minionsOf(st *batch.State, pools map[string]bool) []*apiv1.BatchMinion {
+	if len(pools) == 0 {
+		return nil
+	}
+	var out []*apiv1.BatchMinion
+	for _, m := range st.Minions() {
+		if pools[m.Pool] {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// placementHealth returns the health of the given incarnations that have a session.
+func (d *Dispatcher) placementHealth(incarnations []batch.Incarnation, now time.Duration) map[batch.Incarnation]placement.Health {
+	out := make(map[batch.Incarnation]placement.Health, len(incarnations))
+	for _, s := range d.sessionsOf(incarnations) {
+		usable := s.usable(now)
+		s.mu.Lock()
+		out[s.target.Incarnation] = placement.Health{
+			Usable:  usable && !s.health.quarantined(now),
+			Suspect: s.health.suspect(now),
+		}
+		s.mu.Unlock()
+	}
+	return out
+}
+
 // commitStarts proposes starts once. Those that are not committed are planned
 // again in a later round.
 func (d *Dispatcher) commitStarts(starts []*apiv1.StartedRun) {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -100,8 +100,17 @@
 // Plan returns the starts of one planning round. The leader calls it in every
 // round and proposes the starts to the state.
 func Plan(in Input) []*apiv1.StartedRun {
+	pools := WaitingPools(in.State, in.NowUnixMS)
+	if len(pools) == 0 {
+		return nil
+	}
+	return planPools(in, pools)
+}
+
+// planPools is Plan with the minions of the given pools.
+func planPools(in Input, pools map[string]bool) []*apiv1.StartedRun {
 	p := &planner{in: in, candidates: map[string][]*candidate{}, startedUsage: map[string]batch.Usage{}, unplaceable: map[string]batch.Usage{}}
-	p.collectMinions()
+	p.collectMinions(pools)
 	jobs := p.jobOrder()
 	p.setMinionsAside(jobs)
 	for _, j := range p.alternatePools(jobs) {
@@ -113,23 +122,6 @@
 	return p.starts
 }
 
-// collectMinions sets the candidates: all usable minions that may get new work.
-func (p *planner) collectMinions() {
-	for _, m := range p.in.State.Minions() {
-		incarnation := batch.IncarnationOf(m.Life)
-		h := p.in.Health[incarnation]
-		if !h.Usable || m.Draining || p.in.Reserved[incarnation] || p.in.State.IsZoneOut(m.AvailabilityZone) {
-			continue
-		}
-		c := &candidate{minion: m, incarnation: incarnation, load: p.in.State.LoadOf(incarnation), suspect: h.Suspect, maintenanceDue: p.in.MaintenanceDue[incarnation]}
-		if c.load != nil {
-			c.used = c.load.Used
-			c.longRunningCPU = c.load.LongRunningCPUMillis
-		}
-		p.candidates[m.Pool] = append(p.candidates[m.Pool], c)
-	}
-}
-
 // planJob plans the starts of a job, in the order of its due occurrences and
 // their steps.
 func (p *planner) planJob(j *batch.Job) {
