replica: tick in each round of the loop in which a tick is due

Cause: each round of the replica's loop takes one of the inputs that are ready, at random, then syncs the log and applies entries. Under load proposals and messages are always ready, so the tick waits for several rounds. After 0.5 s without a tick the leader takes its process for suspended and steps down; heartbeats, which are counted in ticks, are late by the same cause.

Change: a round that took other input ticks as well if a tick is due.

--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -74,6 +74,7 @@
 	// diskFull makes all writes to the data folder fail for lack of space.
 	diskFull, freedBySnapshot atomic.Bool
 	saves                     atomic.Int32 // attempts to write to the log
+	saveTime                  atomic.Int64 // time that each takes, as a time.Duration
 	server                    *rpc.Server
 	client                    *rpc.Client
 }
--- a/internal/replica/full_disk_test.go
+++ b/internal/replica/full_disk_test.go
@@ -23,11 +23,12 @@
 	freedBySnapshot *atomic.Bool
 	full            *atomic.Bool
 	saves           *atomic.Int32
+	saveTime        *atomic.Int64
 }
 
 func (m *member) openFolder(path string) (dataFolder, *storage.Contents, error) {
 	folder, contents, err := openFolder(path)
-	return &limitedFolder{folder, &m.freedBySnapshot, &m.diskFull, &m.saves}, contents, err
+	return &limitedFolder{folder, &m.freedBySnapshot, &m.diskFull, &m.saves, &m.saveTime}, contents, err
 }
 
 func (f *limitedFolder) check() error {
@@ -39,6 +40,7 @@
 
 func (f *limitedFolder) Save(hs *apiv1.HardState, entries []*apiv1.LogEntry, sync bool) error {
 	f.saves.Add(1)
+	time.Sleep(time.Duration(f.saveTime.Load()))
 	if err := f.check(); err != nil && (sync || len(entries) > 0) {
 		return err
 	}
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -199,6 +199,7 @@
 		case w := <-n.writtenSnapshots:
 			n.useSnapshot(w)
 		}
+		n.tickIfDue(ticker.C)
 		n.takeQueued()
 		err := n.processReadies()
 		if err != nil && n.ctx.Err() == nil {
@@ -211,6 +212,16 @@
 	}
 }
 
+// tickIfDue ticks in a round that took other input. Under load there is input in every
+// round, and without it a leader would take its own loop for suspended and step down.
+func (n *Node) tickIfDue(ticks <-chan time.Time) {
+	select {
+	case <-ticks:
+		n.tick()
+	default:
+	}
+}
+
 // takeQueued passes further queued input to the core, so that one sync of the log
 // covers all of it.
 func (n *Node) takeQueued() {
