placement: find the minion of a task in an index of free room

Each start scanned all candidates of its pool: a round over a backlog took starts times minions. After a few scans in a round the candidates are now sorted by the order in which tasks that end by themselves take them, and starts move them in it. Long-running and suspect tasks and gangs on one rack still scan.

TestIndexChoosesAsAScan compares each choice with a scan, and TestLongRoundsChooseAsScans whole rounds; both failed with the ties reversed and with gangs given up without moving their candidates. The tests there were are unchanged.

--- a/internal/placement/gang.go
+++ b/internal/placement/gang.go
@@ -74,7 +74,7 @@
 // only affects which minions are preferred in this round.
 func (p *planner) release(j *batch.Job, step *apiv1.BatchStep, refs []batch.TaskRef, chosen []*candidate) {
 	for i, c := range chosen {
-		c.used = c.used.Add(batch.ResourcesOnMinion(step), -1)
+		c.setUsed(c.used.Add(batch.ResourcesOnMinion(step), -1))
 		c.stepStarts[refs[i].StepRef()]--
 		if j.Crashes(refs[i]) > 0 {
 			p.summarize(c).suspects--
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -52,10 +52,15 @@
 // candidate is a minion that may get work in this round. It counts the resources
 // that earlier starts of the round use.
 type candidate struct {
-	minion         *apiv1.BatchMinion
-	incarnation    batch.Incarnation
-	load           *batch.Load
-	used           batch.Usage
+	minion      *apiv1.BatchMinion
+	incarnation batch.Incarnation
+	load        *batch.Load
+	// Resources in use. Only setUsed changes them.
+	used batch.Usage
+	// Position among the pool's candidates, and the pool's index, nil while there is
+	// none.
+	position       int
+	room           *roomIndex
 	suspect        bool
 	maintenanceDue bool
 	// closed minions run an isolated task (see isolation.go) or are set aside for
@@ -77,8 +82,9 @@
 // planner is the working state of one round.
 type planner struct {
 	in Input
-	// Candidates by pool.
+	// Candidates by pool, in the order of the minions' ids, and the index of each pool.
 	candidates map[string][]*candidate
+	room       map[string]*roomIndex
 	// Resources of the tasks that this round starts, by client account.
 	startedUsage map[string]batch.Usage
 	// Mean work of the active jobs of each queue, in thousandths of a core times
@@ -109,17 +115,29 @@
 
 // planPools is Plan with the minions of the given pools.
 func planPools(in Input, pools map[string]bool) []*apiv1.StartedRun {
-	p := &planner{in: in, candidates: map[string][]*candidate{}, startedUsage: map[string]batch.Usage{}, unplaceable: map[string]batch.Usage{}}
+	p := newPlanner(in)
 	p.collectMinions(pools)
+	p.run()
+	return p.starts
+}
+
+func newPlanner(in Input) *planner {
+	return &planner{
+		in: in, candidates: map[string][]*candidate{}, room: map[string]*roomIndex{},
+		startedUsage: map[string]batch.Usage{}, unplaceable: map[string]batch.Usage{},
+	}
+}
+
+// run plans the starts of the round.
+func (p *planner) run() {
 	jobs := p.jobOrder()
 	p.setMinionsAside(jobs)
 	for _, j := range p.alternatePools(jobs) {
-		if len(p.starts) >= in.MaxStarts {
+		if len(p.starts) >= p.in.MaxStarts {
 			break
 		}
 		p.planJob(j)
 	}
-	return p.starts
 }
 
 // planJob plans the starts of a job, in the order of its due occurrences and
@@ -224,7 +242,7 @@
 // allocate counts a task's resources as used on the candidate and by the job's
 // account.
 func (p *planner) allocate(j *batch.Job, step *apiv1.BatchStep, ref batch.TaskRef, c *candidate) {
-	c.used = c.used.Add(batch.ResourcesOnMinion(step), 1)
+	c.setUsed(c.used.Add(batch.ResourcesOnMinion(step), 1))
 	if step.LongRunning {
 		c.longRunningCPU += batch.ResourcesOnMinion(step).CPUMillis
 	}
@@ -260,7 +278,7 @@
 		if isSuspect {
 			best = p.bestForSuspect(step, ref, pool)
 		} else {
-			best = bestCandidate(step, ref, pool)
+			best = p.bestCandidate(step, ref, pool)
 		}
 		// The summary closes a candidate on which an isolated task runs.
 		if best == nil || !p.anyIsolated || p.summarize(best).isolated == 0 {
@@ -269,17 +287,6 @@
 	}
 }
 
-// bestCandidate returns the best candidate that can run a task, nil if none can.
-func bestCandidate(step *apiv1.BatchStep, ref batch.TaskRef, pool []*candidate) *candidate {
-	var best *candidate
-	for _, c := range pool {
-		if c.canRun(step, ref) && (best == nil || isBetter(c, best, step, ref)) {
-			best = c
-		}
-	}
-	return best
-}
-
 // withinAccountLimit reports whether the resources that the tasks of the job's
 // account use stay within the account's limit with the starts of this round (one
 // pass of the planner) and one more task of the step added. An unknown account
