dispatch: pause at least 20 ms after a round that had work to place

A round costs about the same for one task as for many, and the pause after it followed its length only: the shorter the rounds, the more of them, so a leader at its processor's limit gained nothing from cheaper rounds. A round that had tasks to place is now followed by 20 ms at least, in which its starts are committed. One without any is not, so a task that arrives at a leader without a backlog is placed at once.

The price: under load a start waits up to 20 ms longer, less where its commit takes as long anyway.

--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -11,11 +11,17 @@
 	"bergamotdrum.example/bergamotdrum/internal/state"
 )
 
-// planPauseFactor is how many times its duration a planning round is followed by a
-// pause, in which its starts are committed. Rounds get longer with the size of the
-// fleet, and each plans all that changed during the pause, so planning takes a
-// bounded part of the processor.
-const planPauseFactor = 5
+const (
+	// planPauseFactor is how many times its duration a planning round is followed by a
+	// pause, in which its starts are committed. Rounds get longer with the size of the
+	// fleet, and each plans all that changed during the pause, so planning takes a
+	// bounded part of the processor.
+	planPauseFactor = 5
+	// minPlanPause is the shortest pause after a round that had work to place. A round
+	// costs about the same for one task as for many, so a busy leader places in few
+	// rounds what arrives meanwhile.
+	minPlanPause = 20 * time.Millisecond
+)
 
 // planLoop runs a planning round after each change of the batch state, and at
 // least every planInterval when rounds are short.
@@ -40,13 +46,17 @@
 func (d *Dispatcher) round() time.Duration {
 	start := d.clock.Now()
 	d.syncSessions()
-	starts := d.plan()
+	starts, hadWork := d.plan()
 	planned := d.clock.Now()
 	d.metrics.planSeconds.Observe((planned - start).Seconds())
 	if len(starts) > 0 && d.leadershipConfirmed() {
 		d.commitStarts(starts)
 	}
-	return min(planPauseFactor*(planned-start), planInterval) - (d.clock.Now() - planned)
+	pause := planPauseFactor * (planned - start)
+	if hadWork {
+		pause = max(pause, minPlanPause)
+	}
+	return min(pause, planInterval) - (d.clock.Now() - planned)
 }
 
 // syncSessions opens the sessions that are missing and updates those whose
@@ -105,16 +115,16 @@
 	return out
 }
 
-// plan returns the starts to commit now. It reads the health only of minions in
-// pools with work that waits.
-func (d *Dispatcher) plan() []*apiv1.StartedRun {
+// plan returns the starts to commit now, and whether there was work to place. It
+// reads the health only of minions in pools with work that waits.
+func (d *Dispatcher) plan() (starts []*apiv1.StartedRun, hadWork bool) {
 	now := d.clock.Now()
 	in := placement.Input{
 		NowUnixMS: time.Now().UnixMilli(),
 		MaxStarts: maxUnsentStarts - int(d.unsentStarts.Load()),
 	}
 	if in.MaxStarts <= 0 {
-		return nil
+		return nil, false
 	}
 	var pools map[string]bool
 	var incarnations []batch.Incarnation
@@ -125,11 +135,10 @@
 		}
 	})
 	if len(incarnations) == 0 {
-		return nil
+		return nil, false
 	}
 	in.Health = d.placementHealth(incarnations, now)
 	in.Reserved, in.MaintenanceDue = d.fleet.reservedAndDue()
-	var starts []*apiv1.StartedRun
 	d.opts.StateMachine.Read(func(st *state.State) {
 		in.State = st.Batch
 		for _, inc := range d.announcements.outdated(st.Batch, minionsOf(st.Batch, pools), now, d.opts.MaxAnnouncementAge) {
@@ -137,7 +146,7 @@
 		}
 		starts = placement.Plan(in)
 	})
-	return starts
+	return starts, true
 }
 
 // minionsOf returns the minions of the given pools.
