dispatch: renew a minion's lease before the first commit of a new leader

The first hold call of a session renews no lease, since the minion's clock isn't known.

While a commit is awaited, a lease is now renewed 1 s after the last renewal by this session, and at once if it made none.

TestNextLeaderRenewsLeaseBeforeCommits (commits of 3 s, 0.1 s of the lease left) fails with "the lease has lapsed" when the renewal waits for 1 s.

Open: the first renewal needs one answer of the minion. Announcements carry the minion's clock, which is not used for that.

--- a/internal/dispatch/endqueue.go
+++ b/internal/dispatch/endqueue.go
@@ -31,22 +31,34 @@
 }
 
 // commitEnds is like Dispatcher.commitEnds. Until the ends are committed it renews the
-// minion's lease, since the next hold call has to wait: it acknowledges the ends.
+// minion's lease, since the next hold call has to wait: it acknowledges the ends. The
+// first hold call of a session renews nothing, and the lease may be about to end then.
 func (s *session) commitEnds(ctx context.Context, ends []*apiv1.EndedRun) bool {
 	done := s.d.queueEnds(ends)
-	answers := true
+	answers, wait := true, s.untilRenewal()
 	for {
 		select {
 		case ok := <-done:
 			return ok
 		case <-ctx.Done():
 			return false
-		case <-time.After(holdWait):
+		case <-time.After(wait):
 			answers = answers && s.renewLease(ctx)
+			wait = max(s.untilRenewal(), retryDelay)
 		}
 	}
 }
 
+// untilRenewal returns the time until the lease should be renewed.
+func (s *session) untilRenewal() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.renewedAt == 0 {
+		return 0
+	}
+	return max(s.renewedAt+holdWait-s.d.clock.Now(), 0)
+}
+
 // renewLease makes a hold call, the long poll that lists the minion's runs, only to
 // renew the lease: it has no wait, and what it lists is ignored. renewLease returns
 // false when the minion doesn't answer, so that its lease isn't to be extended.
@@ -59,7 +71,7 @@
 		s.mu.Unlock()
 		return false
 	}
-	o := HoldRequest{Token: s.token, LastAckedEnd: s.ackedEnd, LeaseUntilMS: s.lease.extend(s.d.clock.Now(), s.d.opts.Lease)}
+	o := HoldRequest{Token: s.token, LastAckedEnd: s.ackedEnd, LeaseUntilMS: s.extendLease()}
 	s.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, holdGrace)
 	defer cancel()
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -12,15 +12,9 @@
 	s.mu.Lock()
 	o.LastAckedEnd = s.ackedEnd
 	if s.answering {
-		o.MaxWait = s.nextHoldWait()
-		// The clock is read before the permission is checked, so that the lease counts
-		// from a time at which this leader had it, even if the process is suspended in
-		// between. The lease of a minion that doesn't answer is not extended, since its
+		// The lease of a minion that doesn't answer is not extended, since its
 		// runs are released when the present lease ends.
-		now := s.d.clock.Now()
-		if length := s.d.allowedLease(); length > 0 && s.d.leadershipConfirmed() {
-			o.LeaseUntilMS = s.lease.extend(now, length)
-		}
+		o.MaxWait, o.LeaseUntilMS = s.nextHoldWait(), s.extendLease()
 	}
 	s.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, o.MaxWait+holdGrace)
@@ -28,6 +22,21 @@
 	return s.d.opts.Minions.Hold(ctx, s.target, o)
 }
 
+// extendLease records that the lease is about to be renewed and returns its end on the
+// minion's clock, in ms, or zero when this leader may not renew it now. The caller
+// holds mu.
+func (s *session) extendLease() int64 {
+	// The clock is read before the permission is checked, so that the lease counts from
+	// a time at which this leader had it, even if the process is suspended in between.
+	now := s.d.clock.Now()
+	length := s.d.allowedLease()
+	if length == 0 || !s.d.leadershipConfirmed() {
+		return 0
+	}
+	s.renewedAt = now
+	return s.lease.extend(now, length)
+}
+
 // probe makes a hold call without a wait, in parallel to the one that waits for
 // ends. It is called after a stop, so that the end of the run is known soon.
 func (s *session) probe() {
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -115,9 +115,12 @@
 	orderSlots chan struct{}
 	cancel     context.CancelFunc
 
-	mu     sync.Mutex
-	lease  lease
-	orders map[batch.RunKey]*runOrder
+	mu    sync.Mutex
+	lease lease
+	// renewedAt is when the last hold call was sent that renewed the lease, zero before
+	// the first.
+	renewedAt time.Duration
+	orders    map[batch.RunKey]*runOrder
 	// loadRevision is the revision of the committed load that orders reflects,
 	// stateRevision the revision of the whole state that it was read from.
 	loadRevision, stateRevision uint64
--- a/internal/dispatch/silence_test.go
+++ b/internal/dispatch/silence_test.go
@@ -227,3 +227,36 @@
 		}
 	})
 }
+
+// Guards against a lease that lapses after a change of the leader, because its first
+// renewal by the new leader waits for the commit of the ends that the minion lists.
+func TestNextLeaderRenewsLeaseBeforeCommits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		h := newHarness(t, 1)
+		defer func() { h.endTerm() }()
+		h.cluster.endless = true
+		m := h.cluster.add("a")
+		h.announce(m)
+		h.submit("job0", 3)
+		time.Sleep(2 * time.Second)
+		runs := h.runsOf("job0")
+		g.Expect(runs).To(HaveLen(3))
+		h.endTerm()
+		h.cluster.mu.Lock()
+		m.finish(runs[0], apiv1.RunEnd_RUN_END_DONE)
+		left := time.Duration(m.leaseUntilMS-m.clock()) * time.Millisecond
+		h.cluster.mu.Unlock()
+		h.setCommitTime(testMaxLease)
+		time.Sleep(left - 100*time.Millisecond)
+		h.startTerm()
+		for range 2 * testMaxLease / (100 * time.Millisecond) {
+			time.Sleep(100 * time.Millisecond)
+			h.cluster.mu.Lock()
+			m.advance()
+			running := len(m.running)
+			h.cluster.mu.Unlock()
+			g.Expect(running).To(Equal(2), "the lease has lapsed")
+		}
+	})
+}
