dispatch: request a leader's confirmation without awaiting the last one

A leader gives orders and renews leases only while a quorum has confirmed it within 1 s, counted from the request. The requests were made one after the other, 0.2 s after the answer, so a confirmation was in use until it was twice as old as an answer takes, and 0.2 s more. On a busy leader whose confirmations take more than 0.4 s, orders and renewals so paused again and again, though a quorum confirmed every request; with 1 s and more nothing is renewed, and the leases of all minions end together.

A request is now made every 0.2 s, five at most under way, so confirmations may take 0.8 s. What counts is unchanged: the newest request that was confirmed, for 1 s from then.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -21,7 +21,7 @@
 	// confirmed it. A deposed leader whose process was suspended sends none when
 	// it resumes.
 	leadershipTTL = time.Second
-	// confirmInterval is the time between two confirmations by the quorum.
+	// confirmInterval is the time between two requests for a confirmation by the quorum.
 	confirmInterval = 200 * time.Millisecond
 	// planInterval is the longest time between two planning rounds, which choose
 	// the tasks to start. Some work becomes due by time alone, without a change of
@@ -164,22 +164,26 @@
 	return d.ctx.Err() == nil && d.clock.Now()-time.Duration(d.confirmedAt.Load()) < leadershipTTL
 }
 
-// confirmLoop has a quorum confirm this leader again and again. A confirmation
-// counts from when it was requested: another leader may exist soon after.
+// confirmLoop has a quorum confirm this leader every confirmInterval. It doesn't wait
+// for the answer to one request before the next: confirmations would be twice as old,
+// and on a busy leader too old to renew leases.
 func (d *Dispatcher) confirmLoop() {
 	for d.ctx.Err() == nil {
 		sleep(d.ctx, confirmInterval)
-		d.confirm()
+		d.wg.Go(d.confirm)
 	}
 }
 
-// confirm has a quorum confirm this leader once. It takes leadershipTTL at most.
+// confirm has a quorum confirm this leader. A confirmation counts from when it was
+// requested: another leader may exist soon after. It takes leadershipTTL at most.
 func (d *Dispatcher) confirm() {
-	start := d.clock.Now()
+	start := int64(d.clock.Now())
 	ctx, cancel := context.WithTimeout(d.ctx, leadershipTTL)
 	defer cancel()
-	if err := d.opts.Node.Barrier(ctx); err == nil {
-		d.confirmedAt.Store(int64(start))
+	if d.opts.Node.Barrier(ctx) != nil {
+		return
+	}
+	for at := d.confirmedAt.Load(); at < start && !d.confirmedAt.CompareAndSwap(at, start); at = d.confirmedAt.Load() {
 	}
 }
 
--- a/internal/dispatch/fakecluster_test.go
+++ b/internal/dispatch/fakecluster_test.go
@@ -21,7 +21,8 @@
 func (c bubbleClock) Now() time.Duration { return time.Since(c.start) }
 
 // fakeNode is a control replica that applies each proposal after commitTime, without
-// a log. While deposed is set, it commits and confirms nothing.
+// a log, and confirms after confirmTime that it leads. While deposed is set, it commits
+// and confirms nothing.
 type fakeNode struct {
 	mu         sync.Mutex
 	machine    *state.Machine
@@ -30,6 +31,8 @@
 	commitTime time.Duration
 	// leaseRecordFails is set while commands that record the longest lease fail.
 	leaseRecordFails bool
+	// confirmTime is how long a confirmation by the quorum takes.
+	confirmTime time.Duration
 }
 
 var errNoQuorum = errors.New("no quorum")
@@ -55,7 +58,14 @@
 	n.deposed = deposed
 }
 
-func (n *fakeNode) Barrier(context.Context) error {
+func (n *fakeNode) Barrier(ctx context.Context) error {
+	n.mu.Lock()
+	confirmTime := n.confirmTime
+	n.mu.Unlock()
+	sleep(ctx, confirmTime)
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.deposed {
--- a/internal/dispatch/silence_test.go
+++ b/internal/dispatch/silence_test.go
@@ -260,3 +260,24 @@
 		}
 	})
 }
+
+// Guards against a leader that stops to renew leases although a quorum confirms it,
+// since a busy process takes 0.7 s for each confirmation.
+func TestSlowConfirmationsKeepTheLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		h := newHarness(t, 1)
+		defer h.endTerm()
+		h.node.mu.Lock()
+		h.node.confirmTime = 700 * time.Millisecond
+		h.node.mu.Unlock()
+		time.Sleep(2 * time.Second)
+		for range 1000 {
+			time.Sleep(10 * time.Millisecond)
+			g.Expect(h.dispatcher.leadershipConfirmed()).To(BeTrue())
+		}
+		h.node.setDeposed(true)
+		time.Sleep(leadershipTTL)
+		g.Expect(h.dispatcher.leadershipConfirmed()).To(BeFalse(), "a confirmation counts from its request")
+	})
+}
