dispatch: release a silent minion's runs when its lease ends

Cause: the end of a lease was looked for only after a failed hold call, which takes 0.8 s, and 0.15 s pass before the next one.

The hold call to a minion that doesn't answer, and the pause after it, now end with its lease, and the lease is looked at after both. Nothing is released earlier than its lease allows: the check is the same one.

Evidence: TestSilentMinionIsReleasedWhenItsLeaseEnds failed before (silence 0: no task of the minion runs elsewhere 0.3 s after its lease has ended) and passes for ten phases of the hold calls.

--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -22,12 +22,30 @@
 			o.LeaseUntilMS = s.lease.extend(now, length)
 		}
 	}
+	timeout := s.untilExpiry(o.MaxWait + holdGrace)
 	s.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, o.MaxWait+holdGrace)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	return s.d.opts.Minions.Hold(ctx, s.target, o)
 }
 
+// untilExpiry returns d, or the time until the lease of a minion that doesn't answer
+// ends, if that is shorter: its runs are to be released then. The caller holds mu.
+func (s *session) untilExpiry(d time.Duration) time.Duration {
+	left := s.lease.endsBy - s.d.clock.Now()
+	if s.answering || left < 0 {
+		return d
+	}
+	return min(d, left+time.Millisecond)
+}
+
+// retryPause returns the pause after a failed hold call.
+func (s *session) retryPause() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.untilExpiry(retryDelay)
+}
+
 // probe makes a hold call without a wait, in parallel to the one that waits for
 // ends. It is called after a stop, so that the end of the run is known soon.
 func (s *session) probe() {
@@ -72,13 +90,21 @@
 	if refused {
 		s.lease.observeClock(refusal.ClockMS, s.d.clock.Now())
 	}
-	expired := s.lease.expired(s.d.clock.Now())
 	wasAnswering := s.answering
 	s.answering = false
 	s.mu.Unlock()
 	if wasAnswering {
 		s.log.WithError(err).Warn("minion does not answer")
 	}
+	return s.endIfExpired(ctx, err)
+}
+
+// endIfExpired ends the incarnation, and returns true, when its minion doesn't answer,
+// as shown by err, and its lease has ended.
+func (s *session) endIfExpired(ctx context.Context, err error) bool {
+	s.mu.Lock()
+	expired := !s.answering && s.lease.expired(s.d.clock.Now())
+	s.mu.Unlock()
 	if !expired {
 		return false
 	}
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -172,7 +172,10 @@
 			if s.handleHoldError(ctx, err) {
 				return
 			}
-			sleep(ctx, retryDelay)
+			sleep(ctx, s.retryPause())
+			if ctx.Err() != nil || s.endIfExpired(ctx, err) {
+				return
+			}
 			continue
 		}
 		if reply.StartedMS != s.target.Incarnation.StartedMS {
--- a/internal/dispatch/silence_test.go
+++ b/internal/dispatch/silence_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -197,3 +198,41 @@
 		g.Expect(m.running).To(HaveLen(3))
 	})
 }
+
+// Guards against tasks of a silent minion that stay down for longer than its lease,
+// since its end is noticed only when the last call to it has timed out.
+func TestSilentMinionIsReleasedWhenItsLeaseEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		h := newHarness(t, 1)
+		defer func() { h.endTerm() }()
+		h.restartWithLease(4 * time.Second)
+		a := h.cluster.add("a")
+		h.announce(a)
+		h.submitLongRunning("job0", 3, 1)
+		time.Sleep(2 * longestAccepted)
+		b := h.cluster.add("b")
+		h.announce(b)
+		time.Sleep(time.Second)
+		// The silence begins at each phase of the hold calls.
+		for i := range 10 {
+			time.Sleep(5*time.Second + time.Duration(i)*130*time.Millisecond)
+			h.setUnreachable(a, true)
+			leaseEnd := h.leaseEnd(a)
+			time.Sleep(time.Until(leaseEnd) + 300*time.Millisecond)
+			g.Expect(h.running(b)).To(Equal(3), "silence %d", i)
+			a, b = b, h.cluster.add(fmt.Sprint("next", i))
+			h.announce(b)
+		}
+	})
+}
+
+// leaseEnd returns when the leader takes the lease of a minion as ended.
+func (h *harness) leaseEnd(m *fakeMinion) time.Time {
+	h.dispatcher.mu.Lock()
+	s := h.dispatcher.sessions[batch.Incarnation{ID: m.id, StartedMS: m.startedMS}]
+	h.dispatcher.mu.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return h.start.Add(s.lease.endsBy)
+}
