dispatch: a delayed notice of leaving doesn't concern the next incarnation

A minion that starts again under its id, while a notice of leaving of its earlier incarnation is delayed by the network, never gets work any more: draining isn't taken back.

Cause: the notice (DELETE of the id) names no incarnation; it was taken to be of the recorded one.

A notice without an incarnation that arrives within 15 s of the start of the recorded incarnation, which hasn't announced that it drains, doesn't make it draining; an end of that incarnation still counts as planned, not as a crash. A minion that leaves announces first that it drains, so such a notice says nothing new otherwise. A notice that names another incarnation changes nothing.

Open: a minion that leaves in its first 15 s and whose announcements of draining were all lost gets work until its process ends.

--- a/internal/dispatch/announce.go
+++ b/internal/dispatch/announce.go
@@ -94,7 +94,7 @@
 func (d *Dispatcher) Announce(ctx context.Context, req *apiv1.AnnounceMinionRequest) error {
 	m := req.Minion
 	if req.Leaves {
-		return d.markDraining(ctx, m.Life.GetId())
+		return d.markDraining(ctx, m.Life)
 	}
 	if !d.announcements.accept(req) {
 		return nil
@@ -151,20 +151,46 @@
 	return !same
 }
 
+// maxNoticeDelay is how long the network may delay a notice of leaving.
+const maxNoticeDelay = 15 * time.Second
+
 // markDraining records that a minion is about to end, so that it gets no new
 // work and its long-running tasks are relocated. Its other runs and its session, the
 // leader's exchange with it, go on until the process has ended; only then is the minion
 // recorded as gone.
-func (d *Dispatcher) markDraining(ctx context.Context, id string) error {
+//
+// A notice may not say which incarnation it is from. One that arrives within
+// maxNoticeDelay of the start of the recorded incarnation counts as a delayed one of
+// the incarnation before it: a minion that leaves announces first that it drains.
+func (d *Dispatcher) markDraining(ctx context.Context, from *apiv1.MinionLife) error {
 	var m *apiv1.BatchMinion
 	d.opts.StateMachine.Read(func(st *state.State) {
-		if recorded := st.Batch.Minion(id); recorded != nil && !recorded.Draining {
+		if recorded := st.Batch.Minion(from.GetId()); recorded != nil && !recorded.Draining {
 			m = proto.CloneOf(recorded)
 		}
 	})
 	if m == nil {
 		return nil
 	}
+	startedMS := from.GetBornUnixMs()
+	young := time.Now().UnixMilli()-m.Life.BornUnixMs < maxNoticeDelay.Milliseconds()
+	switch {
+	case startedMS != 0 && startedMS != m.Life.BornUnixMs:
+		return nil
+	case startedMS == 0 && young:
+		d.log.WithField("minion", m.Life.Id).WithField("born_unix_ms", m.Life.BornUnixMs).Info("notice of leaving may be of an earlier incarnation; the minion gets work")
+		d.noteMayLeave(batch.IncarnationOf(m.Life))
+		return nil
+	}
 	m.Draining = true
 	return d.recordMinion(ctx, m)
 }
+
+// noteMayLeave has an end of the incarnation taken as planned, not as a crash.
+func (d *Dispatcher) noteMayLeave(inc batch.Incarnation) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if s := d.sessions[inc]; s != nil {
+		s.notice.draining = true
+	}
+}
