--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -16,8 +16,9 @@
 		// runs are released when the present lease ends.
 		o.MaxWait, o.LeaseUntilMS = s.nextHoldWait(), s.extendLease()
 	}
+	timeout := s.untilExpiry(o.MaxWait + holdGrace)
 	s.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, o.MaxWait+holdGrace)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	return s.d.opts.Minions.Hold(ctx, s.target, o)
 }
@@ -37,6 +38,23 @@
 	return s.lease.extend(now, length)
 }
 
+// untilExpiry returns d, or the time until the lease of a minion that doesn't answer
+// ends, if that is shorter: its runs are to be released then. The caller holds mu.
+func (s *session) untilExpiry(d time.Duration) time.Duration {
+	left := s.lease.endsBy - s.d.clock.Now()
+	if s.answering || left < 0 {
+		return d
+	}
+	return min(d, left+time.Millisecond)
+}
+
+// retryPause returns the pause after a failed hold call.
+func (s *session) retryPause() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.untilExpiry(retryDelay)
+}
+
 // probe makes a hold call without a wait, in parallel to the one that waits for
 // ends. It is called after a stop, so that the end of the run is known soon.
 func (s *session) probe() {
@@ -81,13 +99,21 @@
 	if refused {
 		s.lease.observeClock(refusal.ClockMS, s.d.clock.Now())
 	}
-	expired := s.lease.expired(s.d.clock.Now())
 	wasAnswering := s.answering
 	s.answering = false
 	s.mu.Unlock()
 	if wasAnswering {
 		s.log.WithError(err).Warn("minion does not answer")
 	}
+	return s.endIfExpired(ctx, err)
+}
+
+// endIfExpired ends the incarnation, and returns true, when its minion doesn't answer,
+// as shown by err, and its lease has ended.
+func (s *session) endIfExpired(ctx context.Context, err error) bool {
+	s.mu.Lock()
+	expired := !s.answering && s.lease.expired(s.d.clock.Now())
+	s.mu.Unlock()
 	if !expired {
 		return false
 	}
@@ -99,3 +125,30 @@
 	s.d.endIncarnation(ctx, s, "its lease has expired", connectionRefused(err))
 	return true
 }
+
+// awaitFullSpeed asks for the status of long-running tasks that have just started until
+// all of the minion's work at full speed. Without it the status is known only when the
+// pending hold call, which began before, is answered, and other tasks of the step may
+// wait for that.
+func (s *session) awaitFullSpeed() {
+	s.mu.Lock()
+	waiting := s.awaitingFullSpeed
+	s.awaitingFullSpeed = true
+	s.mu.Unlock()
+	if waiting {
+		return
+	}
+	for waited := time.Duration(0); waited < holdWait && s.d.ctx.Err() == nil; waited += startupHoldWait {
+		s.probe()
+		s.mu.Lock()
+		done := !s.answering || s.nextHoldWait() == holdWait
+		s.mu.Unlock()
+		if done {
+			break
+		}
+		sleep(s.d.ctx, startupHoldWait)
+	}
+	s.mu.Lock()
+	s.awaitingFullSpeed = false
+	s.mu.Unlock()
+}
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -136,6 +136,8 @@
 	answeredAt time.Duration
 	// answering is set while the last hold call was answered.
 	answering bool
+	// awaitingFullSpeed is set while awaitFullSpeed runs.
+	awaitingFullSpeed bool
 	// backoffUntil is when a minion that refused an order may get new work again.
 	backoffUntil time.Duration
 	health       healthRecord
@@ -183,7 +185,10 @@
 			if s.handleHoldError(ctx, err) {
 				return
 			}
-			sleep(ctx, retryDelay)
+			sleep(ctx, s.retryPause())
+			if ctx.Err() != nil || s.endIfExpired(ctx, err) {
+				return
+			}
 			continue
 		}
 		if reply.StartedMS != s.target.Incarnation.StartedMS {
