dispatch: ask idle minions of large fleets less often

What callers saw: on the large site the leader is the limit of what is started.

Change: the hold calls to minions that run nothing may be held back for up to 2 s, the most that a minion grants, so that some 400 a second are made. Below 400 minions nothing changes. How late an answer may be until the minion gets no new work counts from the end of the wait, as before.

The start-up of long-running tasks is asked for until the longer wait is over.

--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -64,7 +64,7 @@
 func (s *session) usable(now time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.answering || s.listsUncommitted || !s.lease.clockKnown || now-s.answeredAt >= maxHoldAge || now < s.backoffUntil {
+	if !s.answering || s.listsUncommitted || !s.lease.clockKnown || now-s.answeredAt >= s.heldFor+maxHoldDelay || now < s.backoffUntil {
 		return false
 	}
 	for _, o := range s.orders {
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -6,16 +6,35 @@
 	"time"
 )
 
+const (
+	// idleHoldsPerSecond is how many hold calls a second the leader makes to minions
+	// that run nothing, unless they would be held back for longer than maxIdleHoldWait.
+	idleHoldsPerSecond = 400
+	maxIdleHoldWait    = 2 * time.Second
+)
+
+// idleHoldWait replaces holdWait for minions that run nothing. It grows with their
+// number, since the calls to a large fleet cost the leader as much as its starts.
+func (d *Dispatcher) idleHoldWait() time.Duration {
+	d.mu.Lock()
+	sessions := len(d.sessions)
+	d.mu.Unlock()
+	wait := min(time.Duration(sessions)*time.Second/idleHoldsPerSecond, maxIdleHoldWait, d.opts.Lease/2)
+	return max(wait, holdWait)
+}
+
 // hold makes one hold call.
 func (s *session) hold(ctx context.Context) (*HoldReply, error) {
 	o := HoldRequest{Token: s.token}
+	idleWait := s.d.idleHoldWait()
 	s.mu.Lock()
 	o.LastAckedEnd = s.ackedEnd
 	if s.answering {
 		// The lease of a minion that doesn't answer is not extended, since its
 		// runs are released when the present lease ends.
-		o.MaxWait, o.LeaseUntilMS = s.nextHoldWait(), s.extendLease()
+		o.MaxWait, o.LeaseUntilMS = s.nextHoldWait(idleWait), s.extendLease()
 	}
+	s.heldFor = max(o.MaxWait, holdWait)
 	timeout := s.untilExpiry(o.MaxWait + holdGrace)
 	s.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, timeout)
@@ -71,16 +90,27 @@
 	s.handleReply(s.d.ctx, reply, sentAt)
 }
 
-// nextHoldWait returns the wait for the next hold call. It is shorter while a
-// long-running task starts up, since the maintenance of other machines waits for
-// that task. The caller holds mu.
-func (s *session) nextHoldWait() time.Duration {
+// nextHoldWait returns the wait for the next hold call. It is idleWait while nothing
+// runs, and shorter than usual while a long-running task starts up, since the
+// maintenance of other machines waits for that task. The caller holds mu.
+func (s *session) nextHoldWait(idleWait time.Duration) time.Duration {
+	switch {
+	case len(s.orders) == 0:
+		return idleWait
+	case s.startsUp():
+		return startupHoldWait
+	}
+	return holdWait
+}
+
+// startsUp reports whether a long-running task starts up. The caller holds mu.
+func (s *session) startsUp() bool {
 	for _, o := range s.orders {
 		if o.isLongRunning && !o.released && o.lastStatus.SpeedPercent < fullSpeed {
-			return startupHoldWait
+			return true
 		}
 	}
-	return holdWait
+	return false
 }
 
 // handleHoldError handles a failed hold call. It returns true when the
@@ -138,10 +168,10 @@
 	if waiting {
 		return
 	}
-	for waited := time.Duration(0); waited < holdWait && s.d.ctx.Err() == nil; waited += startupHoldWait {
+	for waited := time.Duration(0); waited < maxIdleHoldWait && s.d.ctx.Err() == nil; waited += startupHoldWait {
 		s.probe()
 		s.mu.Lock()
-		done := !s.answering || s.nextHoldWait() == holdWait
+		done := !s.answering || !s.startsUp()
 		s.mu.Unlock()
 		if done {
 			break
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -35,9 +35,10 @@
 	// slowOrderThreshold is the age of an unanswered start from which the minion
 	// gets no new work until the start is answered or has timed out.
 	slowOrderThreshold = 250 * time.Millisecond
-	// maxHoldAge is the age of a minion's last answer to a hold call from which it
-	// gets no new work.
-	maxHoldAge = holdWait + 500*time.Millisecond
+	// maxHoldDelay is how much later than after its wait a hold call's answer may come
+	// until the minion gets no new work, maxHoldAge the age of the last answer by then.
+	maxHoldDelay = 500 * time.Millisecond
+	maxHoldAge   = holdWait + maxHoldDelay
 )
 
 // orderState is the progress of the orders for a committed run.
@@ -134,6 +135,9 @@
 	ackedEnd uint64
 	// answeredAt is when the last hold call was answered, zero before the first.
 	answeredAt time.Duration
+	// heldFor is how long the present hold call may be held back, or holdWait if that is
+	// longer.
+	heldFor time.Duration
 	// answering is set while the last hold call was answered.
 	answering bool
 	// awaitingFullSpeed is set while awaitFullSpeed runs.
