dispatch: ask refused callers back at the rate of the starts

Cause: the time to come back followed the backlog, which the admission keeps short, and not the callers that were refused before. All were asked to come back after little more than a second. Each refusal was logged on the leader too.

Change: the tasks of refused jobs count as work that is to come, which falls at the rate of the starts, so callers are asked to come back one after the other, after 1 to 30 s. The leader doesn't log refusals; the entries log all calls.

--- a/internal/batchservice/calls.go
+++ b/internal/batchservice/calls.go
@@ -37,19 +37,13 @@
 	if refused := batch.CheckJob(job); refused != nil {
 		return nil, refused
 	}
-	err = s.proposeJob(ctx, d, job)
-	s.logCall("job submitted", err, logrus.Fields{"job_id": job.Id, "queue": job.Queue, "account": job.Account, "steps": len(job.Steps)})
-	return &apiv1.SubmitBatchResponse{}, err
-}
-
-// proposeJob proposes the submission of a job, unless the dispatcher refuses the job.
-func (s *Server) proposeJob(ctx context.Context, d *dispatch.Dispatcher, job *apiv1.BatchJob) error {
 	if refused := d.AdmitJob(job); refused != nil {
-		return refused
+		return nil, refused // logged by the process that the caller is connected to
 	}
-	_, err := s.propose(ctx, &apiv1.BatchCommand{Body: &apiv1.BatchCommand_Submit{Submit: job}})
+	_, err = s.propose(ctx, &apiv1.BatchCommand{Body: &apiv1.BatchCommand_Submit{Submit: job}})
 	d.SubmissionEnded(job.Id, err)
-	return err
+	s.logCall("job submitted", err, logrus.Fields{"job_id": job.Id, "queue": job.Queue, "account": job.Account, "steps": len(job.Steps)})
+	return &apiv1.SubmitBatchResponse{}, err
 }
 
 // errWithout returns the error for a request that lacks a part.
--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -22,6 +22,8 @@
 	// minSubmitRetryAfter is the shortest time after which a refused caller is asked to
 	// come back.
 	minSubmitRetryAfter = time.Second
+	// maxSubmitRetryAfter is the longest such time. The load may end at any time.
+	maxSubmitRetryAfter = 30 * time.Second
 )
 
 // admission refuses jobs that the leader can't start in time (see
@@ -86,11 +88,11 @@
 
 // decide returns zero when the job is accepted, and then counts it. Otherwise it
 // returns after how long the caller may come back.
-func (a *admission) decide(q *apiv1.BatchQueue, j *apiv1.BatchJob) time.Duration {
+func (a *admission) decide(now time.Duration, q *apiv1.BatchQueue, j *apiv1.BatchJob) time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.decider != nil && a.decider.Waiting != nil && !a.proposed[j.Id] {
-		if wait := a.decider.Decide(q, j); wait > 0 {
+		if wait := a.decider.Decide(now, q, j); wait > 0 {
 			return wait
 		}
 		a.decider.Add(q, j)
@@ -120,14 +122,15 @@
 		d.admission.markProposed(j.Id)
 		return nil
 	}
-	wait := d.admission.decide(j.AcceptedQueue, j)
+	wait := d.admission.decide(now, j.AcceptedQueue, j)
 	if wait == 0 {
 		return nil
 	}
 	d.metrics.jobsRefused.Inc()
 	err := result.NotRun(apiv1.ResultCode_RESULT_CODE_QUEUE_FULL, "queue %s has more tasks than can be started in time; submit the job again later", j.Queue)
+	wait = min(max(wait, minSubmitRetryAfter), maxSubmitRetryAfter)
 	// Callers that were refused together are not to return together.
-	err.RetryAfter = minSubmitRetryAfter + wait + rand.N(wait)
+	err.RetryAfter = wait + rand.N(wait/4)
 	return err
 }
 
--- a/internal/placement/admission.go
+++ b/internal/placement/admission.go
@@ -17,6 +17,16 @@
 	Waiting map[string]int64
 	// StartsPerSecond is how many tasks the leader can start.
 	StartsPerSecond float64
+	// returning holds, by pool, the tasks of refused jobs whose callers are yet to come
+	// back.
+	returning map[string]returningTasks
+}
+
+// returningTasks is a number of tasks at some time. It falls as the pool's tasks are
+// started, since callers are asked to come back at that rate.
+type returningTasks struct {
+	tasks float64
+	at    time.Duration
 }
 
 // WaitingTasks returns the number of tasks that wait for their start, by pool, the
@@ -42,10 +52,11 @@
 	return j.Repetitions > 0 || hasLongRunning(j) || latencyLimitMS(q, j) <= criticalPathMS(j)
 }
 
-// Decide returns zero when a job for the queue can be started in time, else how long
-// it takes until the pool's tasks that are too many have been started. When the
+// Decide returns zero when a job for the queue can be started in time at now. Else it
+// returns after how long the caller may come back: when the pool's tasks that are too
+// many have been started, and those of the callers that were refused before. When the
 // leader can't start the tasks of all pools, the pools share its starts.
-func (a *Admission) Decide(q *apiv1.BatchQueue, j *apiv1.BatchJob) time.Duration {
+func (a *Admission) Decide(now time.Duration, q *apiv1.BatchQueue, j *apiv1.BatchJob) time.Duration {
 	if IsAlwaysAdmitted(q, j) {
 		return 0
 	}
@@ -57,8 +68,14 @@
 	if share >= wanted[q.Pool] {
 		return 0
 	}
-	excess := wanted[q.Pool] - share
-	return time.Duration(float64(slackMS)*float64(excess)/float64(max(share, 1))) * time.Millisecond
+	perSecond := float64(max(share, 1)) * 1000 / float64(slackMS)
+	before := a.returning[q.Pool]
+	returning := max(before.tasks-perSecond*(now-before.at).Seconds(), 0)
+	if a.returning == nil {
+		a.returning = map[string]returningTasks{}
+	}
+	a.returning[q.Pool] = returningTasks{returning + float64(taskCount(j)), now}
+	return time.Duration((float64(wanted[q.Pool]-share) + returning) / perSecond * float64(time.Second))
 }
 
 // Add counts the tasks of a job that is accepted.
