dispatch: keep refusing while planning rounds are late

Cause: the admission forgot that the leader is the limit when no planning round had been limited for 0.25 s. On a leader at its limit the rounds themselves are late.

Change: only rounds that had less to start than the window allows end it, over 0.25 s. TestLateRoundsDoNotEndRefusals failed before.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -12,8 +12,9 @@
 )
 
 const (
-	// limitedAge is how long after a planning round that had more tasks to start than
-	// the window of starts allowed the leader counts as the limit.
+	// limitedAge is for how long planning rounds must have had no more tasks to start than
+	// the window of starts allows until the leader no longer counts as the limit. Rounds
+	// that are late, as on a busy leader, say nothing.
 	limitedAge = 250 * time.Millisecond
 	// startRateWindow is the shortest time over which the rate of starts is measured.
 	startRateWindow = 400 * time.Millisecond
@@ -34,8 +35,8 @@
 	// decider is nil until the rate of starts is known.
 	decider   *placement.Admission
 	countedAt time.Duration
-	// limitedAt is the last planning round that the window of starts limited,
-	// limitedSince the first of an unbroken series.
+	// limitedAt is the last planning round that the window of starts limited, zero when
+	// the leader isn't the limit. limitedSince is when the rate was last measured.
 	limitedAt, limitedSince time.Duration
 	// answersSince is the number of answered starts at limitedSince.
 	answersSince uint64
@@ -52,12 +53,14 @@
 func (a *admission) observeRound(now time.Duration, limited bool, answers uint64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if !limited {
+	switch {
+	case !limited && now-a.limitedAt >= limitedAge:
+		a.limitedAt, a.decider = 0, nil
 		return
-	}
-	if a.limitedAt == 0 || now-a.limitedAt > limitedAge {
+	case !limited:
+		return
+	case a.limitedAt == 0:
 		a.limitedSince, a.answersSince = now, answers
-		a.decider = nil
 	}
 	a.limitedAt = now
 	if elapsed := now - a.limitedSince; elapsed >= startRateWindow {
@@ -74,7 +77,7 @@
 func (a *admission) isLimited(now time.Duration) (limited, countDue bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	limited = a.decider != nil && now-a.limitedAt <= limitedAge
+	limited = a.decider != nil
 	return limited, limited && (a.decider.Waiting == nil || now-a.countedAt >= waitingInterval)
 }
 
--- a/internal/dispatch/admission_test.go
+++ b/internal/dispatch/admission_test.go
@@ -75,3 +75,21 @@
 	}
 	g.Expect(d.AdmitJob(refused)).NotTo(BeNil())
 }
+
+// Guards against a leader that accepts everything while its planning rounds are late,
+// and against one that goes on to refuse jobs once it isn't the limit any more.
+func TestLateRoundsDoNotEndRefusals(t *testing.T) {
+	g := NewWithT(t)
+	a := newAdmission()
+	for i := range 6 {
+		a.observeRound(time.Minute+time.Duration(i)*100*time.Millisecond, true, uint64(i))
+	}
+	now := time.Minute + 2*time.Second
+	limited := func() bool { limited, _ := a.isLimited(now); return limited }
+	g.Expect(limited()).To(BeTrue(), "no round for 1.5 s")
+	a.observeRound(now, true, 6)
+	a.observeRound(now+limitedAge/2, false, 6)
+	g.Expect(limited()).To(BeTrue(), "one round has less to start")
+	a.observeRound(now+limitedAge, false, 6)
+	g.Expect(limited()).To(BeFalse())
+}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -139,6 +139,7 @@
 		}
 	})
 	if len(incarnations) == 0 {
+		d.admission.observeRound(now, false, answers)
 		return nil, false
 	}
 	in.Health = d.placementHealth(incarnations, now)
