dispatch: read a session's runs only when its load has changed

After each answer to a hold call, with or without ends, a session read all committed runs of its minion and compared them with its orders. It now compares the load's revision first. The revision of the state is noted all the same, so that an earlier load that arrives late is dropped.

TestLateLoadDoesNotReplaceAnUnchangedOne failed without that note, and with a load taken as unchanged that the session doesn't have.

--- a/internal/dispatch/incarnations.go
+++ b/internal/dispatch/incarnations.go
@@ -93,11 +93,21 @@
 	return out
 }
 
-// syncSession updates the orders of one session from the committed state.
+// syncSession updates the orders of one session from the committed state. It reads
+// the runs only if they have changed since the session last read them.
 func (d *Dispatcher) syncSession(s *session) {
-	var load committedLoad
-	d.opts.StateMachine.Read(func(st *state.State) { load = d.committedLoad(st, s.target.Incarnation) })
-	s.sync(load)
+	for done := false; !done; {
+		known, synced := s.syncedRevision()
+		var load committedLoad
+		d.opts.StateMachine.Read(func(st *state.State) {
+			if revision := st.Batch.RevisionOf(s.target.Incarnation); synced && revision == known {
+				load = committedLoad{unchanged: true, loadRevision: revision, stateRevision: st.Batch.Revision()}
+				return
+			}
+			load = d.committedLoad(st, s.target.Incarnation)
+		})
+		done = s.sync(load)
+	}
 }
 
 // committedLoad lists the runs committed on an incarnation. It is called while
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -42,16 +42,29 @@
 	// loadRevision is the revision of the load, stateRevision that of the whole
 	// state that it was read from.
 	loadRevision, stateRevision uint64
+	// unchanged is set when runs was not read, since the session had the runs of
+	// loadRevision already.
+	unchanged bool
 }
 
 // sync updates the orders from the runs committed on the minion and launches the
 // calls that are due. Inherited runs are never started, since an earlier leader
-// may have sent their start order already.
-func (s *session) sync(load committedLoad) {
+// may have sent their start order already. sync returns false, and does nothing, if
+// the load is given as unchanged and the orders reflect another one by now.
+func (s *session) sync(load committedLoad) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if load.stateRevision < s.stateRevision {
-		return // the orders already reflect a later state
+		return true // the orders already reflect a later state
+	}
+	if load.unchanged {
+		if load.loadRevision != s.loadRevision {
+			return false
+		}
+		// An earlier state that is read only now must not replace the orders.
+		s.stateRevision = load.stateRevision
+		s.launchDue()
+		return true
 	}
 	// An earlier session of the incarnation may have sent the orders of all runs
 	// that this one finds.
@@ -79,6 +92,15 @@
 		}
 	}
 	s.launchDue()
+	return true
+}
+
+// syncedRevision returns the revision of the committed load that the orders reflect,
+// and whether they reflect any.
+func (s *session) syncedRevision() (revision uint64, synced bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.loadRevision, s.synced
 }
 
 // stopRun has a run stopped if it is on this minion. It returns before the
--- a/internal/dispatch/plan_test.go
+++ b/internal/dispatch/plan_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+	"bergamotdrum.example/bergamotdrum/internal/batch"
 	"bergamotdrum.example/bergamotdrum/internal/state"
 )
 
@@ -59,3 +60,24 @@
 		g.Expect(first).To(Equal(submitted+(taskTime/2).Milliseconds()), "nothing had been placed before")
 	})
 }
+
+// Guards against the order of a run that has ended, sent because an earlier state of
+// the minion's load arrived after one that was found to be unchanged.
+func TestLateLoadDoesNotReplaceAnUnchangedOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		h := newHarness(t, 1)
+		defer h.endTerm()
+		s := newSession(h.dispatcher, Target{Incarnation: batch.Incarnation{ID: "m", StartedMS: 1}})
+		run := committedRun{key: batch.RunKey{TaskRef: batch.TaskRef{Job: "j"}, Number: 1}}
+		g.Expect(s.sync(committedLoad{stateRevision: 4})).To(BeTrue())
+		// The run began at revision 6 and ended at revision 7.
+		g.Expect(s.sync(committedLoad{unchanged: true, stateRevision: 7})).To(BeTrue())
+		g.Expect(s.sync(committedLoad{runs: []committedRun{run}, loadRevision: 6, stateRevision: 6})).To(BeTrue())
+		g.Expect(s.orders).To(BeEmpty())
+		// The other way round, the session has to read the runs again.
+		g.Expect(s.sync(committedLoad{runs: []committedRun{run}, loadRevision: 8, stateRevision: 8})).To(BeTrue())
+		g.Expect(s.sync(committedLoad{unchanged: true, stateRevision: 9})).To(BeFalse())
+		g.Expect(s.orders).To(HaveLen(1))
+	})
+}
