dispatch: log usual runs once a job, and each only at level debug

Usual starts and ends (outcome started, end done) are now lines of level debug, which cost nothing at level info; each start refused or not answered and each other end is logged as before. Metrics count all runs.

--- a/internal/dispatch/endqueue.go
+++ b/internal/dispatch/endqueue.go
@@ -54,9 +54,11 @@
 		if len(waiters) == 0 {
 			continue
 		}
+		running := d.runningJobs(ends)
 		ok := d.commitWithRetry(&apiv1.UpdateRuns{Ends: ends, Term: d.term})
 		if ok {
 			d.stopIncompleteGangs(ends)
+			d.logEndedJobs(running)
 		}
 		for _, w := range waiters {
 			w <- ok
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -160,7 +160,7 @@
 	clockMS, err := s.d.opts.Minions.Start(ctx, s.target, start)
 	now := s.d.clock.Now()
 	s.d.metrics.startSeconds.Observe((now - o.sentAt).Seconds())
-	s.log.WithFields(logrus.Fields{"run": key.String(), "job_id": key.Job, "outcome": outcomeName(err)}).Info("start ordered")
+	s.logStart(key, err)
 	s.mu.Lock()
 	s.lease.observeClock(clockMS, now)
 	end := s.handleStartAnswer(o, err, now)
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -181,6 +181,7 @@
 // commitStarts proposes starts once. Those that are not committed are planned
 // again in a later round.
 func (d *Dispatcher) commitStarts(starts []*apiv1.StartedRun) {
+	queued := d.queuedJobs(starts)
 	cmd := &apiv1.UpdateRuns{Starts: starts, Term: d.term}
 	res, err := d.propose(d.ctx, &apiv1.BatchCommand{Body: &apiv1.BatchCommand_UpdateRuns{UpdateRuns: cmd}})
 	if err != nil {
@@ -189,6 +190,7 @@
 		}
 		return
 	}
+	d.logStartedJobs(queued)
 	refused := len(res.GetRuns().GetRefused())
 	d.metrics.startsCommitted.Add(float64(len(starts) - refused))
 	if refused > 0 {
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -344,7 +344,7 @@
 	o.released = true
 	s.health.recordEnd(e.End, now)
 	s.d.metrics.runsEnded.WithLabelValues(endName(e.End)).Inc()
-	s.log.WithFields(logrus.Fields{"run": e.Run.String(), "end": endName(e.End), "number": e.EndNumber}).Info("run ended")
+	s.logEnd(e)
 }
 
 // handleMissing handles a run that a complete hold reply does not list. The run
