dispatch: random faults with leases that change from leader to leader

Guards the record of the longest lease against combinations of lost and late orders, cuts, restarts and changes of the leader, 25 seeds.

--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -1,8 +1,8 @@
 // Package batch is the replicated state of batch jobs: the catalog of queues,
 // pools and client accounts; jobs, which consist of steps, their equal tasks and
 // the runs (executions) of these; minions, the worker processes that tasks run
-// on; zones out of service; and maintenance waves, lists of machines to be
-// maintained. The package is deterministic: it does no I/O and reads no clock,
+// on; zones out of service; maintenance waves, lists of machines to be maintained;
+// and the longest lease that leaders give to minions. The package is deterministic: it does no I/O and reads no clock,
 // and time enters only as the log time of a command, the largest time that a
 // command so far carries.
 //
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -114,14 +114,26 @@
 func TestRandomFaults(t *testing.T) {
 	for seed := range uint64(25) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { randomFaults(t, seed) })
+			synctest.Test(t, func(t *testing.T) { randomFaults(newHarness(t, seed)) })
 		})
 	}
 }
 
-func randomFaults(t *testing.T, seed uint64) {
+// Guards against the same when each leader gives leases of another length.
+func TestRandomFaultsWithChangingLeases(t *testing.T) {
+	for seed := range uint64(25) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(t, seed)
+				h.changingLeases = true
+				randomFaults(h)
+			})
+		})
+	}
+}
+
+func randomFaults(h *harness) {
 	const jobs, faultTime, calmTime = 12, 25 * time.Second, 40 * time.Second
-	h := newHarness(t, seed)
 	defer func() { h.endTerm() }()
 	for i := range 3 {
 		h.announce(h.cluster.add(fmt.Sprint("m", i)))
@@ -145,7 +157,7 @@
 	}
 	time.Sleep(calmTime)
 	if n := h.completed(jobs); n != jobs {
-		t.Errorf("%d of %d jobs completed", n, jobs)
+		h.t.Errorf("%d of %d jobs completed", n, jobs)
 	}
 }
 
@@ -196,6 +208,11 @@
 		h.restart(id)
 	case 3:
 		h.endTerm()
+		if h.changingLeases {
+			h.cluster.mu.Lock()
+			h.lease = testMaxLease / time.Duration(1+h.cluster.rand.IntN(4))
+			h.cluster.mu.Unlock()
+		}
 		h.startTerm()
 	}
 }
--- a/internal/dispatch/harness_test.go
+++ b/internal/dispatch/harness_test.go
@@ -23,6 +23,8 @@
 	term    uint64
 	fleet   FleetOptions
 	lease   time.Duration
+	// changingLeases is set when random changes of the leader change lease too.
+	changingLeases bool
 	// maxAnnouncementAge is Options.MaxAnnouncementAge.
 	maxAnnouncementAge time.Duration
 	dispatcher         *Dispatcher
