--- a/internal/dispatch/availability.go
+++ b/internal/dispatch/availability.go
@@ -1,13 +1,22 @@
 package dispatch
 
 import (
+	"time"
+
+	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
 	"bergamotdrum.example/bergamotdrum/internal/batch"
 	"bergamotdrum.example/bergamotdrum/internal/state"
 )
 
-// fullSpeed is the RunStatus.SpeedPercent of a task that is not slowed down. It
-// is lower while a task starts up.
-const fullSpeed = 100
+const (
+	// fullSpeed is the RunStatus.SpeedPercent of a task that is not slowed down. It
+	// is lower while a task starts up.
+	fullSpeed = 100
+	// maxStatusAge is the age, from the sending of the hold call that returned it, at
+	// which a run's status is too old to show that its task is available. The reply
+	// may be held back for holdWait, and the next one arrives within maxHoldAge.
+	maxStatusAge = holdWait + maxHoldAge
+)
 
 // taskAvailability says which long-running tasks are available, that is, can do
 // their work, in one round of the fleet manager, which moves machines and takes
@@ -54,15 +63,20 @@
 	return batch.RunKey{}, false
 }
 
-// taskAvailability returns the availability of all tasks now. It is empty while
-// no wave (a list of machines to be maintained) is open, since only waves use
-// it.
+// taskAvailability returns the availability of all tasks now, for the decisions of a
+// round: tasks on machines whose maintenance has been decided count as unavailable.
+// It is empty while no wave (a list of machines to be maintained) is open, since only
+// waves use it.
 func (f *fleetManager) taskAvailability() taskAvailability {
 	if !f.wavesOpen() {
 		return taskAvailability{}
 	}
 	t := taskAvailability{available: f.availableTasks(), unavailable: map[batch.TaskRef]int{}, usable: f.usableIncarnations(f.d.clock.Now())}
+	decided := f.incarnationsToMaintain()
 	f.d.opts.StateMachine.Read(func(st *state.State) {
+		for inc := range decided {
+			st.Batch.LoadOf(inc).Each(func(r *batch.ActiveRun) { delete(t.available, r.Ref) })
+		}
 		for _, j := range st.Batch.ActiveJobs() {
 			countUnavailable(j, t.available, t.unavailable)
 		}
@@ -70,6 +84,29 @@
 	return t
 }
 
+// incarnationsToMaintain returns the incarnations whose machine has an order of
+// maintenance that is about to be sent or whose answer isn't known.
+func (f *fleetManager) incarnationsToMaintain() map[batch.Incarnation]bool {
+	machines := f.orders.pendingMachines()
+	out := map[batch.Incarnation]bool{}
+	f.d.opts.StateMachine.Read(func(st *state.State) {
+		for _, w := range st.Batch.OpenWaves() {
+			for _, sv := range w.Services {
+				if sv.State == apiv1.MachineServiceState_MACHINE_SERVICE_STATE_ORDERED {
+					machines = append(machines, sv.Machine)
+				}
+			}
+		}
+		for _, machine := range machines {
+			out[f.maintainedIncarnation[machine]] = true
+			if m := st.Batch.Minion(f.machines[machine].MinionID); m != nil {
+				out[batch.IncarnationOf(m.Life)] = true
+			}
+		}
+	})
+	return out
+}
+
 // countUnavailable adds the tasks of a job that are not available to their
 // steps' counts. Tasks that don't run anywhere are included.
 func countUnavailable(j *batch.Job, available map[batch.TaskRef]bool, unavailable map[batch.TaskRef]int) {
@@ -93,22 +130,19 @@
 	}
 }
 
-// availableTasks returns the long-running tasks that run at full speed, are not
-// being stopped, and whose machine has no unanswered maintenance order.
+// availableTasks returns the long-running tasks that run at full speed according to a
+// recent answer, are not being stopped, and whose incarnation is the minion's latest
+// one and isn't about to end.
 func (f *fleetManager) availableTasks() map[batch.TaskRef]bool {
 	now := f.d.clock.Now()
 	out := map[batch.TaskRef]bool{}
-	ordered := map[batch.Incarnation]bool{}
-	for _, machine := range f.orders.pendingMachines() {
-		ordered[f.maintainedIncarnation[machine]] = true
-	}
 	for _, s := range f.d.sessionList() {
-		if !s.usable(now) || ordered[s.target.Incarnation] {
+		if !f.d.isCurrent(s) || f.ending.contains(s.target.Incarnation, now) || !s.usable(now) {
 			continue
 		}
 		s.mu.Lock()
 		for key, o := range s.orders {
-			if o.isLongRunning && o.state == orderStarted && !o.released && !o.stopRequested && o.lastStatus.SpeedPercent >= fullSpeed {
+			if o.isAvailable(now) {
 				out[key.TaskRef] = true
 			}
 		}
@@ -116,3 +150,10 @@
 	}
 	return out
 }
+
+// isAvailable reports whether the run of a long-running task was at full speed when
+// the minion last listed it, which is not long ago, and is not being stopped.
+func (o *runOrder) isAvailable(now time.Duration) bool {
+	return o.isLongRunning && o.state == orderStarted && !o.released && !o.stopRequested &&
+		o.lastStatus.SpeedPercent >= fullSpeed && now-o.statusAt < maxStatusAge
+}
--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"context"
 	"errors"
 	"syscall"
 	"time"
@@ -46,7 +47,8 @@
 
 const (
 	// causeUnknown means that contact was lost: the minion may have crashed, may be cut
-	// off, or may have been moved by an earlier leader.
+	// off, or may have been moved by an earlier leader or ended by its order of
+	// maintenance, which may not have been sent.
 	causeUnknown endCause = iota
 	// causePlanned means that the minion announced its end, or that an order for its
 	// machine may have ended it.
@@ -61,13 +63,13 @@
 	d.mu.Lock()
 	notice := s.notice
 	d.mu.Unlock()
-	maintained := false
+	ordered, maintained := false, false
 	d.opts.StateMachine.Read(func(st *state.State) {
 		if m := st.Batch.Minion(inc.ID); m != nil && batch.IncarnationOf(m.Life) == inc {
 			notice.recorded = true
 			notice.draining = notice.draining || m.Draining
 		}
-		maintained = st.Batch.MaintenanceOrderedSince(notice.machine, inc.StartedMS)
+		ordered, maintained = st.Batch.MaintenanceOrderedSince(notice.machine, inc.StartedMS)
 	})
 	// Moves are not committed. A minion that answered during this term was not
 	// ended by an earlier leader's move before.
@@ -75,7 +77,7 @@
 	switch {
 	case notice.draining || notice.ordered || maintained && notice.machine != "":
 		return causePlanned
-	case processEnded && notice.recorded && !maintained && !mayHaveMoved:
+	case processEnded && notice.recorded && !ordered && !mayHaveMoved:
 		return causeCrash
 	}
 	return causeUnknown
@@ -148,6 +150,29 @@
 	return apiv1.RunEnd_RUN_END_MINION_LOST
 }
 
+// clearLosses commits that the session's incarnation has answered, if it was lost
+// before for an unknown reason. It does so once for each session, since an
+// incarnation is lost only when its session ends.
+func (s *session) clearLosses(ctx context.Context) {
+	if s.lossesCleared {
+		return
+	}
+	inc := s.target.Incarnation
+	lost := false
+	s.d.opts.StateMachine.Read(func(st *state.State) { lost = st.Batch.HasLosses(inc) })
+	if lost {
+		ctx, cancel := context.WithTimeout(ctx, holdWait) // the next hold call must not wait for long
+		defer cancel()
+		answered := &apiv1.ObserveMinions{Answered: []*apiv1.MinionLife{inc.Message()}}
+		if _, err := s.d.propose(ctx, &apiv1.BatchCommand{Body: &apiv1.BatchCommand_ObserveMinions{ObserveMinions: answered}}); err != nil {
+			s.log.WithError(err).Warn("answer of a lost minion was not committed; its next answer is")
+			return
+		}
+		s.log.Info("minion that was lost answers again")
+	}
+	s.lossesCleared = true
+}
+
 // logGivenUp logs the jobs that failed because minions crashed under a task.
 func (d *Dispatcher) logGivenUp(tasks []*apiv1.TaskName) {
 	for _, t := range tasks {
--- a/internal/dispatch/incarnations.go
+++ b/internal/dispatch/incarnations.go
@@ -79,6 +79,20 @@
 	return out
 }
 
+// sessionsOf returns the sessions with the given incarnations. Some of these may have
+// none.
+func (d *Dispatcher) sessionsOf(incarnations []batch.Incarnation) []*session {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := make([]*session, 0, len(incarnations))
+	for _, inc := range incarnations {
+		if s := d.sessions[inc]; s != nil {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
 // syncSession updates the orders of one session from the committed state.
 func (d *Dispatcher) syncSession(s *session) {
 	var load committedLoad
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -70,7 +70,7 @@
 			s.orders[r.key] = o
 		}
 		if r.obsolete {
-			o.stopRequested = true
+			o.stopRequested, o.relocating = true, false
 		}
 	}
 	for key := range s.orders {
@@ -81,14 +81,6 @@
 	s.launchDue()
 }
 
-// syncedRevision returns the revision of the committed load that the orders
-// reflect.
-func (s *session) syncedRevision() uint64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.loadRevision
-}
-
 // stopRun has a run stopped if it is on this minion. It returns before the
 // minion has answered.
 func (s *session) stopRun(key batch.RunKey) {
@@ -111,7 +103,7 @@
 			go s.sendStop(key, o)
 		case !o.stopRequested && o.state == orderUnsent && s.answering:
 			o.state = orderSending
-			s.d.unsentStarts.Add(1)
+			s.d.startWindow.begin()
 			go s.sendStart(key, o)
 		}
 	}
@@ -131,9 +123,9 @@
 // sendStart sends the start order of a run once, and commits an end when the
 // minion refused it for good.
 func (s *session) sendStart(key batch.RunKey, o *runOrder) {
-	acquired := s.acquireSlot()
-	s.d.unsentStarts.Add(-1)
-	if !acquired {
+	began, answered := s.d.clock.Now(), false
+	defer func() { s.d.startWindow.end(s.d.clock.Now()-began, answered) }()
+	if !s.acquireSlot() {
 		return
 	}
 	defer func() { <-s.orderSlots }()
@@ -145,6 +137,7 @@
 	defer cancel()
 	clockMS, err := s.d.opts.Minions.Start(ctx, s.target, start)
 	now := s.d.clock.Now()
+	answered = isAnswer(err)
 	s.d.metrics.startSeconds.Observe((now - o.sentAt).Seconds())
 	s.log.WithFields(logrus.Fields{"run": key.String(), "job_id": key.Job, "outcome": outcomeName(err)}).Info("start ordered")
 	s.mu.Lock()
@@ -156,16 +149,24 @@
 	}
 }
 
+// isAnswer reports whether the result of an order is the minion's answer.
+func isAnswer(err error) bool {
+	refusal, refused := errors.AsType[*Refusal](err)
+	return err == nil || refused && refusal.Reason != NotSent
+}
+
 // prepareStart returns the start order of a run. It returns false, and has the
 // run stopped instead, when the run is no longer wanted, the minion has no room
-// for it any more or this leader may not send orders to the minion any more.
+// for it any more, its machine is about to go down or this leader may not send orders
+// to the minion any more.
 func (s *session) prepareStart(key batch.RunKey, o *runOrder) (StartOrder, bool) {
 	start, capacity, ok := s.d.startOrder(key, s.target.Incarnation)
 	current := s.d.isCurrent(s)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := s.d.clock.Now()
-	if !ok || o.stopRequested || !s.d.leadershipConfirmed() || !current || !s.hasRoom(o, capacity) {
+	now, length := s.d.clock.Now(), s.d.allowedLease()
+	ending := s.d.fleet.ending.contains(s.target.Incarnation, now)
+	if !ok || ending || o.stopRequested || length == 0 || !s.d.leadershipConfirmed() || !current || !s.hasRoom(o, capacity) {
 		// No start order was sent, but only the answer to a stop order releases the
 		// run.
 		o.state, o.stopRequested = orderUncertain, true
@@ -174,7 +175,7 @@
 	}
 	o.sentAt, o.mayHaveBegun = now, true
 	start.Token = s.token
-	start.LeaseUntilMS = s.lease.extend(now, s.d.opts.Lease)
+	start.LeaseUntilMS = s.lease.extend(now, length)
 	return start, true
 }
 
@@ -251,7 +252,7 @@
 		if s.stopObsolete(key, o) {
 			return
 		}
-		if s.isAnswering() && s.d.leadershipConfirmed() && s.tryStop(key, o) {
+		if s.isAnswering() && s.d.leadershipConfirmed() && (!s.mayStop(key, o) || s.tryStop(key, o)) {
 			return
 		}
 		sleep(s.d.ctx, retryDelay)
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -43,18 +43,21 @@
 	starts := d.plan()
 	planned := d.clock.Now()
 	d.metrics.planSeconds.Observe((planned - start).Seconds())
-	if len(starts) > 0 && d.leadershipConfirmed() {
+	if len(starts) > 0 && d.leadershipConfirmed() && d.allowedLease() > 0 {
 		d.commitStarts(starts)
 	}
 	return min(planPauseFactor*(planned-start), planInterval) - (d.clock.Now() - planned)
 }
 
 // syncSessions opens the sessions that are missing and updates those whose
-// committed load has changed. Missing ones are looked for when the minions have
-// changed, and every planInterval, since a session ends without a change of the
-// minions when the commit of its end fails.
+// committed load has changed since the last round. Missing ones are looked for when
+// the minions have changed, and every planInterval, since a session ends without a
+// change of the minions when the commit of its end fails. A new session reads its
+// load itself.
 func (d *Dispatcher) syncSessions() {
 	var targets []sessionTarget
+	var changed []batch.Incarnation
+	complete := false
 	now := d.clock.Now()
 	d.opts.StateMachine.Read(func(st *state.State) {
 		revision := st.Batch.MinionsRevision()
@@ -62,18 +65,15 @@
 			targets = targetsOf(st.Batch)
 			d.minionsRevision, d.targetsReadAt = revision, now
 		}
+		changed, complete = st.Batch.ChangedSince(d.loadsRevision)
+		d.loadsRevision = st.Batch.Revision()
 	})
 	d.openSessions(targets)
-	sessions := d.sessionList()
-	var changed []*session
-	d.opts.StateMachine.Read(func(st *state.State) {
-		for _, s := range sessions {
-			if st.Batch.RevisionOf(s.target.Incarnation) != s.syncedRevision() {
-				changed = append(changed, s)
-			}
-		}
-	})
-	for _, s := range changed {
+	sessions := d.sessionsOf(changed)
+	if !complete {
+		sessions = d.sessionList()
+	}
+	for _, s := range sessions {
 		d.syncSession(s)
 	}
 }
@@ -105,38 +105,75 @@
 	return out
 }
 
-// plan returns the starts to commit now.
+// plan returns the starts to commit now. It reads the health only of minions in
+// pools with work that waits.
 func (d *Dispatcher) plan() []*apiv1.StartedRun {
 	now := d.clock.Now()
+	window, inFlight, answers := d.startWindow.status()
+	d.metrics.startWindow.Set(float64(window))
+	d.metrics.startsInFlight.Set(float64(inFlight))
 	in := placement.Input{
 		NowUnixMS: time.Now().UnixMilli(),
-		Health:    map[batch.Incarnation]placement.Health{},
-		MaxStarts: maxUnsentStarts - int(d.unsentStarts.Load()),
+		MaxStarts: window - inFlight,
 	}
-	in.Reserved, in.MaintenanceDue = d.fleet.reservedAndDue()
-	for _, s := range d.sessionList() {
-		usable := s.usable(now)
-		s.mu.Lock()
-		in.Health[s.target.Incarnation] = placement.Health{
-			Usable:  usable && !s.health.quarantined(now),
-			Suspect: s.health.suspect(now),
-		}
-		s.mu.Unlock()
-	}
-	var starts []*apiv1.StartedRun
 	if in.MaxStarts <= 0 {
+		d.admission.observeRound(now, true, answers)
 		return nil
 	}
+	var pools map[string]bool
+	var incarnations []batch.Incarnation
+	d.opts.StateMachine.Read(func(st *state.State) {
+		pools = placement.WaitingPools(st.Batch, in.NowUnixMS)
+		for _, m := range minionsOf(st.Batch, pools) {
+			incarnations = append(incarnations, batch.IncarnationOf(m.Life))
+		}
+	})
+	if len(incarnations) == 0 {
+		return nil
+	}
+	in.Health = d.placementHealth(incarnations, now)
+	in.Reserved, in.MaintenanceDue = d.fleet.reservedAndDue()
+	var starts []*apiv1.StartedRun
 	d.opts.StateMachine.Read(func(st *state.State) {
 		in.State = st.Batch
-		for _, inc := range d.announcements.outdated(st.Batch, st.Batch.Minions(), now, d.opts.MaxAnnouncementAge) {
+		for _, inc := range d.announcements.outdated(st.Batch, minionsOf(st.Batch, pools), now, d.opts.MaxAnnouncementAge) {
 			delete(in.Health, inc)
 		}
 		starts = placement.Plan(in)
 	})
+	d.admission.observeRound(now, len(starts) >= in.MaxStarts, answers)
 	return starts
 }
 
+// minionsOf returns the minions of the given pools.
+func minionsOf(st *batch.State, pools map[string]bool) []*apiv1.BatchMinion {
+	if len(pools) == 0 {
+		return nil
+	}
+	var out []*apiv1.BatchMinion
+	for _, m := range st.Minions() {
+		if pools[m.Pool] {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// placementHealth returns the health of the given incarnations that have a session.
+func (d *Dispatcher) placementHealth(incarnations []batch.Incarnation, now time.Duration) map[batch.Incarnation]placement.Health {
+	out := make(map[batch.Incarnation]placement.Health, len(incarnations))
+	for _, s := range d.sessionsOf(incarnations) {
+		usable := s.usable(now)
+		s.mu.Lock()
+		out[s.target.Incarnation] = placement.Health{
+			Usable:  usable && !s.health.quarantined(now),
+			Suspect: s.health.suspect(now),
+		}
+		s.mu.Unlock()
+	}
+	return out
+}
+
 // commitStarts proposes starts once. Those that are not committed are planned
 // again in a later round.
 func (d *Dispatcher) commitStarts(starts []*apiv1.StartedRun) {
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"time"
 
@@ -70,6 +69,9 @@
 	answeredAt time.Duration
 	// stopRequested is set when the run is to be stopped.
 	stopRequested bool
+	// relocating is set with stopRequested while the only reason is that the task is
+	// to run on another machine.
+	relocating    bool
 	isLongRunning bool
 	// resources is what the run takes of the minion's capacity.
 	resources batch.Usage
@@ -80,6 +82,8 @@
 	checkpoint string
 	// lastStatus is the last status that the minion reported.
 	lastStatus RunStatus
+	// statusAt is when the hold call was sent whose reply gave lastStatus.
+	statusAt time.Duration
 	// endInNextIncarnation is how the run ended when a delayed start order was
 	// carried out by the minion's next incarnation, that is, after a restart.
 	endInNextIncarnation apiv1.RunEnd
@@ -132,6 +136,9 @@
 	// backoffUntil is when a minion that refused an order may get new work again.
 	backoffUntil time.Duration
 	health       healthRecord
+	// lossesCleared is set once no loss of the incarnation counts as a possible crash.
+	// Only the goroutine of the hold calls uses it.
+	lossesCleared bool
 	// closing is set when the incarnation has ended and its end is being
 	// committed. The dispatcher's mu guards closing and notice.
 	closing bool
@@ -145,7 +152,7 @@
 		orderSlots: make(chan struct{}, maxParallelOrders),
 		// An earlier session of this term may have renewed the lease just now, when
 		// the minion's address changed.
-		lease:  newLease(max(d.inheritedLeaseEnd, d.clock.Now()+longestLease(d.opts.Lease))),
+		lease:  newLease(max(d.inheritedLeaseEnd(t.Incarnation), d.clock.Now()+longestLease(d.opts.Lease))),
 		orders: map[batch.RunKey]*runOrder{},
 	}
 }
@@ -181,89 +188,10 @@
 			return
 		}
 		s.handleReply(ctx, reply, sentAt)
+		s.clearLosses(ctx)
 	}
 }
 
-// hold makes one hold call.
-func (s *session) hold(ctx context.Context) (*HoldReply, error) {
-	o := HoldRequest{Token: s.token}
-	s.mu.Lock()
-	o.LastAckedEnd = s.ackedEnd
-	if s.answering {
-		// The lease of a minion that doesn't answer is not extended, since its
-		// runs are released when the present lease ends.
-		o.MaxWait = s.nextHoldWait()
-		o.LeaseUntilMS = s.lease.extend(s.d.clock.Now(), s.d.opts.Lease)
-	}
-	s.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, o.MaxWait+holdGrace)
-	defer cancel()
-	return s.d.opts.Minions.Hold(ctx, s.target, o)
-}
-
-// probe makes a hold call without a wait, in parallel to the one that waits for
-// ends. It is called after a stop, so that the end of the run is known soon.
-func (s *session) probe() {
-	ctx, cancel := context.WithTimeout(s.d.ctx, orderTimeout)
-	defer cancel()
-	s.mu.Lock()
-	o := HoldRequest{Token: s.token, LastAckedEnd: s.ackedEnd}
-	s.mu.Unlock()
-	sentAt := s.d.clock.Now()
-	reply, err := s.d.opts.Minions.Hold(ctx, s.target, o)
-	if err != nil || reply.StartedMS != s.target.Incarnation.StartedMS || !s.d.isCurrent(s) {
-		return // the next hold call gets the same information
-	}
-	s.handleReply(s.d.ctx, reply, sentAt)
-}
-
-// nextHoldWait returns the wait for the next hold call. It is shorter while a
-// long-running task starts up, since the maintenance of other machines waits for
-// that task. The caller holds mu.
-func (s *session) nextHoldWait() time.Duration {
-	for _, o := range s.orders {
-		if o.isLongRunning && !o.released && o.lastStatus.SpeedPercent < fullSpeed {
-			return startupHoldWait
-		}
-	}
-	return holdWait
-}
-
-// handleHoldError handles a failed hold call. It returns true when the
-// incarnation has ended.
-func (s *session) handleHoldError(ctx context.Context, err error) bool {
-	refusal, refused := errors.AsType[*Refusal](err)
-	if refused && refusal.Reason == RefusedOtherIncarnation {
-		s.d.endIncarnation(ctx, s, "another incarnation answers at its address", true)
-		return true
-	}
-	if refused && refusal.Reason == NotSent {
-		s.log.WithError(err).Warn("hold call was not sent")
-		return false // the minion is not silent
-	}
-	s.mu.Lock()
-	if refused {
-		s.lease.observeClock(refusal.ClockMS, s.d.clock.Now())
-	}
-	expired := s.lease.expired(s.d.clock.Now())
-	wasAnswering := s.answering
-	s.answering = false
-	s.mu.Unlock()
-	if wasAnswering {
-		s.log.WithError(err).Warn("minion does not answer")
-	}
-	if !expired {
-		return false
-	}
-	if startedMS, ok := s.d.laterIncarnation(s.target.Incarnation); ok {
-		// The later incarnation may carry out a delayed start.
-		s.d.handleRestart(ctx, s, startedMS)
-		return true
-	}
-	s.d.endIncarnation(ctx, s, "its lease has expired", connectionRefused(err))
-	return true
-}
-
 // handleReply processes the reply to a hold call that was sent at sentAt. Ends
 // are acknowledged in the next hold call only when they are committed.
 func (s *session) handleReply(ctx context.Context, reply *HoldReply, sentAt time.Duration) {
@@ -279,7 +207,7 @@
 	s.lease.observeClock(reply.ClockMS, now)
 	ends := s.reconcile(reply, sentAt, now)
 	s.mu.Unlock()
-	if len(ends) > 0 && !s.d.commitEnds(ctx, ends) {
+	if len(ends) > 0 && !s.commitEnds(ctx, ends) {
 		return
 	}
 	s.mu.Lock()
@@ -296,6 +224,9 @@
 	for _, r := range reply.Running {
 		running[r.Run] = true
 		s.observeRunning(r, now)
+		if o := s.orders[r.Run]; o != nil {
+			o.statusAt = max(o.statusAt, sentAt)
+		}
 	}
 	ended := map[batch.RunKey]bool{}
 	var ends []*apiv1.EndedRun
@@ -370,24 +301,6 @@
 	return nil
 }
 
-// usable reports whether the minion answers and takes orders: it answered
-// recently and has neither refused an order nor left a start order unanswered
-// lately. A quarantine, the exclusion from new work after failed runs, is not
-// considered.
-func (s *session) usable(now time.Duration) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !s.answering || s.listsUncommitted || !s.lease.clockKnown || now-s.answeredAt >= maxHoldAge || now < s.backoffUntil {
-		return false
-	}
-	for _, o := range s.orders {
-		if o.state == orderSending && o.sentAt > 0 && now-o.sentAt > slowOrderThreshold {
-			return false
-		}
-	}
-	return true
-}
-
 // sleep waits for d, or until ctx ends.
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
