--- a/internal/placement/candidates.go
+++ b/internal/placement/candidates.go
@@ -40,6 +40,7 @@
 // collectMinions sets the candidates: all usable minions of the given pools that may
 // get new work.
 func (p *planner) collectMinions(pools map[string]bool) {
+	all := make([]candidate, 0, len(p.in.Health)) // one allocation for the round
 	for _, m := range p.in.State.Minions() {
 		if !pools[m.Pool] {
 			continue
@@ -49,10 +50,11 @@
 		if !h.Usable || m.Draining || p.in.Reserved[incarnation] || p.in.State.IsZoneOut(m.AvailabilityZone) {
 			continue
 		}
-		c := &candidate{
+		all = append(all, candidate{
 			minion: m, incarnation: incarnation, position: len(p.candidates[m.Pool]), load: p.in.State.LoadOf(incarnation),
 			suspect: h.Suspect, maintenanceDue: p.in.MaintenanceDue[incarnation],
-		}
+		})
+		c := &all[len(all)-1]
 		if c.load != nil {
 			c.used = c.load.Used
 			c.longRunningCPU = c.load.LongRunningCPUMillis
