dispatch: keep an order pending until its answer is handled

What callers would see: a failed order for a machine is repeated at once instead of after 1 s, and such calls count against the platform's rate. Worse, a machine that has just gone down can be committed as maintained, so that its wave may take down one machine too many (LIMIT), or be completed too early.

Cause: an answer that arrived during a round of the fleet manager, after handleAnswers, freed its machine for that same round, which knew neither that the order had failed nor when it had been carried out. A list of machines older than the order then counted as proof that a machine was back.

Evidence: TestUnansweredOrderMakesTasksUnavailable failed in 1 of 60 and 1 of 120 runs with -cpu 2. In the log of a failed run the order without answer was repeated in the round in which it was given up, without the backoff.

Change: a machine stays pending until takeAnswers returns the answer.

TestUnansweredOrderMakesTasksUnavailable is unchanged; with this commit it passed 300 runs each with -cpu 1 and 2.

--- a/internal/dispatch/machineorders.go
+++ b/internal/dispatch/machineorders.go
@@ -29,8 +29,8 @@
 	limiter *rate.Limiter
 
 	mu sync.Mutex
-	// pending holds the ids of machines that have an unanswered order or are
-	// locked.
+	// pending holds the ids of machines that are locked, or have an order that is
+	// unanswered or whose answer takeAnswers has not returned yet.
 	pending map[string]bool
 	// answers are those that takeAnswers has not returned yet.
 	answers []machineAnswer
@@ -70,32 +70,39 @@
 	return true
 }
 
-// recordAnswer ends an order that tryBegin began.
+// recordAnswer records the answer to an order that tryBegin began. The machine stays
+// pending until takeAnswers returns the answer: a round that has not handled the
+// answer would repeat a failed order at once, or trust a list of machines that is
+// older than the order.
 func (o *machineOrders) recordAnswer(a machineAnswer) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	delete(o.pending, a.call.machine)
 	o.answers = append(o.answers, a)
 }
 
-// takeAnswers returns the answers that arrived since its last call.
+// takeAnswers returns the answers that arrived since its last call, and ends their
+// orders.
 func (o *machineOrders) takeAnswers() []machineAnswer {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	out := o.answers
 	o.answers = nil
+	for _, a := range out {
+		delete(o.pending, a.call.machine)
+	}
 	return out
 }
 
-// isPending reports whether a machine has an unanswered order or is locked.
+// isPending reports whether a machine has an order whose answer is not handled, or is
+// locked.
 func (o *machineOrders) isPending(machine string) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	return o.pending[machine]
 }
 
-// pendingMachines returns the machines that have an unanswered order or are
-// locked, in no order.
+// pendingMachines returns the machines that have an order whose answer is not handled,
+// or are locked, in no order.
 func (o *machineOrders) pendingMachines() []string {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -103,7 +110,7 @@
 }
 
 // tryLock prevents orders for a machine until unlock. It returns false when the
-// machine has an unanswered order or is locked already.
+// machine has an order whose answer is not handled, or is locked already.
 func (o *machineOrders) tryLock(machine string) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
