dispatch: await the dispatcher's start before its log is examined

What was seen: TestUnusualRunsAreLogged failed once in 16 runs of the package with -cpu 2 and 4: the last entry was "dispatcher started", not the last run.

Cause: the test reads the last entry of the log, and the dispatcher's goroutine may log its start after it. The test now awaits that entry before it examines the log; its checks are unchanged.

--- a/internal/dispatch/runlog_test.go
+++ b/internal/dispatch/runlog_test.go
@@ -62,6 +62,7 @@
 		g := NewWithT(t)
 		h := newHarness(t, 1)
 		defer h.endTerm()
+		synctest.Wait() // the dispatcher has logged its start
 		hook := logtest.NewLocal(h.log.Logger)
 		h.log.Logger.SetLevel(logrus.InfoLevel)
 		s := newSession(h.dispatcher, Target{Incarnation: batch.Incarnation{ID: "m", StartedMS: 1}})
