replica: a leader whose syncs of the log are slow steps down

From 29.0 to 34.5 s the leader's disk is 25 times as slow; each commit takes as long as its syncs, and nobody takes over.

Cause: the loop syncs the log. A leader with a slow disk used to lose ticks, so that it took itself for suspended and stepped down by accident. With the ticks it goes on to lead.

Change: a leader whose syncs have all taken a fifth of the election timeout or more, for an election timeout, steps down and logs why. A replica with a faster disk is elected.

Open: the replica with the slow disk may be elected again, and when all disks are slow, leaders follow each other.

--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -64,6 +64,9 @@
 	resumeOnLeader     bool               // OnLeader ran when that wait began
 	compactAfterWait   *apiv1.SnapshotMeta
 	lastTick           time.Duration
+	// slowSyncsSince is the start of the first of the latest syncs of the log if they
+	// were all slow, else zero.
+	slowSyncsSince time.Duration
 
 	incomingSnapshot snapshotAssembler
 
--- a/internal/replica/ready.go
+++ b/internal/replica/ready.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -106,11 +107,33 @@
 		return err
 	}
 	if rd.MustSync {
-		n.metrics.syncSeconds.Observe((n.opts.Clock.Now() - start).Seconds())
+		now := n.opts.Clock.Now()
+		n.metrics.syncSeconds.Observe((now - start).Seconds())
+		n.observeSync(start, now)
 	}
 	return nil
 }
 
+// slowSyncDivisor divides the election timeout into the time from which a sync of the log
+// is slow.
+const slowSyncDivisor = 5
+
+// observeSync makes a leader step down whose syncs have all been slow for an election
+// timeout. The loop syncs, so a leader with a slow disk delays every call, while the
+// disks of the other replicas may be fast.
+func (n *Node) observeSync(start, end time.Duration) {
+	switch {
+	case end-start < n.opts.ElectionTimeout/slowSyncDivisor:
+		n.slowSyncsSince = 0
+	case n.slowSyncsSince == 0:
+		n.slowSyncsSince = start
+	case end-n.slowSyncsSince > n.opts.ElectionTimeout && n.core.Role() == consensus.Leader:
+		n.log.WithField("duration_ms", (end - start).Milliseconds()).Warn("syncs of the log are slow; stepping down")
+		n.slowSyncsSince = 0
+		n.core.StepDown()
+	}
+}
+
 // apply applies a committed entry, finishes the proposal that waits for it, and
 // starts OnLeader after the first entry of a leader's own term.
 func (n *Node) apply(e *apiv1.LogEntry) error {
