dispatch: read the state again before a job is refused as too much

Cause: AdmitJob read whether the job is in the state and decided afterwards. When the first call of a repeated submission was committed, and so no longer counted as proposed, between the two, the second call got 429, which says that the job never runs.

Ruled out: a deposed leader that refuses what the next one has accepted. batchservice.submit has the leader confirmed in authorize, after the call began.

Change: the state is read again when the decision is to refuse.

Evidence: TestJobCommittedMeanwhileIsNotRefused failed without the second read and passes now, with the other tests of admission and overload.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -125,7 +125,7 @@
 		d.admission.markProposed(j.Id)
 		return nil
 	}
-	wait := d.admission.decide(now, j.AcceptedQueue, j)
+	wait := d.refusedFor(now, j)
 	if wait == 0 {
 		return nil
 	}
@@ -137,6 +137,24 @@
 	return err
 }
 
+// refusedFor returns zero when the job is accepted, and else after how long the caller
+// may come back.
+func (d *Dispatcher) refusedFor(now time.Duration, j *apiv1.BatchJob) time.Duration {
+	wait := d.admission.decide(now, j.AcceptedQueue, j)
+	if wait == 0 {
+		return 0
+	}
+	// An earlier call may have submitted the job since AdmitJob read the state. Then it
+	// no longer counts as proposed.
+	known := false
+	d.opts.StateMachine.Read(func(st *state.State) { known = st.Batch.Job(j.Id) != nil })
+	if known {
+		d.admission.markProposed(j.Id)
+		return 0
+	}
+	return wait
+}
+
 func (a *admission) markProposed(id string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/dispatch/admission_test.go
+++ b/internal/dispatch/admission_test.go
@@ -93,3 +93,17 @@
 	a.observeRound(now+limitedAge, false, 6)
 	g.Expect(limited()).To(BeFalse())
 }
+
+// Guards against "not run" for a repeated submission whose first call is committed, and
+// no longer counts as proposed, after the leader has read the state for the second.
+func TestJobCommittedMeanwhileIsNotRefused(t *testing.T) {
+	g := NewWithT(t)
+	d, node := newIdleDispatcher(t)
+	limitStarts(d)
+	d.admission.setWaiting(d.clock.Now(), map[string]int64{})
+	job := newRefusedJob("a")
+	_, err := node.Propose(t.Context(), &apiv1.Command{Body: &apiv1.Command_Batch{Batch: &apiv1.BatchCommand{Body: &apiv1.BatchCommand_Submit{Submit: job}}}})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(d.refusedFor(d.clock.Now(), job)).To(BeZero())
+	g.Expect(d.refusedFor(d.clock.Now(), newRefusedJob("b"))).NotTo(BeZero())
+}
