dispatch: don't renew the lease of a silent minion by starts

Cause: the starts committed on one minion are sent four at a time, and each may take orderTimeout when the minion is silent. Each renewed the lease when it was sent, also once the minion was known not to answer. So the runs of a minion that vanished while many starts waited for it were released late: a long-running task there was down for longer than the 6 s allowed. The starts in flight also kept the window of starts for all minions.

Change: a start isn't sent to a minion that didn't answer the last hold call. The run is stopped instead, as with other starts that may not be sent. The price: a start that is about to be sent in the moments after a hold call failed, with the connection reset for instance, is planned again.

Evidence: TestWaitingStartsDoNotRenewTheLeaseOfASilentMinion failed before (no task runs elsewhere 6 s after the minion vanished) and passes. The package's tests pass (go test -count=1 ./internal/dispatch).

--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -182,8 +182,8 @@
 
 // prepareStart returns the start order of a run. It returns false, and has the
 // run stopped instead, when the run is no longer wanted, the minion has no room
-// for it any more, its machine is about to go down or this leader may not send orders
-// to the minion any more.
+// for it any more or doesn't answer (its lease is not to be extended), its machine is
+// about to go down or this leader may not send orders to the minion any more.
 func (s *session) prepareStart(key batch.RunKey, o *runOrder) (StartOrder, bool) {
 	start, capacity, ok := s.d.startOrder(key, s.target.Incarnation)
 	current := s.d.isCurrent(s)
@@ -191,7 +191,7 @@
 	defer s.mu.Unlock()
 	now, length := s.d.clock.Now(), s.d.allowedLease()
 	ending := s.d.fleet.ending.contains(s.target.Incarnation, now)
-	if !ok || ending || o.stopRequested || length == 0 || !s.d.leadershipConfirmed() || !current || !s.hasRoom(o, capacity) {
+	if !ok || ending || o.stopRequested || !s.answering || length == 0 || !s.d.leadershipConfirmed() || !current || !s.hasRoom(o, capacity) {
 		// No start order was sent, but only the answer to a stop order releases the
 		// run.
 		o.state, o.stopRequested = orderUncertain, true
