placement: rank a recurring job by the occurrence that waits

Cause: a job was ranked by its first occurrence. Once that was past its limit by far, each later occurrence of the job counted as worthless, however recently it was due, and waited behind all jobs that are late. Since late work of a pool yields to work on time of all pools, it also made its pool wait. Found in review.

Change: a job is ranked by the first occurrence with tasks that wait; it is begun when that occurrence is.

Evidence: TestRecurringJobIsRankedByTheOccurrenceThatIsDue failed before (the late job was placed) and passes, with the tests of placement and dispatch.

--- a/internal/placement/rank.go
+++ b/internal/placement/rank.go
@@ -15,8 +15,8 @@
 func (p *planner) jobOrder() []jobRank {
 	ranks := make([]jobRank, 0, len(p.in.State.ActiveJobs()))
 	for _, j := range p.in.State.ActiveJobs() {
-		if hasStartableTasks(j) {
-			ranks = append(ranks, p.rankJob(j))
+		if next, ok := nextOccurrence(j); ok {
+			ranks = append(ranks, p.rankJob(j, next))
 		}
 	}
 	slices.SortStableFunc(ranks, compareRanks)
@@ -60,18 +60,18 @@
 	return out
 }
 
-// hasStartableTasks reports whether some step of the job has waiting tasks, and
-// the steps that it depends on are done. It doesn't check whether the occurrence
-// (one repetition of a recurring job) is due.
-func hasStartableTasks(j *batch.Job) bool {
+// nextOccurrence returns the first occurrence (one repetition of a recurring job) of
+// which some step has waiting tasks, and the steps that it depends on are done. It
+// doesn't check whether the occurrence is due, and returns false if there is none.
+func nextOccurrence(j *batch.Job) (occurrence uint32, ok bool) {
 	for k := range j.NumOccurrences() {
 		for s := range j.Steps {
 			if j.Waiting(k, uint32(s)) > 0 && j.StepReady(k, uint32(s)) {
-				return true
+				return k, true
 			}
 		}
 	}
-	return false
+	return 0, false
 }
 
 // jobRank is the sort key of a job in jobOrder.
@@ -82,7 +82,7 @@
 	isLongRunning bool
 	priority      uint32
 	lateness      lateness
-	// Some task of the job has been started.
+	// Some task of the occurrence has been started.
 	begun bool
 	// The time in Unix milliseconds from which the latency limit counts, and the one
 	// at which it ends.
@@ -115,17 +115,17 @@
 	return cmp.Compare(b.due, a.due)
 }
 
-// rankJob computes the rank of a job by its first occurrence. Long-running jobs, and
-// those of a queue without a latency limit, are always on time.
-func (p *planner) rankJob(j *batch.Job) jobRank {
+// rankJob computes the rank of a job by one occurrence. Long-running jobs, and those of a
+// queue without a latency limit, are always on time.
+func (p *planner) rankJob(j *batch.Job, occurrence uint32) jobRank {
 	q := p.in.State.QueueOf(j)
 	limit := latencyLimitMS(q, j.BatchJob)
-	dueMS := j.DueMS(0)
+	dueMS := j.DueMS(occurrence)
 	r := jobRank{
 		job: j, priority: q.GetPriority(), due: dueMS, deadline: dueMS + limit, isLongRunning: hasLongRunning(j.BatchJob),
-		begun: j.State != apiv1.BatchState_BATCH_STATE_QUEUED,
+		begun: j.Occurrence(occurrence) != nil,
 	}
-	remaining := p.remainingCriticalPathMS(j)
+	remaining := p.remainingCriticalPathMS(j, occurrence)
 	switch {
 	case r.isLongRunning || limit == 0:
 		r.lateness = onTime
@@ -151,10 +151,10 @@
 	return criticalPathWithoutMS(j, func(int) bool { return false })
 }
 
-// remainingCriticalPathMS is criticalPathMS without the steps of the first
-// occurrence that are done.
-func (p *planner) remainingCriticalPathMS(j *batch.Job) int64 {
-	return criticalPathWithoutMS(j.BatchJob, func(step int) bool { return j.Progress(0, uint32(step)).Done == j.Steps[step].Count })
+// remainingCriticalPathMS is criticalPathMS without the steps of an occurrence that are
+// done.
+func (p *planner) remainingCriticalPathMS(j *batch.Job, occurrence uint32) int64 {
+	return criticalPathWithoutMS(j.BatchJob, func(step int) bool { return j.Progress(occurrence, uint32(step)).Done == j.Steps[step].Count })
 }
 
 // criticalPathWithoutMS returns the critical path in milliseconds, with done
