placement: start the oldest job without a latency limit first

Cause: of the jobs that are on time and not begun the newest go first, and those without a latency limit are always on time. So the oldest of them, long-running ones too, waited for as long as newer ones of their priority arrived and there wasn't room, or starts, for all. Found in review.

Change: jobs without a limit follow the others that are on time and not begun, and go the oldest first. Jobs with a limit grow old and become late or worthless, and then follow those without one.

--- a/internal/placement/rank.go
+++ b/internal/placement/rank.go
@@ -87,13 +87,17 @@
 	// The time in Unix milliseconds from which the latency limit counts, and the one
 	// at which it ends.
 	due, deadline int64
+	// The job has no latency limit.
+	isUnlimited bool
 }
 
 // compareRanks orders the job to place first as the lower one. When not all jobs can
 // be on time, those that are begun and then done late are wasted, so begun jobs come
 // first. Of the others the newest come first: they have the most time left for delays
 // that the plan can't foresee, and a job that waits until it has just enough time
-// would only hold up others. The choice between jobs doesn't depend on their size.
+// would only hold up others. Jobs without a latency limit follow, the oldest first, since
+// they would wait for as long as newer ones arrive. The choice between jobs doesn't depend
+// on their size.
 func compareRanks(a, b jobRank) int {
 	if a.isLongRunning != b.isLongRunning {
 		if a.isLongRunning {
@@ -111,6 +115,12 @@
 		return 1
 	case a.begun || a.lateness == worthless:
 		return cmp.Compare(a.deadline, b.deadline)
+	case a.isUnlimited != b.isUnlimited && a.isUnlimited:
+		return 1
+	case a.isUnlimited != b.isUnlimited:
+		return -1
+	case a.isUnlimited:
+		return cmp.Compare(a.due, b.due)
 	}
 	return cmp.Compare(b.due, a.due)
 }
@@ -125,9 +135,10 @@
 		job: j, priority: q.GetPriority(), due: dueMS, deadline: dueMS + limit, isLongRunning: hasLongRunning(j.BatchJob),
 		begun: j.Occurrence(occurrence) != nil,
 	}
+	r.isUnlimited = r.isLongRunning || limit == 0
 	remaining := p.remainingCriticalPathMS(j, occurrence)
 	switch {
-	case r.isLongRunning || limit == 0:
+	case r.isUnlimited:
 		r.lateness = onTime
 	case p.in.NowUnixMS+remaining <= dueMS+limit:
 		r.lateness = onTime
