dispatch: don't abandon a relocation whose stop was sent

Cause: sendStop checks a relocation each time it sends the stop. When the first stop was sent without an answer, which the minion may have carried out, and too many others were unavailable at the second, the relocation was abandoned and the task counted as available again until the next hold reply.

Change: such a relocation waits, unavailable, and its stop is repeated when the task may be unavailable, or dropped when the run has ended. A relocation of which no stop was sent is abandoned as before.

Evidence: TestRelocationWhoseStopWasSentIsNotAbandoned fails without the new case (the relocation is abandoned) and passes, with the tests of the package.

--- a/internal/dispatch/ordercheck.go
+++ b/internal/dispatch/ordercheck.go
@@ -173,26 +173,39 @@
 	}
 }
 
-// mayStop reports whether a stop may be sent now. A relocation that may not is
-// abandoned: the machine's maintenance decides again.
-func (s *session) mayStop(key batch.RunKey, o *runOrder) bool {
+// stopDecision is what becomes of a stop that is about to be sent.
+type stopDecision int
+
+const (
+	stopSend stopDecision = iota
+	// stopWait means that the stop may only be sent later.
+	stopWait
+	stopAbandon
+)
+
+// decideStop decides whether a stop is sent now. A relocation that may not be is
+// abandoned: the machine's maintenance decides again. It waits if a stop was sent
+// before, which the minion may have carried out although it didn't answer.
+func (s *session) decideStop(key batch.RunKey, o *runOrder) stopDecision {
 	f := s.d.fleet
 	f.checks.Lock()
 	defer f.checks.Unlock()
 	s.mu.Lock()
 	relocating := o.relocating
 	s.mu.Unlock()
-	if !relocating || f.mayRelocate(key, s.target.Incarnation) {
-		return true
-	}
+	mayStop := !relocating || f.mayRelocate(key, s.target.Incarnation)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !o.relocating {
-		return true // the run has become obsolete meanwhile
+	switch {
+	case mayStop || !o.relocating: // the run may have become obsolete meanwhile
+		o.stopSent = true
+		return stopSend
+	case o.stopSent:
+		return stopWait
 	}
 	s.log.WithField("run", key.String()).Info("task is not relocated: too many others are unavailable")
 	o.state, o.stopRequested, o.relocating = orderStarted, false, false
-	return false
+	return stopAbandon
 }
 
 // mayRelocate reports whether the task of a run on an incarnation may be unavailable.
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -277,8 +277,11 @@
 		if s.stopObsolete(key, o) {
 			return
 		}
-		if s.isAnswering() && s.d.leadershipConfirmed() && (!s.mayStop(key, o) || s.tryStop(key, o)) {
-			return
+		if s.isAnswering() && s.d.leadershipConfirmed() {
+			decision := s.decideStop(key, o)
+			if decision == stopAbandon || decision == stopSend && s.tryStop(key, o) {
+				return
+			}
 		}
 		sleep(s.d.ctx, retryDelay)
 	}
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -72,7 +72,9 @@
 	stopRequested bool
 	// relocating is set with stopRequested while the only reason is that the task is
 	// to run on another machine.
-	relocating    bool
+	relocating bool
+	// stopSent is set once a stop was about to be sent.
+	stopSent      bool
 	isLongRunning bool
 	// resources is what the run takes of the minion's capacity.
 	resources batch.Usage
