dispatch: count the pending submissions of a job

Cause: the jobs whose submission may still be committed were a set. When a job was submitted twice and the first call failed without being proposed, the second was forgotten, and a third was refused as never to run while the second was committed.

Change: the submissions of each job are counted.

Evidence: TestJobWithAnotherPendingSubmissionIsNotRefused failed before (QUEUE_FULL) and passes, with the other tests of admission.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -41,12 +41,12 @@
 	// answersSince is the number of answered starts at limitedSince.
 	answersSince uint64
 	// proposed holds the jobs whose submission was proposed in this term and that may
-	// not be in the state yet. They must not be refused: a job that is refused must
-	// not run.
-	proposed map[string]bool
+	// not be in the state yet, with the number of such submissions. They must not be
+	// refused: a job that is refused must not run.
+	proposed map[string]int
 }
 
-func newAdmission() *admission { return &admission{proposed: map[string]bool{}} }
+func newAdmission() *admission { return &admission{proposed: map[string]int{}} }
 
 // observeRound records whether the window of starts limited a planning round, and
 // how many starts were answered during the term.
@@ -94,13 +94,13 @@
 func (a *admission) decide(now time.Duration, q *apiv1.BatchQueue, j *apiv1.BatchJob) time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.decider != nil && a.decider.Waiting != nil && !a.proposed[j.Id] {
+	if a.decider != nil && a.decider.Waiting != nil && a.proposed[j.Id] == 0 {
 		if wait := a.decider.Decide(now, q, j); wait > 0 {
 			return wait
 		}
 		a.decider.Add(q, j)
 	}
-	a.proposed[j.Id] = true
+	a.proposed[j.Id]++
 	return 0
 }
 
@@ -158,7 +158,7 @@
 func (a *admission) markProposed(id string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.proposed[id] = true
+	a.proposed[id]++
 }
 
 // SubmissionEnded records the outcome of a job's submission. A job whose submission
@@ -169,5 +169,7 @@
 	}
 	d.admission.mu.Lock()
 	defer d.admission.mu.Unlock()
-	delete(d.admission.proposed, id)
+	if d.admission.proposed[id]--; d.admission.proposed[id] <= 0 {
+		delete(d.admission.proposed, id)
+	}
 }
--- a/internal/dispatch/admission_test.go
+++ b/internal/dispatch/admission_test.go
@@ -107,3 +107,20 @@
 	g.Expect(d.refusedFor(d.clock.Now(), job)).To(BeZero())
 	g.Expect(d.refusedFor(d.clock.Now(), newRefusedJob("b"))).NotTo(BeZero())
 }
+
+// Guards against "not run" for a job of which two submissions are proposed when one of
+// them fails: the other may still be committed.
+func TestJobWithAnotherPendingSubmissionIsNotRefused(t *testing.T) {
+	g := NewWithT(t)
+	d, _ := newIdleDispatcher(t)
+	job := newRefusedJob("a")
+	g.Expect(d.AdmitJob(job)).To(BeNil())
+	g.Expect(d.AdmitJob(job)).To(BeNil())
+	notProposed := result.NotRun(apiv1.ResultCode_RESULT_CODE_NO_QUORUM, "not proposed")
+	d.SubmissionEnded(job.Id, notProposed)
+	limitStarts(d)
+	g.Expect(d.AdmitJob(job)).To(BeNil())
+	d.SubmissionEnded(job.Id, notProposed)
+	d.SubmissionEnded(job.Id, notProposed)
+	g.Expect(d.AdmitJob(job)).NotTo(BeNil())
+}
