--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -41,12 +41,12 @@
 	// answersSince is the number of answered starts at limitedSince.
 	answersSince uint64
 	// proposed holds the jobs whose submission was proposed in this term and that may
-	// not be in the state yet. They must not be refused: a job that is refused must
-	// not run.
-	proposed map[string]bool
+	// not be in the state yet, with the number of such submissions. They must not be
+	// refused: a job that is refused must not run.
+	proposed map[string]int
 }
 
-func newAdmission() *admission { return &admission{proposed: map[string]bool{}} }
+func newAdmission() *admission { return &admission{proposed: map[string]int{}} }
 
 // observeRound records whether the window of starts limited a planning round, and
 // how many starts were answered during the term.
@@ -94,13 +94,13 @@
 func (a *admission) decide(now time.Duration, q *apiv1.BatchQueue, j *apiv1.BatchJob) time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.decider != nil && a.decider.Waiting != nil && !a.proposed[j.Id] {
+	if a.decider != nil && a.decider.Waiting != nil && a.proposed[j.Id] == 0 {
 		if wait := a.decider.Decide(now, q, j); wait > 0 {
 			return wait
 		}
 		a.decider.Add(q, j)
 	}
-	a.proposed[j.Id] = true
+	a.proposed[j.Id]++
 	return 0
 }
 
@@ -125,7 +125,7 @@
 		d.admission.markProposed(j.Id)
 		return nil
 	}
-	wait := d.admission.decide(now, j.AcceptedQueue, j)
+	wait := d.refusedFor(now, j)
 	if wait == 0 {
 		return nil
 	}
@@ -137,10 +137,28 @@
 	return err
 }
 
+// refusedFor returns zero when the job is accepted, and else after how long the caller
+// may come back.
+func (d *Dispatcher) refusedFor(now time.Duration, j *apiv1.BatchJob) time.Duration {
+	wait := d.admission.decide(now, j.AcceptedQueue, j)
+	if wait == 0 {
+		return 0
+	}
+	// An earlier call may have submitted the job since AdmitJob read the state. Then it
+	// no longer counts as proposed.
+	known := false
+	d.opts.StateMachine.Read(func(st *state.State) { known = st.Batch.Job(j.Id) != nil })
+	if known {
+		d.admission.markProposed(j.Id)
+		return 0
+	}
+	return wait
+}
+
 func (a *admission) markProposed(id string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.proposed[id] = true
+	a.proposed[id]++
 }
 
 // SubmissionEnded records the outcome of a job's submission. A job whose submission
@@ -151,5 +169,7 @@
 	}
 	d.admission.mu.Lock()
 	defer d.admission.mu.Unlock()
-	delete(d.admission.proposed, id)
+	if d.admission.proposed[id]--; d.admission.proposed[id] <= 0 {
+		delete(d.admission.proposed, id)
+	}
 }
