placement: limit the demand for machines to what the leader can start

Cause: a pool's demand counts every ready task, also those that wait for the leader and not for room. Each machine in a pool costs the leader sessions and hold calls. After refusals the refused callers return together, before the leader is found to be the limit again: 406 machines are ordered in 2 s and 570 are powered off in the next 4 s.

Change: the leader's highest rate of starts while it was the limit counts for 10 s. It limits each pool's demand and its forecast to the tasks that can run at the same time at that rate, with a quarter more, all of it for that pool, since another pool's turn may be over when a machine arrives. While the leader is the limit, waiting tasks of late jobs demand nothing. What runs stays.

Ruled out: max-min shares of the rate among the pools.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -76,6 +76,16 @@
 	return limited, limited && (a.decider.Waiting == nil || now-a.countedAt >= waitingInterval)
 }
 
+// startRate returns how many tasks the leader starts in a second, if it is the limit.
+func (a *admission) startRate(now time.Duration) (perSecond float64, limited bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.decider == nil || now-a.limitedAt > limitedAge {
+		return 0, false
+	}
+	return a.decider.StartsPerSecond, true
+}
+
 func (a *admission) setWaiting(now time.Duration, waiting map[string]int64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/dispatch/capacity.go
+++ b/internal/dispatch/capacity.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -25,6 +26,10 @@
 	// the machine: 1.5 s for the move, and the planning rounds before and after
 	// it.
 	moveLeadTime = 1700 * time.Millisecond
+	// startRateMemory is how long the rate of starts counts that the leader reached
+	// while it was the limit. It bridges the time in which refused callers stay away:
+	// the machines that they need would be powered off and ordered again.
+	startRateMemory = 10 * time.Second
 	// idleTimeout is how long a machine is idle before it is powered off.
 	idleTimeout = 2 * time.Second
 )
@@ -86,6 +91,7 @@
 	usable := f.usableIncarnations(now)
 	f.d.opts.StateMachine.Read(func(st *state.State) {
 		in.Demands = placement.Demands(st.Batch, time.Now().UnixMilli())
+		f.limitDemands(in.Demands, now)
 		f.recordDemands(in.Demands, now)
 		for _, p := range st.Batch.Catalog().Pools {
 			in.SparePools[p.Name] = p.Spare
@@ -100,6 +106,27 @@
 	return in
 }
 
+// rateSample is the leader's rate of starts at one time at which it was the limit.
+type rateSample struct {
+	at        time.Duration
+	perSecond float64
+}
+
+// limitDemands limits the demands to what the leader can start, if it was the limit
+// within startRateMemory.
+func (f *fleetManager) limitDemands(demands map[string]placement.Demand, now time.Duration) {
+	rate, isLimit := f.d.admission.startRate(now)
+	if isLimit {
+		f.startRates = append(f.startRates, rateSample{now, rate})
+	}
+	f.startRates = slices.DeleteFunc(f.startRates, func(s rateSample) bool { return now-s.at > startRateMemory })
+	if len(f.startRates) == 0 {
+		return
+	}
+	most := slices.MaxFunc(f.startRates, func(a, b rateSample) int { return cmp.Compare(a.perSecond, b.perSecond) })
+	placement.LimitToStartRate(demands, most.perSecond, isLimit)
+}
+
 // demandSample is a pool's demand at one time, in thousandths of a core.
 type demandSample struct {
 	at  time.Duration
--- a/internal/dispatch/capacity_test.go
+++ b/internal/dispatch/capacity_test.go
@@ -66,3 +66,46 @@
 		g.Expect(shrunk()).To(BeZero())
 	})
 }
+
+// Guards against demands that are limited to the leader's rate while the leader can
+// start all that has room, and against a rate that stays in force when that is so
+// again.
+func TestStartRateIsKnownWhileTheLeaderIsTheLimit(t *testing.T) {
+	g := NewWithT(t)
+	a := newAdmission()
+	const second = time.Second
+	isLimited := func(now time.Duration) bool {
+		_, limited := a.startRate(now)
+		return limited
+	}
+	a.observeRound(second, true, 100)
+	g.Expect(isLimited(second)).To(BeFalse(), "one round may be cut by a large job")
+	for now := second; now < 2*second; now += 100 * time.Millisecond {
+		a.observeRound(now, true, 100+uint64((now-second)/time.Millisecond))
+	}
+	rate, limited := a.startRate(2 * second)
+	g.Expect(limited).To(BeTrue())
+	g.Expect(rate).To(BeNumerically("~", 1000, 1))
+	g.Expect(isLimited(2*second + limitedAge)).To(BeFalse())
+}
+
+// Load: callers that were refused come back together. Guards against machines that
+// are ordered for them before the leader is found to be the limit again, and powered
+// off soon after.
+func TestDemandsStayLimitedWhileCallersAreAway(t *testing.T) {
+	g := NewWithT(t)
+	a := newAdmission()
+	f := &fleetManager{d: &Dispatcher{admission: a}}
+	a.observeRound(0, true, 0)
+	for now := 100 * time.Millisecond; now <= time.Second; now += 100 * time.Millisecond {
+		a.observeRound(now, true, uint64(now/time.Millisecond))
+	}
+	startable := func(now time.Duration) int64 {
+		demands := map[string]placement.Demand{"p": {Ready: 8_000_000, FiniteCPU: 8_000_000, FiniteTasks: 1000, FiniteTaskMS: 100_000}}
+		f.limitDemands(demands, now)
+		return demands["p"].CPU()
+	}
+	g.Expect(startable(time.Second)).To(BeNumerically("~", 1_000_000, 10_000), "1,250 starts a second keep 125 tasks running")
+	g.Expect(startable(time.Second + startRateMemory)).To(BeNumerically("~", 1_000_000, 10_000))
+	g.Expect(startable(time.Second + 2*startRateMemory)).To(BeEquivalentTo(8_000_000))
+}
--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -100,6 +100,9 @@
 	capacityLoggedAt time.Duration
 	// samples holds the demands of the last peakWindow by pool.
 	samples map[string][]demandSample
+	// startRates holds the leader's rates of starts of the last startRateMemory in
+	// rounds in which it was the limit.
+	startRates []rateSample
 	// idleSince holds when a machine was last seen with runs, or first seen.
 	idleSince map[string]time.Duration
 	// drainingSince holds since when a machine is draining for maintenance: it
--- a/internal/placement/capacity.go
+++ b/internal/placement/capacity.go
@@ -189,7 +189,7 @@
 	for pool, s := range p.supplies {
 		d := p.in.Demands[pool]
 		total += s.cpuMillis
-		wanted[pool] = (d.CPU() + d.ForecastGrowth) * targetSupplyPercent / 100
+		wanted[pool] = d.Forecast() * targetSupplyPercent / 100
 		lateWanted[pool] = d.Late
 	}
 	shares := maxMinShares(total, wanted)
--- a/internal/placement/demand.go
+++ b/internal/placement/demand.go
@@ -16,20 +16,44 @@
 	// ArrivalRate is the work that became due in the last arrivalWindowMS, divided
 	// by that time: the CPU that keeps up with such work.
 	ArrivalRate int64
+	// FiniteRunning is the part of Running that ends by itself.
+	FiniteRunning int64
+	// FiniteTasks is the number of the tasks in Running and Ready that end by
+	// themselves, FiniteCPU their CPU, and FiniteTaskMS the sum of their estimated
+	// durations in milliseconds.
+	FiniteTasks, FiniteCPU, FiniteTaskMS int64
 	// Late is the CPU for jobs that can't meet their latency limit any more. It yields
 	// to the demand of all pools for jobs that can.
 	Late int64
+	// LateRunning is the part of Late that runs.
+	LateRunning int64
 	// Peak is the highest demand of the last seconds. The caller of Demands
 	// records and sets it; it delays powering off machines.
 	Peak int64
 	// ForecastGrowth is the growth of the demand expected until a machine that is
 	// ordered now can run tasks. The caller of Demands forecasts and sets it.
 	ForecastGrowth int64
+	// StartableCPU is the CPU of the tasks that can run at the same time while the
+	// leader starts as many as it can. Zero means that the leader starts all ready
+	// tasks that find room. LimitToStartRate sets it.
+	StartableCPU int64
 }
 
 // CPU returns the capacity, in thousandths of a core, with which all jobs that can
-// meet their latency limit do.
-func (d Demand) CPU() int64 { return max(d.Running+d.Ready, d.ArrivalRate) }
+// meet their latency limit do, as far as the leader can start their tasks.
+func (d Demand) CPU() int64 { return d.startable(max(d.Running+d.Ready, d.ArrivalRate)) }
+
+// Forecast returns the CPU that is expected when a machine that is ordered now can
+// run tasks.
+func (d Demand) Forecast() int64 { return d.startable(d.CPU() + d.ForecastGrowth) }
+
+// startable returns the part of a demand that the leader can start.
+func (d Demand) startable(cpu int64) int64 {
+	if d.StartableCPU == 0 {
+		return cpu
+	}
+	return min(cpu, d.StartableCPU)
+}
 
 const (
 	// arrivalWindowMS is the time in milliseconds over which ArrivalRate is measured.
@@ -90,7 +114,12 @@
 	case slack >= 0:
 		d.Running += running * cpu
 		d.Ready += waiting * cpu
+		d.FiniteRunning += running * cpu
+		d.FiniteTasks += running + waiting
+		d.FiniteCPU += (running + waiting) * cpu
+		d.FiniteTaskMS += (running + waiting) * int64(step.EstimatedMs)
 	default:
+		d.LateRunning += running * cpu
 		d.Late += running*cpu + spreadCPU(waiting*cpu, int64(step.EstimatedMs), lateDrainMS)
 	}
 }
