--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -12,8 +12,9 @@
 )
 
 const (
-	// limitedAge is how long after a planning round that had more tasks to start than
-	// the window of starts allowed the leader counts as the limit.
+	// limitedAge is for how long planning rounds must have had no more tasks to start than
+	// the window of starts allows until the leader no longer counts as the limit. Rounds
+	// that are late, as on a busy leader, say nothing.
 	limitedAge = 250 * time.Millisecond
 	// startRateWindow is the shortest time over which the rate of starts is measured.
 	startRateWindow = 400 * time.Millisecond
@@ -22,6 +23,8 @@
 	// minSubmitRetryAfter is the shortest time after which a refused caller is asked to
 	// come back.
 	minSubmitRetryAfter = time.Second
+	// maxSubmitRetryAfter is the longest such time. The load may end at any time.
+	maxSubmitRetryAfter = 30 * time.Second
 )
 
 // admission refuses jobs that the leader can't start in time (see
@@ -32,8 +35,8 @@
 	// decider is nil until the rate of starts is known.
 	decider   *placement.Admission
 	countedAt time.Duration
-	// limitedAt is the last planning round that the window of starts limited,
-	// limitedSince the first of an unbroken series.
+	// limitedAt is the last planning round that the window of starts limited, zero when
+	// the leader isn't the limit. limitedSince is when the rate was last measured.
 	limitedAt, limitedSince time.Duration
 	// answersSince is the number of answered starts at limitedSince.
 	answersSince uint64
@@ -50,12 +53,14 @@
 func (a *admission) observeRound(now time.Duration, limited bool, answers uint64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if !limited {
+	switch {
+	case !limited && now-a.limitedAt >= limitedAge:
+		a.limitedAt, a.decider = 0, nil
 		return
-	}
-	if a.limitedAt == 0 || now-a.limitedAt > limitedAge {
+	case !limited:
+		return
+	case a.limitedAt == 0:
 		a.limitedSince, a.answersSince = now, answers
-		a.decider = nil
 	}
 	a.limitedAt = now
 	if elapsed := now - a.limitedSince; elapsed >= startRateWindow {
@@ -72,7 +77,7 @@
 func (a *admission) isLimited(now time.Duration) (limited, countDue bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	limited = a.decider != nil && now-a.limitedAt <= limitedAge
+	limited = a.decider != nil
 	return limited, limited && (a.decider.Waiting == nil || now-a.countedAt >= waitingInterval)
 }
 
@@ -96,11 +101,11 @@
 
 // decide returns zero when the job is accepted, and then counts it. Otherwise it
 // returns after how long the caller may come back.
-func (a *admission) decide(q *apiv1.BatchQueue, j *apiv1.BatchJob) time.Duration {
+func (a *admission) decide(now time.Duration, q *apiv1.BatchQueue, j *apiv1.BatchJob) time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.decider != nil && a.decider.Waiting != nil && !a.proposed[j.Id] {
-		if wait := a.decider.Decide(q, j); wait > 0 {
+		if wait := a.decider.Decide(now, q, j); wait > 0 {
 			return wait
 		}
 		a.decider.Add(q, j)
@@ -130,14 +135,15 @@
 		d.admission.markProposed(j.Id)
 		return nil
 	}
-	wait := d.admission.decide(j.AcceptedQueue, j)
+	wait := d.admission.decide(now, j.AcceptedQueue, j)
 	if wait == 0 {
 		return nil
 	}
 	d.metrics.jobsRefused.Inc()
 	err := result.NotRun(apiv1.ResultCode_RESULT_CODE_QUEUE_FULL, "queue %s has more tasks than can be started in time; submit the job again later", j.Queue)
+	wait = min(max(wait, minSubmitRetryAfter), maxSubmitRetryAfter)
 	// Callers that were refused together are not to return together.
-	err.RetryAfter = minSubmitRetryAfter + wait + rand.N(wait)
+	err.RetryAfter = wait + rand.N(wait/4)
 	return err
 }
 
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -35,9 +35,10 @@
 	// slowOrderThreshold is the age of an unanswered start from which the minion
 	// gets no new work until the start is answered or has timed out.
 	slowOrderThreshold = 250 * time.Millisecond
-	// maxHoldAge is the age of a minion's last answer to a hold call from which it
-	// gets no new work.
-	maxHoldAge = holdWait + 500*time.Millisecond
+	// maxHoldDelay is how much later than after its wait a hold call's answer may come
+	// until the minion gets no new work, maxHoldAge the age of the last answer by then.
+	maxHoldDelay = 500 * time.Millisecond
+	maxHoldAge   = holdWait + maxHoldDelay
 )
 
 // orderState is the progress of the orders for a committed run.
@@ -115,9 +116,12 @@
 	orderSlots chan struct{}
 	cancel     context.CancelFunc
 
-	mu     sync.Mutex
-	lease  lease
-	orders map[batch.RunKey]*runOrder
+	mu    sync.Mutex
+	lease lease
+	// renewedAt is when the last hold call was sent that renewed the lease, zero before
+	// the first.
+	renewedAt time.Duration
+	orders    map[batch.RunKey]*runOrder
 	// loadRevision is the revision of the committed load that orders reflects,
 	// stateRevision the revision of the whole state that it was read from.
 	loadRevision, stateRevision uint64
@@ -131,8 +135,13 @@
 	ackedEnd uint64
 	// answeredAt is when the last hold call was answered, zero before the first.
 	answeredAt time.Duration
+	// heldFor is how long the present hold call may be held back, or holdWait if that is
+	// longer.
+	heldFor time.Duration
 	// answering is set while the last hold call was answered.
 	answering bool
+	// awaitingFullSpeed is set while awaitFullSpeed runs.
+	awaitingFullSpeed bool
 	// backoffUntil is when a minion that refused an order may get new work again.
 	backoffUntil time.Duration
 	health       healthRecord
@@ -180,7 +189,10 @@
 			if s.handleHoldError(ctx, err) {
 				return
 			}
-			sleep(ctx, retryDelay)
+			sleep(ctx, s.retryPause())
+			if ctx.Err() != nil || s.endIfExpired(ctx, err) {
+				return
+			}
 			continue
 		}
 		if reply.StartedMS != s.target.Incarnation.StartedMS {
@@ -275,7 +287,7 @@
 	o.released = true
 	s.health.recordEnd(e.End, now)
 	s.d.metrics.runsEnded.WithLabelValues(endName(e.End)).Inc()
-	s.log.WithFields(logrus.Fields{"run": e.Run.String(), "end": endName(e.End), "number": e.EndNumber}).Info("run ended")
+	s.logEnd(e)
 }
 
 // handleMissing handles a run that a complete hold reply does not list. The run
--- a/internal/dispatch/silence_test.go
+++ b/internal/dispatch/silence_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -198,6 +199,44 @@
 	})
 }
 
+// Guards against tasks of a silent minion that stay down for longer than its lease,
+// since its end is noticed only when the last call to it has timed out.
+func TestSilentMinionIsReleasedWhenItsLeaseEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		h := newHarness(t, 1)
+		defer func() { h.endTerm() }()
+		h.restartWithLease(4 * time.Second)
+		a := h.cluster.add("a")
+		h.announce(a)
+		h.submitLongRunning("job0", 3, 1)
+		time.Sleep(2 * longestAccepted)
+		b := h.cluster.add("b")
+		h.announce(b)
+		time.Sleep(time.Second)
+		// The silence begins at each phase of the hold calls.
+		for i := range 10 {
+			time.Sleep(5*time.Second + time.Duration(i)*130*time.Millisecond)
+			h.setUnreachable(a, true)
+			leaseEnd := h.leaseEnd(a)
+			time.Sleep(time.Until(leaseEnd) + 300*time.Millisecond)
+			g.Expect(h.runningOn(b)).To(Equal(3), "silence %d", i)
+			a, b = b, h.cluster.add(fmt.Sprint("next", i))
+			h.announce(b)
+		}
+	})
+}
+
+// leaseEnd returns when the leader takes the lease of a minion as ended.
+func (h *harness) leaseEnd(m *fakeMinion) time.Time {
+	h.dispatcher.mu.Lock()
+	s := h.dispatcher.sessions[batch.Incarnation{ID: m.id, StartedMS: m.startedMS}]
+	h.dispatcher.mu.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return h.start.Add(s.lease.endsBy)
+}
+
 // Guards against a lease that lapses, with all runs on the minion, because its renewal
 // waits for the commit of an end, which takes longer than the lease on a busy leader.
 func TestSlowCommitOfEndsRenewsLease(t *testing.T) {
@@ -227,3 +266,57 @@
 		}
 	})
 }
+
+// Guards against a lease that lapses after a change of the leader, because its first
+// renewal by the new leader waits for the commit of the ends that the minion lists.
+func TestNextLeaderRenewsLeaseBeforeCommits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		h := newHarness(t, 1)
+		defer func() { h.endTerm() }()
+		h.cluster.endless = true
+		m := h.cluster.add("a")
+		h.announce(m)
+		h.submit("job0", 3)
+		time.Sleep(2 * time.Second)
+		runs := h.runsOf("job0")
+		g.Expect(runs).To(HaveLen(3))
+		h.endTerm()
+		h.cluster.mu.Lock()
+		m.finish(runs[0], apiv1.RunEnd_RUN_END_DONE)
+		left := time.Duration(m.leaseUntilMS-m.clock()) * time.Millisecond
+		h.cluster.mu.Unlock()
+		h.setCommitTime(testMaxLease)
+		time.Sleep(left - 100*time.Millisecond)
+		h.startTerm()
+		for range 2 * testMaxLease / (100 * time.Millisecond) {
+			time.Sleep(100 * time.Millisecond)
+			h.cluster.mu.Lock()
+			m.advance()
+			running := len(m.running)
+			h.cluster.mu.Unlock()
+			g.Expect(running).To(Equal(2), "the lease has lapsed")
+		}
+	})
+}
+
+// Guards against a leader that stops to renew leases although a quorum confirms it,
+// since a busy process takes 0.7 s for each confirmation.
+func TestSlowConfirmationsKeepTheLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		h := newHarness(t, 1)
+		defer h.endTerm()
+		h.node.mu.Lock()
+		h.node.confirmTime = 700 * time.Millisecond
+		h.node.mu.Unlock()
+		time.Sleep(2 * time.Second)
+		for range 1000 {
+			time.Sleep(10 * time.Millisecond)
+			g.Expect(h.dispatcher.leadershipConfirmed()).To(BeTrue())
+		}
+		h.node.setDeposed(true)
+		time.Sleep(leadershipTTL)
+		g.Expect(h.dispatcher.leadershipConfirmed()).To(BeFalse(), "a confirmation counts from its request")
+	})
+}
