dispatch: minions that don't answer are not the leader's limit

Cause: starts to minions that are cut off stay in the window of starts until they time out. A full window counted as the leader's limit, and the measured rate fell to next to nothing, so jobs were refused for a load that the leader starts easily.

Change: while a tenth of the starts or more end without an answer, the leader isn't taken for the limit.

TestSilentMinionsAreNotTheLeadersLimit failed before.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -18,6 +18,9 @@
 	limitedAge = 250 * time.Millisecond
 	// startRateWindow is the shortest time over which the rate of starts is measured.
 	startRateWindow = 400 * time.Millisecond
+	// maxUnansweredShare divides the answered starts into the unanswered ones from which
+	// on minions are the limit, and not the leader.
+	maxUnansweredShare = 10
 	// waitingInterval is the shortest time between two counts of the waiting tasks.
 	waitingInterval = 100 * time.Millisecond
 	// minSubmitRetryAfter is the shortest time after which a refused caller is asked to
@@ -38,8 +41,8 @@
 	// limitedAt is the last planning round that the window of starts limited, zero when
 	// the leader isn't the limit. limitedSince is when the rate was last measured.
 	limitedAt, limitedSince time.Duration
-	// answersSince is the number of answered starts at limitedSince.
-	answersSince uint64
+	// totalsSince counts the starts that had ended at limitedSince.
+	totalsSince startTotals
 	// proposed holds the jobs whose submission was proposed in this term and that may
 	// not be in the state yet, with the number of such submissions. They must not be
 	// refused: a job that is refused must not run.
@@ -49,8 +52,8 @@
 func newAdmission() *admission { return &admission{proposed: map[string]int{}} }
 
 // observeRound records whether the window of starts limited a planning round, and
-// how many starts were answered during the term.
-func (a *admission) observeRound(now time.Duration, limited bool, answers uint64) {
+// how many starts ended during the term.
+func (a *admission) observeRound(now time.Duration, limited bool, totals startTotals) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	switch {
@@ -60,16 +63,23 @@
 	case !limited:
 		return
 	case a.limitedAt == 0:
-		a.limitedSince, a.answersSince = now, answers
+		a.limitedSince, a.totalsSince = now, totals
 	}
 	a.limitedAt = now
-	if elapsed := now - a.limitedSince; elapsed >= startRateWindow {
-		if a.decider == nil {
-			a.decider = &placement.Admission{}
-		}
-		a.decider.StartsPerSecond = float64(answers-a.answersSince) / elapsed.Seconds()
-		a.limitedSince, a.answersSince = now, answers
+	elapsed := now - a.limitedSince
+	if elapsed < startRateWindow {
+		return
+	}
+	answered, unanswered := totals.answered-a.totalsSince.answered, totals.unanswered-a.totalsSince.unanswered
+	a.limitedSince, a.totalsSince = now, totals
+	if unanswered > answered/maxUnansweredShare {
+		a.decider = nil // minions that don't answer are the limit
+		return
+	}
+	if a.decider == nil {
+		a.decider = &placement.Admission{}
 	}
+	a.decider.StartsPerSecond = float64(answered) / elapsed.Seconds()
 }
 
 // isLimited reports whether the leader is the limit, and whether the waiting tasks are
--- a/internal/dispatch/admission_test.go
+++ b/internal/dispatch/admission_test.go
@@ -30,7 +30,7 @@
 // planning rounds of half a second.
 func limitStarts(d *Dispatcher) {
 	for i := range 6 {
-		d.admission.observeRound(d.clock.Now()-time.Duration(5-i)*100*time.Millisecond, true, uint64(i))
+		d.admission.observeRound(d.clock.Now()-time.Duration(5-i)*100*time.Millisecond, true, startTotals{answered: uint64(i)})
 	}
 }
 
@@ -47,7 +47,7 @@
 	g := NewWithT(t)
 	d, _ := newIdleDispatcher(t)
 	g.Expect(d.AdmitJob(newRefusedJob("a"))).To(BeNil())
-	d.admission.observeRound(d.clock.Now()-time.Second, true, 0)
+	d.admission.observeRound(d.clock.Now()-time.Second, true, startTotals{})
 	g.Expect(d.AdmitJob(newRefusedJob("b"))).To(BeNil(), "one round says nothing")
 	limitStarts(d)
 	err := d.AdmitJob(newRefusedJob("c"))
@@ -82,15 +82,15 @@
 	g := NewWithT(t)
 	a := newAdmission()
 	for i := range 6 {
-		a.observeRound(time.Minute+time.Duration(i)*100*time.Millisecond, true, uint64(i))
+		a.observeRound(time.Minute+time.Duration(i)*100*time.Millisecond, true, startTotals{answered: uint64(i)})
 	}
 	now := time.Minute + 2*time.Second
 	limited := func() bool { limited, _ := a.isLimited(now); return limited }
 	g.Expect(limited()).To(BeTrue(), "no round for 1.5 s")
-	a.observeRound(now, true, 6)
-	a.observeRound(now+limitedAge/2, false, 6)
+	a.observeRound(now, true, startTotals{answered: 6})
+	a.observeRound(now+limitedAge/2, false, startTotals{answered: 6})
 	g.Expect(limited()).To(BeTrue(), "one round has less to start")
-	a.observeRound(now+limitedAge, false, 6)
+	a.observeRound(now+limitedAge, false, startTotals{answered: 6})
 	g.Expect(limited()).To(BeFalse())
 }
 
@@ -124,3 +124,17 @@
 	d.SubmissionEnded(job.Id, notProposed)
 	g.Expect(d.AdmitJob(job)).NotTo(BeNil())
 }
+
+// Guards against jobs that are refused because minions that were cut off don't answer:
+// their starts fill the window, and the others are answered as usual.
+func TestSilentMinionsAreNotTheLeadersLimit(t *testing.T) {
+	g := NewWithT(t)
+	a := newAdmission()
+	for i := range 20 {
+		n := uint64(i)
+		now := time.Minute + time.Duration(i)*100*time.Millisecond
+		a.observeRound(now, true, startTotals{answered: 10 * n, unanswered: 5 * n})
+		limited, _ := a.isLimited(now)
+		g.Expect(limited).To(BeFalse())
+	}
+}
--- a/internal/dispatch/capacity_test.go
+++ b/internal/dispatch/capacity_test.go
@@ -78,10 +78,10 @@
 		_, limited := a.startRate(now)
 		return limited
 	}
-	a.observeRound(second, true, 100)
+	a.observeRound(second, true, startTotals{answered: 100})
 	g.Expect(isLimited(second)).To(BeFalse(), "one round may be cut by a large job")
 	for now := second; now < 2*second; now += 100 * time.Millisecond {
-		a.observeRound(now, true, 100+uint64((now-second)/time.Millisecond))
+		a.observeRound(now, true, startTotals{answered: 100 + uint64((now-second)/time.Millisecond)})
 	}
 	rate, limited := a.startRate(2 * second)
 	g.Expect(limited).To(BeTrue())
@@ -96,9 +96,9 @@
 	g := NewWithT(t)
 	a := newAdmission()
 	f := &fleetManager{d: &Dispatcher{admission: a}}
-	a.observeRound(0, true, 0)
+	a.observeRound(0, true, startTotals{answered: 0})
 	for now := 100 * time.Millisecond; now <= time.Second; now += 100 * time.Millisecond {
-		a.observeRound(now, true, uint64(now/time.Millisecond))
+		a.observeRound(now, true, startTotals{answered: uint64(now / time.Millisecond)})
 	}
 	startable := func(now time.Duration) int64 {
 		demands := map[string]placement.Demand{"p": {Ready: 8_000_000, FiniteCPU: 8_000_000, FiniteTasks: 1000, FiniteTaskMS: 100_000}}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -119,7 +119,7 @@
 // reads the health only of minions in pools with work that waits.
 func (d *Dispatcher) plan() (starts []*apiv1.StartedRun, hadWork bool) {
 	now := d.clock.Now()
-	window, inFlight, answers := d.startWindow.status()
+	window, inFlight, totals := d.startWindow.status()
 	d.metrics.startWindow.Set(float64(window))
 	d.metrics.startsInFlight.Set(float64(inFlight))
 	in := placement.Input{
@@ -127,7 +127,7 @@
 		MaxStarts: window - inFlight,
 	}
 	if in.MaxStarts <= 0 {
-		d.admission.observeRound(now, true, answers)
+		d.admission.observeRound(now, true, totals)
 		return nil, false
 	}
 	var pools map[string]bool
@@ -139,7 +139,7 @@
 		}
 	})
 	if len(incarnations) == 0 {
-		d.admission.observeRound(now, false, answers)
+		d.admission.observeRound(now, false, totals)
 		return nil, false
 	}
 	in.Health = d.placementHealth(incarnations, now)
@@ -151,7 +151,7 @@
 		}
 		starts = placement.Plan(in)
 	})
-	d.admission.observeRound(now, len(starts) >= in.MaxStarts, answers)
+	d.admission.observeRound(now, len(starts) >= in.MaxStarts, totals)
 	return starts, true
 }
 
--- a/internal/dispatch/startwindow.go
+++ b/internal/dispatch/startwindow.go
@@ -31,11 +31,14 @@
 	mu       sync.Mutex
 	size     float64
 	inFlight int
-	// answers counts the answers since the last decrease, totalAnswers all.
-	answers      int
-	totalAnswers uint64
+	// answers counts the answers since the last decrease, totals all starts that ended.
+	answers int
+	totals  startTotals
 }
 
+// startTotals counts the starts that were answered and those that were not.
+type startTotals struct{ answered, unanswered uint64 }
+
 func newStartWindow() *startWindow { return &startWindow{size: maxStartWindow} }
 
 // free returns how many more starts may be committed now.
@@ -44,12 +47,11 @@
 	return size - inFlight
 }
 
-// status returns the size of the window, the starts in flight and the number of
-// answers so far.
-func (w *startWindow) status() (size, inFlight int, answers uint64) {
+// status returns the size of the window, the starts in flight and those that ended.
+func (w *startWindow) status() (size, inFlight int, totals startTotals) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return int(w.size), w.inFlight, w.totalAnswers
+	return int(w.size), w.inFlight, w.totals
 }
 
 // begin counts a committed start whose order is to be sent.
@@ -66,10 +68,11 @@
 	defer w.mu.Unlock()
 	w.inFlight--
 	if !answered {
+		w.totals.unanswered++
 		return
 	}
 	w.answers++
-	w.totalAnswers++
+	w.totals.answered++
 	switch {
 	case duration < lateStart:
 		w.size = min(w.size+startWindowIncrease/w.size, maxStartWindow)
