--- a/internal/dispatch/overload_test.go
+++ b/internal/dispatch/overload_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -35,9 +36,8 @@
 	benchMinions
 	processor chan struct{}
 	// slowdown multiplies the processor time of each call.
-	slowdown int
-	starts   int
-	timeouts int
+	slowdown         int
+	starts, timeouts atomic.Int64
 }
 
 // use takes processor time, or returns the error of ctx once its deadline has
@@ -47,7 +47,7 @@
 	time.Sleep(cost * time.Duration(l.slowdown))
 	err := ctx.Err()
 	if err != nil {
-		l.timeouts++
+		l.timeouts.Add(1)
 	}
 	<-l.processor
 	return err
@@ -57,7 +57,7 @@
 	if err := l.use(ctx, startCost); err != nil {
 		return 0, err
 	}
-	l.starts++
+	l.starts.Add(1)
 	clockMS, err := l.benchMinions.Start(ctx, to, o)
 	if lost := l.use(ctx, startCost); lost != nil {
 		return 0, lost
@@ -149,7 +149,7 @@
 		}
 	})
 	t.Logf("%d jobs a second: %d of %d accepted, %d in time, %d left, %d starts, %d calls without an answer in time",
-		jobsPerSecond, out.accepted, jobs, out.inTime, out.left, leader.starts, leader.timeouts)
+		jobsPerSecond, out.accepted, jobs, out.inTime, out.left, leader.starts.Load(), leader.timeouts.Load())
 	cancel()
 	<-done
 	return out
