--- a/internal/placement/startrate.go
+++ b/internal/placement/startrate.go
@@ -17,8 +17,8 @@
 	for pool, d := range demands {
 		if needed := d.neededStarts(); needed > 0 {
 			finite := max(d.FiniteRunning, int64(float64(d.FiniteCPU)*startsPerSecond/needed))
-			longRunning := d.Running + d.Ready - d.FiniteCPU
-			d.StartableCPU = max(longRunning+finite, 1) // zero means no limit
+			rest := d.Running + d.Ready - d.FiniteCPU
+			d.StartableCPU = max(rest+finite, 1) // zero means no limit
 		}
 		if isLimit {
 			d.Late = d.LateRunning
