dispatch: random faults make no unreachable minion reachable by the guard

The guard against the last loss of a task set a minion that was unreachable already to reachable when one of its tasks was near its last loss, so the play had fewer faults than before. It now only keeps a reachable minion reachable.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -199,7 +199,7 @@
 	m := h.cluster.minions[id]
 	switch roll {
 	case 0:
-		m.unreachable = !h.mayBeLastLoss(id)
+		m.unreachable = m.unreachable || !h.mayBeLastLoss(id)
 	case 1:
 		m.unreachable = false
 	}
