batch: one place checks entries of minions, through the applied state

What was seen: another writer's odd entry was passed on as a minion (port out of range, host name), and one with the largest number or a start in the far future kept the minion's own entries out for good. One odd row hid the whole list of machines. Numbers in a minion's lists were converted out of range, which differs between processors: run 5,000,000,000 became 705,032,704, and an end 1e30 would acknowledge all later ones unread.

Cause: the adapter checked types only, and each reader converted by itself.

Change: batch.CheckMinion decides for the leader before an entry is proposed, and the same bounds hold when a command is applied; a recorded entry that an earlier version let through yields to any valid one. A start lies at most a minute ahead of the log time, and a number is at most one announcement for each millisecond since.

Not covered: a writer that names a plausible higher number can't be told from the minion. A replica of an earlier version applies what this one ignores; upgrade all before relying on it.

--- a/internal/batch/malformed_test.go
+++ b/internal/batch/malformed_test.go
@@ -1,8 +1,11 @@
 package batch
 
 import (
+	"math"
+	"strings"
 	"testing"
 
+	. "github.com/onsi/gomega"
 	"google.golang.org/protobuf/proto"
 
 	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
@@ -55,3 +58,37 @@
 		fix.s.Restore(fix.s.Snapshot())
 	})
 }
+
+// Guards against an entry of another writer that is committed, which each replica then
+// applies, and again after each restart: it must not be recorded, nor keep the minion's
+// own entries out when an earlier version has recorded it.
+func TestCommittedOddEntryIsNotRecorded(t *testing.T) {
+	entry := func(born int64, sequence uint64, cpu uint32, zone string) *apiv1.BatchMinion {
+		return &apiv1.BatchMinion{
+			Life: Incarnation{"m", born}.Message(), Sequence: sequence, AvailabilityZone: zone, Capacity: &apiv1.Resources{CpuMillis: cpu},
+		}
+	}
+	observe := func(m *apiv1.BatchMinion) *apiv1.BatchCommand {
+		return &apiv1.BatchCommand{Body: &apiv1.BatchCommand_ObserveMinions{ObserveMinions: &apiv1.ObserveMinions{Minions: []*apiv1.BatchMinion{m}}}}
+	}
+	own := entry(1, 4, 1000, "z")
+	for name, odd := range map[string]*apiv1.BatchMinion{
+		"number":   entry(1, math.MaxUint64, 1000, "z"),
+		"start":    entry(math.MaxInt64, 1, 1000, "z"),
+		"no start": entry(0, 1, 1000, "z"),
+		"capacity": entry(1, 1, math.MaxUint32, "z"),
+		"zone":     entry(1, 1, 1000, strings.Repeat("z", 4<<20)),
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			f.apply(observe(odd))
+			f.Expect(f.s.Minion("m")).To(BeNil())
+			f.apply(observe(own))
+			f.Expect(proto.Equal(f.s.Minion("m"), own)).To(BeTrue())
+
+			f.s.Restore(&apiv1.BatchSnapshot{Minions: []*apiv1.BatchMinion{odd}})
+			f.apply(observe(own))
+			f.Expect(proto.Equal(f.s.Minion("m"), own)).To(BeTrue(), "a recorded odd entry keeps the minion's own one out")
+		})
+	}
+}
--- a/internal/batch/minions.go
+++ b/internal/batch/minions.go
@@ -11,19 +11,19 @@
 
 // observeMinions records minions (worker processes) that announced themselves,
 // and incarnations (lifetimes of a minion's process) that are gone, which means
-// that they have ended. An announcement without an id is ignored, and so is one
-// that is older than the recorded one, except that it drains: an incarnation that
-// drains is about to end and never gets work again. Runs (executions of tasks) on
+// that they have ended. An announcement that names no minion to use is ignored, and so
+// is one that is older than the recorded one, except that it drains: an incarnation
+// that drains is about to end and never gets work again. Runs (executions of tasks) on
 // an incarnation that is gone end as lost. Losses of incarnations that answered again
 // are cleared.
 func (s *State) observeMinions(logTimeMS int64, cmd *apiv1.ObserveMinions) {
 	for _, m := range cmd.Minions {
-		if m.Life.GetId() == "" {
+		if recordFault(m, logTimeMS) != "" {
 			continue
 		}
 		known := s.minions[m.Life.Id]
 		switch {
-		case known == nil || known.Life.BornUnixMs < m.Life.BornUnixMs:
+		case known == nil || known.Life.BornUnixMs < m.Life.BornUnixMs || !ValidRecord(known, logTimeMS):
 			s.setMinion(m)
 		case known.Life.BornUnixMs == m.Life.BornUnixMs:
 			s.setMinion(laterAnnouncement(known, m))
--- a/internal/batchservice/calls.go
+++ b/internal/batchservice/calls.go
@@ -171,11 +171,24 @@
 // announce records a minion's announcement and replies with the address of this
 // replica, the leader, for later announcements.
 func (s *Server) announce(ctx context.Context, d *dispatch.Dispatcher, req *apiv1.AnnounceMinionRequest) (*apiv1.AnnounceMinionResponse, error) {
-	if req.Minion.GetLife().GetId() == "" {
-		return nil, errWithout("minion")
+	if err := checkAnnouncement(req, time.Now().UnixMilli()); err != nil {
+		return nil, err
 	}
 	if err := d.Announce(ctx, req); err != nil {
 		return nil, err
 	}
 	return &apiv1.AnnounceMinionResponse{ReportTo: s.opts.ReportAddress}, nil
 }
+
+// checkAnnouncement returns why an announcement names no minion to use. A notice of
+// leaving carries an id, and the start of the incarnation where that is known.
+func checkAnnouncement(req *apiv1.AnnounceMinionRequest, nowUnixMS int64) error {
+	if req.Minion.GetLife().GetId() == "" {
+		return errWithout("minion")
+	}
+	if req.Leaves {
+		return nil
+	}
+	req.Minion.Sequence = req.Sequence
+	return batch.CheckMinion(req.Minion, nowUnixMS)
+}
--- a/internal/dispatch/announce.go
+++ b/internal/dispatch/announce.go
@@ -102,10 +102,13 @@
 	// The number is recorded with the content, so that the next leader, which
 	// hasn't accepted any announcement yet, drops older ones too.
 	m.Sequence = req.Sequence
-	now := d.clock.Now()
+	now, nowUnixMS := d.clock.Now(), time.Now().UnixMilli()
 	changed, older := false, false
 	d.opts.StateMachine.Read(func(st *state.State) {
 		recorded := st.Batch.Minion(m.Life.Id)
+		if recorded != nil && !batch.ValidRecord(recorded, nowUnixMS) {
+			recorded = nil
+		}
 		older = isOlder(m, recorded)
 		changed = !older && differsFromRecord(recorded, m)
 	})
--- a/internal/dispatch/announce_test.go
+++ b/internal/dispatch/announce_test.go
@@ -22,7 +22,7 @@
 		h.announce(m)
 		record := m.record()
 		record.Draining = true
-		req := &apiv1.AnnounceMinionRequest{Minion: record, Sequence: uint64(time.Now().UnixMilli()) + 1}
+		req := &apiv1.AnnounceMinionRequest{Minion: record, Sequence: uint64(time.Since(m.started).Milliseconds()) + 1}
 		h.node.setDeposed(true)
 		g.Expect(h.dispatcher.Announce(t.Context(), req)).NotTo(Succeed())
 		h.node.setDeposed(false)
@@ -74,7 +74,7 @@
 		defer func() { h.endTerm() }()
 		h.cluster.endless = true
 		m := h.cluster.add("a")
-		delayed := &apiv1.AnnounceMinionRequest{Minion: m.record(), Sequence: uint64(time.Now().UnixMilli())}
+		delayed := &apiv1.AnnounceMinionRequest{Minion: m.record(), Sequence: uint64(time.Since(m.started).Milliseconds())}
 		time.Sleep(time.Second)
 		h.setCapacity(m, 2*taskCPUMillis)
 		h.announce(m)
--- a/internal/dispatch/harness_test.go
+++ b/internal/dispatch/harness_test.go
@@ -80,7 +80,7 @@
 	h.cluster.mu.Lock()
 	record := m.record()
 	h.cluster.mu.Unlock()
-	if err := h.dispatcher.Announce(h.t.Context(), &apiv1.AnnounceMinionRequest{Minion: record, Sequence: uint64(time.Now().UnixMilli())}); err != nil {
+	if err := h.dispatcher.Announce(h.t.Context(), &apiv1.AnnounceMinionRequest{Minion: record, Sequence: uint64(time.Since(m.started).Milliseconds())}); err != nil {
 		h.t.Error(err)
 	}
 }
--- a/internal/dispatch/leaving_test.go
+++ b/internal/dispatch/leaving_test.go
@@ -50,7 +50,7 @@
 	record := m.record()
 	h.cluster.mu.Unlock()
 	record.Draining = true
-	req := &apiv1.AnnounceMinionRequest{Minion: record, Sequence: uint64(time.Now().UnixMilli()) + 1}
+	req := &apiv1.AnnounceMinionRequest{Minion: record, Sequence: uint64(time.Since(m.started).Milliseconds()) + 1}
 	if err := h.dispatcher.Announce(h.t.Context(), req); err != nil {
 		h.t.Error(err)
 	}
