replica: a command that was given up before its proposal is not run

What callers saw: 504, after which an unsafe call may not be repeated, for submissions that the leader's loop had never taken. The caller's goroutine could not tell whether the loop had.

Cause: the loop skips a proposal whose context has ended, and the caller that waited for it reported an unknown outcome all the same. And the server gave a call up at the same moment as its client, so that no answer could arrive.

Change: loop and caller claim a proposal with one atomic operation; who is first decides. A server has up to 20 ms, at most a quarter, less than its client.

--- a/internal/replica/loop_test.go
+++ b/internal/replica/loop_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"bergamotdrum.example/bergamotdrum/internal/consensus"
+	"bergamotdrum.example/bergamotdrum/internal/result"
 )
 
 // Guards against a leader that steps down under load: its loop always has calls and
@@ -54,3 +55,25 @@
 		return c.leader() != slow
 	}, 2*time.Second).Should(BeTrue())
 }
+
+// Guards against a caller that is told of an unknown outcome, and may not repeat its
+// call, although the command was never proposed: the loop was busy until the caller's
+// time was over.
+func TestCommandThatWasNotProposedIsNotRun(t *testing.T) {
+	g := NewWithT(t)
+	c := newCluster(t, 3)
+	leader := c.leader()
+	entered, blocked := make(chan struct{}), make(chan struct{})
+	go func() {
+		_ = leader.node.runInLoop(context.Background(), func() { close(entered); <-blocked })
+	}()
+	<-entered
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, err := leader.node.Propose(ctx, publish("late"))
+	close(blocked)
+	g.Expect(err).To(HaveOccurred())
+	g.Expect(result.From(err).NotRun).To(BeTrue(), "%v", err)
+	c.proposeMany("after", 3)
+	g.Expect(leader.stateMachine.applied()).NotTo(ContainElement("late"))
+}
--- a/internal/replica/propose.go
+++ b/internal/replica/propose.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -34,8 +35,14 @@
 	change *apiv1.ConfChange
 	term   uint64       // in which the entry was appended
 	done   chan outcome // gets one value; has a buffer of one
+	// claimed is set once, by the loop that is about to append the proposal or by the
+	// caller that gives it up before.
+	claimed atomic.Bool
 }
 
+// claim reports whether the caller of claim is the first one.
+func (p *proposal) claim() bool { return p.claimed.CompareAndSwap(false, true) }
+
 // barrier is a call of Barrier that the loop carries out. The core, the Raft
 // algorithm, confirms it as a linearizable read.
 type barrier struct {
@@ -82,6 +89,9 @@
 	case out := <-p.done:
 		return out.result, out.err
 	case <-ctx.Done():
+		if p.claim() {
+			return nil, result.NotRun(apiv1.ResultCode_RESULT_CODE_NO_QUORUM, "proposal was not started: %v", ctx.Err())
+		}
 		return nil, result.New(apiv1.ResultCode_RESULT_CODE_NO_QUORUM, "proposal may still commit: %v", ctx.Err())
 	case <-n.done:
 	}
@@ -106,8 +116,8 @@
 // propose appends a proposal to the log. The round of the loop then syncs and
 // sends all appended entries together.
 func (n *Node) propose(p *proposal) {
-	if p.ctx.Err() != nil {
-		return
+	if p.ctx.Err() != nil || !p.claim() {
+		return // the caller learns that nothing was started
 	}
 	if len(n.pendingProposals) >= maxPendingProposals {
 		p.done <- outcome{err: result.NotRun(apiv1.ResultCode_RESULT_CODE_QUEUE_FULL, "%d proposals are pending", len(n.pendingProposals))}
--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -121,7 +121,7 @@
 	stream.SetDeadline(deadline)
 	stop := context.AfterFunc(ctx, func() { stream.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
-	frame.TimeoutMs = uint32(max(time.Until(deadline).Milliseconds(), 1))
+	frame.TimeoutMs = uint32(max(serverTimeout(time.Until(deadline)).Milliseconds(), 1))
 	if err := writeFrame(stream, frame); err != nil {
 		return &TransportError{Address: address, MaybeSent: true, Err: contextError(ctx, err)}
 	}
@@ -138,6 +138,15 @@
 	return nil
 }
 
+// maxAnswerMargin is the longest time that is left for the answer of a server that gives
+// a call up.
+const maxAnswerMargin = 20 * time.Millisecond
+
+// serverTimeout returns the time that a server may take of what is left to the client.
+// The server's answer, which may say that nothing was done, has to arrive before the
+// client gives up.
+func serverTimeout(left time.Duration) time.Duration { return left - min(left/4, maxAnswerMargin) }
+
 // contextError returns ctx's error in place of err once ctx is done, since err then
 // only says that the stream's deadline passed.
 func contextError(ctx context.Context, err error) error {
--- a/internal/rpc/rpc_test.go
+++ b/internal/rpc/rpc_test.go
@@ -124,3 +124,13 @@
 	g.Expect(result.From(err).NotRun).To(BeFalse())
 	g.Expect(c.Call(t.Context(), addr, "Control.GetJob", &apiv1.GetJob{JobId: "a"}, &apiv1.Job{})).To(Succeed())
 }
+
+// Guards against a server that gives a call up when the client does: its answer, that
+// nothing was done, comes too late.
+func TestServerHasLessTimeThanItsClient(t *testing.T) {
+	g := NewWithT(t)
+	for _, left := range []time.Duration{4 * time.Millisecond, 50 * time.Millisecond, time.Second} {
+		g.Expect(serverTimeout(left)).To(BeNumerically("<", left))
+		g.Expect(serverTimeout(left)).To(BeNumerically(">=", left*3/4))
+	}
+}
