dispatch: a submission without time for its commit is refused

The job then ran for a caller that did not know of it.

Change: the leader measures its commits and refuses a job whose call has less time left, unless the job is in the state or may still be committed, so that "not run" is true.

--- a/internal/batchservice/calls.go
+++ b/internal/batchservice/calls.go
@@ -37,10 +37,14 @@
 	if refused := batch.CheckJob(job); refused != nil {
 		return nil, refused
 	}
-	if refused := d.AdmitJob(job); refused != nil {
+	deadline, bounded := ctx.Deadline()
+	inTime := !bounded || s.commits.allows(time.Until(deadline))
+	if refused := d.AdmitJob(job, inTime); refused != nil {
 		return nil, refused // logged by the process that the caller is connected to
 	}
+	start := time.Now()
 	_, err = s.propose(ctx, &apiv1.BatchCommand{Body: &apiv1.BatchCommand_Submit{Submit: job}})
+	s.commits.observe(time.Since(start))
 	d.SubmissionEnded(job.Id, err)
 	s.logCall("job submitted", err, logrus.Fields{"job_id": job.Id, "queue": job.Queue, "account": job.Account, "steps": len(job.Steps)})
 	return &apiv1.SubmitBatchResponse{}, err
--- a/internal/batchservice/server.go
+++ b/internal/batchservice/server.go
@@ -67,6 +67,7 @@
 	barrier       *readBarrier
 	metrics       *dispatch.Metrics
 	callDurations *prometheus.HistogramVec
+	commits       commitTime
 }
 
 // New returns a server without a node. SetNode must be called before calls are
--- a/internal/batchservice/server_test.go
+++ b/internal/batchservice/server_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -32,12 +34,15 @@
 // immediateNode is a Node that applies each proposal to the state machine
 // without replication.
 type immediateNode struct {
+	// commitTime is how long each proposal takes.
+	commitTime   atomic.Int64
 	mu           sync.Mutex
 	stateMachine *state.Machine
 	index        uint64
 }
 
 func (n *immediateNode) Propose(_ context.Context, cmd *apiv1.Command) (*apiv1.CommandResult, error) {
+	time.Sleep(time.Duration(n.commitTime.Load()))
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.index++
@@ -53,12 +58,18 @@
 // startService starts a service and returns a client that reaches it over TCP.
 // The service's replica leads if lead is set.
 func startService(t *testing.T, lead bool) *Client {
-	g := NewWithT(t)
 	stateMachine := state.New()
+	return startServiceOn(t, &immediateNode{stateMachine: stateMachine}, lead)
+}
+
+// startServiceOn is like startService, with a given node.
+func startServiceOn(t *testing.T, node *immediateNode, lead bool) *Client {
+	g := NewWithT(t)
+	stateMachine := node.stateMachine
 	s := New(Options{StateMachine: stateMachine, Log: discardLogger(), Dispatch: dispatch.Options{Clock: clock.Boot{}}})
 	server := rpc.NewServer(nil, discardLogger())
 	s.Register(server)
-	s.SetNode(&immediateNode{stateMachine: stateMachine})
+	s.SetNode(node)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
 	go server.Serve(l)
@@ -129,6 +140,37 @@
 	g.Expect(err).To(HaveOccurred())
 }
 
+// Guards against a job that runs although its caller, which had little time left, never
+// learned that it was accepted, and against a refusal of a job that is accepted already.
+func TestSubmissionThatCannotBeCommittedInTimeIsNotRun(t *testing.T) {
+	g := NewWithT(t)
+	node := &immediateNode{stateMachine: state.New()}
+	c := startServiceOn(t, node, true)
+	g.Expect(c.PutCatalog(t.Context(), catalog(1))).To(Succeed())
+	at := func(id string) *apiv1.QueueCall { return &apiv1.QueueCall{Host: "h", Path: "/q/" + id, Key: "k"} }
+	submit := func(id string, left time.Duration) error {
+		ctx, cancel := context.WithTimeout(t.Context(), left)
+		defer cancel()
+		return c.Submit(ctx, at(id), &apiv1.BatchJob{Steps: []*apiv1.BatchStep{{Count: 1}}})
+	}
+	node.commitTime.Store(int64(400 * time.Millisecond))
+	var wg sync.WaitGroup
+	for i := range 30 {
+		wg.Go(func() { g.Expect(submit(fmt.Sprintf("5c0e7a21d94b36%02x", i), 10*time.Second)).To(Succeed()) })
+	}
+	wg.Wait()
+	const late = "5c0e7a21d94b36f8"
+	err := submit(late, 250*time.Millisecond)
+	g.Expect(err).To(HaveOccurred())
+	g.Expect(result.From(err).NotRun).To(BeTrue(), "%v", err)
+	g.Expect(submit("5c0e7a21d94b3600", 250*time.Millisecond)).NotTo(Satisfy(func(err error) bool {
+		return err != nil && result.From(err).NotRun
+	}), "the job is accepted already")
+	node.commitTime.Store(0)
+	_, err = c.Get(t.Context(), at(late))
+	g.Expect(result.CodeOf(err)).To(Equal(apiv1.ResultCode_RESULT_CODE_JOB_NOT_FOUND))
+}
+
 // Guards against a replica that serves calls without being the leader.
 func TestOnlyTheLeaderAnswers(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -110,10 +110,14 @@
 }
 
 // decide returns zero when the job is accepted, and then counts it. Otherwise it
-// returns after how long the caller may come back.
-func (a *admission) decide(now time.Duration, q *apiv1.BatchQueue, j *apiv1.BatchJob) time.Duration {
+// returns after how long the caller may come back. inTime is set when the submission is
+// expected to be committed before its caller gives up.
+func (a *admission) decide(now time.Duration, q *apiv1.BatchQueue, j *apiv1.BatchJob, inTime bool) time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if !inTime && a.proposed[j.Id] == 0 {
+		return minSubmitRetryAfter
+	}
 	if a.decider != nil && a.decider.Waiting != nil && a.proposed[j.Id] == 0 {
 		if wait := a.decider.Decide(now, q, j); wait > 0 {
 			return wait
@@ -126,8 +130,10 @@
 
 // AdmitJob returns nil when a job may be submitted. Then SubmissionEnded is called
 // with the outcome. Otherwise the error says that the job was not accepted and when
-// the caller may come back.
-func (d *Dispatcher) AdmitJob(j *apiv1.BatchJob) *result.Error {
+// the caller may come back. inTime is set when the submission is expected to be
+// committed before its caller gives up: what runs for a caller that doesn't know of it
+// takes starts from others.
+func (d *Dispatcher) AdmitJob(j *apiv1.BatchJob, inTime bool) *result.Error {
 	now := d.clock.Now()
 	limited, countDue := d.admission.isLimited(now)
 	known := false
@@ -141,16 +147,16 @@
 	if countDue {
 		d.admission.setWaiting(now, waiting)
 	}
-	if known || !limited {
+	if known || !limited && inTime {
 		d.admission.markProposed(j.Id)
 		return nil
 	}
-	wait := d.refusedFor(now, j)
+	wait := d.refusedFor(now, j, inTime)
 	if wait == 0 {
 		return nil
 	}
 	d.metrics.jobsRefused.Inc()
-	err := result.NotRun(apiv1.ResultCode_RESULT_CODE_QUEUE_FULL, "queue %s has more tasks than can be started in time; submit the job again later", j.Queue)
+	err := result.NotRun(apiv1.ResultCode_RESULT_CODE_QUEUE_FULL, "queue %s can't accept the job in time; submit it again later", j.Queue)
 	wait = min(max(wait, minSubmitRetryAfter), maxSubmitRetryAfter)
 	// Callers that were refused together are not to return together.
 	err.RetryAfter = wait + rand.N(wait/4)
@@ -159,8 +165,8 @@
 
 // refusedFor returns zero when the job is accepted, and else after how long the caller
 // may come back.
-func (d *Dispatcher) refusedFor(now time.Duration, j *apiv1.BatchJob) time.Duration {
-	wait := d.admission.decide(now, j.AcceptedQueue, j)
+func (d *Dispatcher) refusedFor(now time.Duration, j *apiv1.BatchJob, inTime bool) time.Duration {
+	wait := d.admission.decide(now, j.AcceptedQueue, j, inTime)
 	if wait == 0 {
 		return 0
 	}
--- a/internal/dispatch/admission_test.go
+++ b/internal/dispatch/admission_test.go
@@ -46,11 +46,11 @@
 func TestJobsAreRefusedOnlyAtTheLeadersLimit(t *testing.T) {
 	g := NewWithT(t)
 	d, _ := newIdleDispatcher(t)
-	g.Expect(d.AdmitJob(newRefusedJob("a"))).To(BeNil())
+	g.Expect(d.AdmitJob(newRefusedJob("a"), true)).To(BeNil())
 	d.admission.observeRound(d.clock.Now()-time.Second, true, startTotals{})
-	g.Expect(d.AdmitJob(newRefusedJob("b"))).To(BeNil(), "one round says nothing")
+	g.Expect(d.AdmitJob(newRefusedJob("b"), true)).To(BeNil(), "one round says nothing")
 	limitStarts(d)
-	err := d.AdmitJob(newRefusedJob("c"))
+	err := d.AdmitJob(newRefusedJob("c"), true)
 	g.Expect(err).NotTo(BeNil())
 	g.Expect(err.NotRun).To(BeTrue())
 	g.Expect(err.RetryAfter).To(And(BeNumerically(">=", minSubmitRetryAfter), BeNumerically("<=", maxSubmitRetryAfter*5/4)))
@@ -63,7 +63,7 @@
 	d, node := newIdleDispatcher(t)
 	pending, lost, refused, known := newRefusedJob("pending"), newRefusedJob("lost"), newRefusedJob("refused"), newRefusedJob("known")
 	for _, j := range []*apiv1.BatchJob{pending, lost, refused} {
-		g.Expect(d.AdmitJob(j)).To(BeNil())
+		g.Expect(d.AdmitJob(j, true)).To(BeNil())
 	}
 	d.SubmissionEnded(lost.Id, errors.New("the outcome is unknown"))
 	d.SubmissionEnded(refused.Id, result.NotRun(apiv1.ResultCode_RESULT_CODE_NO_QUORUM, "not proposed"))
@@ -71,9 +71,9 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	limitStarts(d)
 	for _, j := range []*apiv1.BatchJob{pending, lost, known} {
-		g.Expect(d.AdmitJob(j)).To(BeNil(), j.Id)
+		g.Expect(d.AdmitJob(j, true)).To(BeNil(), j.Id)
 	}
-	g.Expect(d.AdmitJob(refused)).NotTo(BeNil())
+	g.Expect(d.AdmitJob(refused, true)).NotTo(BeNil())
 }
 
 // Guards against a leader that accepts everything while its planning rounds are late,
@@ -104,8 +104,8 @@
 	job := newRefusedJob("a")
 	_, err := node.Propose(t.Context(), &apiv1.Command{Body: &apiv1.Command_Batch{Batch: &apiv1.BatchCommand{Body: &apiv1.BatchCommand_Submit{Submit: job}}}})
 	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(d.refusedFor(d.clock.Now(), job)).To(BeZero())
-	g.Expect(d.refusedFor(d.clock.Now(), newRefusedJob("b"))).NotTo(BeZero())
+	g.Expect(d.refusedFor(d.clock.Now(), job, true)).To(BeZero())
+	g.Expect(d.refusedFor(d.clock.Now(), newRefusedJob("b"), true)).NotTo(BeZero())
 }
 
 // Guards against "not run" for a job of which two submissions are proposed when one of
@@ -114,15 +114,15 @@
 	g := NewWithT(t)
 	d, _ := newIdleDispatcher(t)
 	job := newRefusedJob("a")
-	g.Expect(d.AdmitJob(job)).To(BeNil())
-	g.Expect(d.AdmitJob(job)).To(BeNil())
+	g.Expect(d.AdmitJob(job, true)).To(BeNil())
+	g.Expect(d.AdmitJob(job, true)).To(BeNil())
 	notProposed := result.NotRun(apiv1.ResultCode_RESULT_CODE_NO_QUORUM, "not proposed")
 	d.SubmissionEnded(job.Id, notProposed)
 	limitStarts(d)
-	g.Expect(d.AdmitJob(job)).To(BeNil())
+	g.Expect(d.AdmitJob(job, true)).To(BeNil())
 	d.SubmissionEnded(job.Id, notProposed)
 	d.SubmissionEnded(job.Id, notProposed)
-	g.Expect(d.AdmitJob(job)).NotTo(BeNil())
+	g.Expect(d.AdmitJob(job, true)).NotTo(BeNil())
 }
 
 // Guards against jobs that are refused because minions that were cut off don't answer:
--- a/internal/dispatch/overload_test.go
+++ b/internal/dispatch/overload_test.go
@@ -126,7 +126,7 @@
 				{Count: overloadWidth, Resources: &apiv1.Resources{CpuMillis: 8000, MemoryMb: 10}, EstimatedMs: uint32(overloadTaskTime.Milliseconds()), After: []uint32{0}},
 			},
 		}
-		if d.AdmitJob(job) == nil {
+		if d.AdmitJob(job, true) == nil {
 			out.accepted++
 			go func() {
 				propose(&apiv1.BatchCommand{Body: &apiv1.BatchCommand_Submit{Submit: job}})
