dispatch: log what bounds the starts of the leader

A line each second, while starts are planned, gives rounds, those that the window of starts bounded, starts, time of planning, commits and pauses, and the mean time from commit to answer.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -101,6 +101,7 @@
 	loadsRevision   uint64
 
 	startWindow *startWindow
+	load        load
 	admission   *admission
 
 	// endedIncarnations counts the incarnations that ended or were replaced during
--- /dev/null
+++ b/internal/dispatch/load.go
@@ -0,0 +1,66 @@
+package dispatch
+
+import (
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// loadLogInterval is the time between two logs of the leader's load.
+const loadLogInterval = time.Second
+
+// load sums up what the planning rounds of the last loadLogInterval took, so that the log
+// shows what bounds the starts: the processor (planning), the log (commits), the answers
+// of the minions (window and time of starts), or the rounds themselves.
+type load struct {
+	mu       sync.Mutex
+	loggedAt time.Duration
+	rounds   int
+	// limited counts the rounds that the window of starts bounded.
+	limited                 int
+	planned                 int
+	planning, commits, idle time.Duration
+	answers                 int
+	answerTime              time.Duration
+}
+
+// observeStart counts a start that was answered after a time since its commit.
+func (l *load) observeStart(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.answers++
+	l.answerTime += d
+}
+
+// observeRound counts a round that planned starts.
+func (l *load) observeRound(starts int, limited bool, planning, commit, pause time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.rounds++
+	l.planned += starts
+	if limited {
+		l.limited++
+	}
+	l.planning += planning
+	l.commits += commit
+	l.idle += max(pause, 0)
+}
+
+// log logs the load once in loadLogInterval.
+func (l *load) log(now time.Duration, log *logrus.Entry, window, inFlight int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now-l.loggedAt < loadLogInterval {
+		return
+	}
+	if l.planned > 0 {
+		log.WithFields(logrus.Fields{
+			"rounds": l.rounds, "limited_rounds": l.limited, "starts": l.planned, "planning_ms": l.planning.Milliseconds(),
+			"commit_ms": l.commits.Milliseconds(), "pause_ms": l.idle.Milliseconds(), "window": window, "in_flight": inFlight,
+			"answers": l.answers, "mean_answer_ms": (l.answerTime / time.Duration(max(l.answers, 1))).Milliseconds(),
+		}).Info("load of the leader")
+	}
+	l.loggedAt, l.rounds, l.limited, l.planned, l.answers = now, 0, 0, 0, 0
+	l.planning, l.commits, l.idle, l.answerTime = 0, 0, 0, 0
+}
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -146,7 +146,11 @@
 // minion refused it for good.
 func (s *session) sendStart(key batch.RunKey, o *runOrder) {
 	began, answered := s.d.clock.Now(), false
-	defer func() { s.d.startWindow.end(s.d.clock.Now()-began, answered) }()
+	defer func() {
+		took := s.d.clock.Now() - began
+		s.d.startWindow.end(took, answered)
+		s.d.load.observeStart(took)
+	}()
 	if !s.acquireSlot() {
 		return
 	}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -46,6 +46,7 @@
 func (d *Dispatcher) round() time.Duration {
 	start := d.clock.Now()
 	d.syncSessions()
+	window, inFlight, _ := d.startWindow.status()
 	starts, hadWork := d.plan()
 	planned := d.clock.Now()
 	d.metrics.planSeconds.Observe((planned - start).Seconds())
@@ -56,7 +57,11 @@
 	if hadWork {
 		pause = max(pause, minPlanPause)
 	}
-	return min(pause, planInterval) - (d.clock.Now() - planned)
+	committed := d.clock.Now()
+	pause = min(pause, planInterval) - (committed - planned)
+	d.load.observeRound(len(starts), len(starts) >= window-inFlight, planned-start, committed-planned, pause)
+	d.load.log(committed, d.log, window, inFlight)
+	return pause
 }
 
 // syncSessions opens the sessions that are missing and updates those whose
