relay: all replicas of the control group make the leader's calls to minions

What callers saw: too few starts a second on the large site, while four of five control machines idled. The leader alone called the minions.

Change: the leader decides, keeps sessions, leases and tokens, and gives each call to one replica on a stream (new in package rpc); the replica makes it and returns the answer. No ownership changes hands, so a relayed call differs from one of the leader only in what the network does to it (package comment of relay). A replica makes a call once; a call on a lost stream may have been made; one that is over 0.5 s old isn't made, by an age that needs no common clock and counts a suspension. A minion that doesn't answer a replica is called by the leader within the same hold call, before it counts as silent. A slow replica loses its minions to prompt ones.

--- a/internal/daemon/batchcore/daemon.go
+++ b/internal/daemon/batchcore/daemon.go
@@ -11,6 +11,8 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -23,6 +25,7 @@
 	"bergamotdrum.example/bergamotdrum/internal/daemon"
 	"bergamotdrum.example/bergamotdrum/internal/dispatch"
 	"bergamotdrum.example/bergamotdrum/internal/observe"
+	"bergamotdrum.example/bergamotdrum/internal/relay"
 	"bergamotdrum.example/bergamotdrum/internal/replica"
 	"bergamotdrum.example/bergamotdrum/internal/rpc"
 	"bergamotdrum.example/bergamotdrum/internal/state"
@@ -52,6 +55,8 @@
 	Process *observe.Process
 	Node    *replica.Node
 
+	// started is Node, for goroutines that may run before it is set.
+	started       atomic.Pointer[replica.Node]
 	cancel        context.CancelFunc
 	rpcServer     *rpc.Server
 	rpcClient     *rpc.Client
@@ -117,10 +122,15 @@
 	budget := daemon.PlanDescriptors(limit)
 	d.Process.Log.WithFields(logrus.Fields{"limit": budget.Limit, "reserved": budget.Reserved, "minion_calls": budget.MinionCalls}).Info("file descriptors divided")
 	stateMachine := state.New()
+	direct := a.NewMinions(budget.MinionCalls, d.Process.Registry)
+	relay.NewServer(direct, clock.Boot{}).Register(d.rpcServer)
+	minions := relay.NewClient(relay.Options{
+		Direct: direct, Open: d.openRelayStream, Peers: d.otherReplicas, Clock: clock.Boot{}, Log: d.Process.Log, Registry: d.Process.Registry,
+	})
 	service := batchservice.New(batchservice.Options{
 		StateMachine: stateMachine, Log: d.Process.Log, Registry: d.Process.Registry, ReportAddress: settings.ControlAddress,
 		Dispatch: dispatch.Options{
-			Minions: a.NewMinions(budget.MinionCalls, d.Process.Registry), Clock: clock.Boot{},
+			Minions: minions, Clock: clock.Boot{},
 			Lease: min(daemon.Millis(settings.LeaseMs), daemon.Millis(settings.MaxLeaseMs)), MaxLease: daemon.Millis(settings.MaxLeaseMs), Retention: daemon.Millis(settings.JobRetentionMs),
 			MaxAnnouncementAge: daemon.Millis(settings.MaxAnnouncementAgeMs),
 			Fleet: dispatch.FleetOptions{
@@ -136,12 +146,19 @@
 		HeartbeatInterval: daemon.Millis(settings.HeartbeatIntervalMs), ElectionTimeout: daemon.Millis(settings.ElectionTimeoutMs),
 		SnapshotEntries: uint64(settings.SnapshotEntries),
 		StateMachine:    stateMachine, RPCServer: d.rpcServer, RPCClient: d.rpcClient,
-		Clock: clock.Boot{}, Log: d.Process.Log, Registry: d.Process.Registry, OnLeader: service.OnLeader,
+		Clock: clock.Boot{}, Log: d.Process.Log, Registry: d.Process.Registry,
+		OnLeader: func(ctx context.Context) {
+			var wg sync.WaitGroup
+			defer wg.Wait()
+			wg.Go(func() { minions.Run(ctx) })
+			service.OnLeader(ctx)
+		},
 	})
 	if err != nil {
 		return err
 	}
 	d.Node = node
+	d.started.Store(node)
 	service.SetNode(node)
 	d.leaderTracker = batchservice.NewLeaderTracker(d.rpcClient, seeds, d.Process.Log)
 	d.Process.AddDumper("replica", func() any { return node.Status() })
@@ -153,6 +170,27 @@
 	return nil
 }
 
+// openRelayStream opens the stream on which a replica gets calls to minions.
+func (d *Daemon) openRelayStream(ctx context.Context, address string) (relay.Stream, error) {
+	return d.rpcClient.OpenStream(ctx, address, relay.Method)
+}
+
+// otherReplicas returns the rpc addresses of the group's replicas without this one.
+func (d *Daemon) otherReplicas() []string {
+	node := d.started.Load()
+	if node == nil {
+		return nil
+	}
+	status := node.Status()
+	var out []string
+	for _, r := range status.Group.GetReplicas() {
+		if r.Id != status.ReplicaID {
+			out = append(out, r.RpcAddress)
+		}
+	}
+	return out
+}
+
 func (d *Daemon) serve(path string, settings *apiv1.BatchControlSettings, a Adapter, listeners []net.Listener) {
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -147,8 +147,14 @@
 			h.submit(fmt.Sprint("job", i), 3)
 		}
 		h.injectFault()
+		if h.via != nil {
+			h.via.InjectFault()
+		}
 		time.Sleep(500 * time.Millisecond)
 	}
+	if h.via != nil {
+		h.via.EndFaults()
+	}
 	h.cluster.mu.Lock()
 	h.cluster.lostRequestPercent, h.cluster.lostReplyPercent, h.cluster.delayedRequestPercent = 0, 0, 0
 	h.cluster.mu.Unlock()
--- a/internal/dispatch/harness_test.go
+++ b/internal/dispatch/harness_test.go
@@ -4,12 +4,14 @@
 	"context"
 	"fmt"
 	"io"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+	"bergamotdrum.example/bergamotdrum/internal/clock"
 	"bergamotdrum.example/bergamotdrum/internal/state"
 )
 
@@ -27,19 +29,27 @@
 	changingLeases bool
 	// maxAnnouncementAge is Options.MaxAnnouncementAge.
 	maxAnnouncementAge time.Duration
-	dispatcher         *Dispatcher
-	cancel             context.CancelFunc
-	done               chan struct{}
-	start              time.Time
+	// via is what the calls to the cluster go through, nil if nothing.
+	via        *Via
+	dispatcher *Dispatcher
+	cancel     context.CancelFunc
+	done       chan struct{}
+	start      time.Time
 }
 
-func newHarness(t *testing.T, seed uint64) *harness {
+func newHarness(t *testing.T, seed uint64) *harness { return newHarnessVia(t, seed, nil) }
+
+// newHarnessVia is like newHarness, for calls that go through what connect returns.
+func newHarnessVia(t *testing.T, seed uint64, connect func(MinionClient, clock.Clock) *Via) *harness {
 	quiet := logrus.New()
 	quiet.SetOutput(io.Discard)
 	h := &harness{
 		t: t, cluster: newFakeCluster(t, seed), node: &fakeNode{machine: state.New()}, metrics: NewMetrics(nil),
 		log: logrus.NewEntry(quiet), term: 1, start: time.Now(), lease: testLease,
 	}
+	if connect != nil {
+		h.via = connect(h.cluster, bubbleClock{h.start})
+	}
 	h.propose(&apiv1.BatchCommand{Body: &apiv1.BatchCommand_PutCatalog{PutCatalog: &apiv1.Catalog{
 		Version: 1, Pools: []*apiv1.BatchPool{{Name: "p"}}, Queues: []*apiv1.BatchQueue{{Name: "q", Pool: "p", MaxAttempts: 3}},
 	}}})
@@ -58,14 +68,23 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	h.term++
 	h.cancel, h.done = cancel, make(chan struct{})
+	var minions MinionClient = h.cluster
+	if h.via != nil {
+		minions = h.via.Minions
+	}
 	h.dispatcher = New(ctx, h.term, Options{
-		Minions: h.cluster, StateMachine: h.node.machine, Node: h.node, Clock: bubbleClock{h.start}, Log: h.log,
+		Minions: minions, StateMachine: h.node.machine, Node: h.node, Clock: bubbleClock{h.start}, Log: h.log,
 		Lease: h.lease, MaxLease: h.cluster.maxLease, Retention: time.Hour, Fleet: h.fleet,
 		MaxAnnouncementAge: h.maxAnnouncementAge,
 	}, h.metrics)
-	d, done := h.dispatcher, h.done
+	d, done, via := h.dispatcher, h.done, h.via
 	go func() {
+		var wg sync.WaitGroup
+		if via != nil {
+			wg.Go(func() { via.Lead(ctx) })
+		}
 		d.Run()
+		wg.Wait()
 		close(done)
 	}()
 }
@@ -113,3 +132,18 @@
 	}
 	return n
 }
+
+// Via is what calls to minions go through, for tests outside of this package.
+type Via struct {
+	Minions MinionClient
+	// Lead runs while a term lasts.
+	Lead func(ctx context.Context)
+	// InjectFault injects a random fault, EndFaults ends them all.
+	InjectFault, EndFaults func()
+}
+
+// PlayRandomFaults checks the rules of starts under random faults of minions, leaders
+// and what the calls go through.
+func PlayRandomFaults(t *testing.T, seed uint64, connect func(MinionClient, clock.Clock) *Via) {
+	randomFaults(newHarnessVia(t, seed, connect))
+}
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -55,12 +55,14 @@
 	log      *logrus.Entry
 	mu       sync.Mutex
 	handlers map[string]handler
-	conns    map[*yamux.Session]struct{}
-	listener net.Listener
-	closed   bool
-	wg       sync.WaitGroup
-	ctx      context.Context
-	cancel   context.CancelFunc
+	// streamHandlers serve streams, by method.
+	streamHandlers map[string]StreamHandler
+	conns          map[*yamux.Session]struct{}
+	listener       net.Listener
+	closed         bool
+	wg             sync.WaitGroup
+	ctx            context.Context
+	cancel         context.CancelFunc
 }
 
 // NewServer returns a server that accepts peers which know the cluster secret. It
@@ -68,12 +70,13 @@
 func NewServer(secret []byte, log *logrus.Entry) *Server {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Server{
-		secret:   secret,
-		log:      log,
-		handlers: map[string]handler{},
-		conns:    map[*yamux.Session]struct{}{},
-		ctx:      ctx,
-		cancel:   cancel,
+		secret:         secret,
+		log:            log,
+		handlers:       map[string]handler{},
+		streamHandlers: map[string]StreamHandler{},
+		conns:          map[*yamux.Session]struct{}{},
+		ctx:            ctx,
+		cancel:         cancel,
 	}
 }
 
@@ -186,7 +189,7 @@
 	delete(s.conns, conn)
 }
 
-// serveStream serves one call. The handler's context ends at the timeout that the
+// serveStream serves one call, or a stream if the method has streams. The handler's context ends at the timeout that the
 // client stated, when the client closes the stream, or when the server closes.
 func (s *Server) serveStream(stream *yamux.Stream) {
 	defer stream.Close()
@@ -195,6 +198,9 @@
 	if err := readFrame(stream, req); err != nil {
 		return
 	}
+	if s.serveHandler(stream, req.Method) {
+		return
+	}
 	timeout := defaultCallTimeout
 	if req.TimeoutMs > 0 {
 		timeout = time.Duration(req.TimeoutMs) * time.Millisecond
@@ -221,8 +227,7 @@
 	h, ok := s.handlers[req.Method]
 	s.mu.Unlock()
 	if !ok {
-		err := result.NotRun(apiv1.ResultCode_RESULT_CODE_INVALID_ARGUMENT, "method %q does not exist here", req.Method)
-		return &apiv1.RpcResponse{Status: err.Status()}
+		return &apiv1.RpcResponse{Status: errUnknownMethod(req.Method).Status()}
 	}
 	m, err := s.runHandler(ctx, h, req)
 	if err != nil {
@@ -240,9 +245,20 @@
 func (s *Server) runHandler(ctx context.Context, h handler, req *apiv1.RpcRequest) (m proto.Message, err error) {
 	defer func() {
 		if r := recover(); r != nil {
-			s.log.WithFields(logrus.Fields{"method": req.Method, "panic": fmt.Sprint(r), "stack": string(debug.Stack())}).Error("call panicked")
+			s.logRecovered(req.Method, r)
 			err = result.New(apiv1.ResultCode_RESULT_CODE_INTERNAL, "%s failed unexpectedly; it may have been carried out", req.Method)
 		}
 	}()
 	return h(ctx, req.Body)
 }
+
+// logPanic keeps a panic of a stream's handler from ending the process.
+func (s *Server) logPanic(method string) {
+	if r := recover(); r != nil {
+		s.logRecovered(method, r)
+	}
+}
+
+func (s *Server) logRecovered(method string, r any) {
+	s.log.WithFields(logrus.Fields{"method": method, "panic": fmt.Sprint(r), "stack": string(debug.Stack())}).Error("call panicked")
+}
