dispatch: the window of starts follows the share of late answers

Cause: one late answer among a window of them made the window smaller, so that a few slow minions looked like a slow leader; and it was bounded at 192.

Change: the window gets smaller when more than an eighth of its answers are late, may grow to 1,024, and grows by 16 starts a window.

Test: TestFewLateAnswersKeepTheStartWindow fails before (26 of 192 left). The tests of the window start from its initial size, which was the largest one. The model of a leader with a limit (TestWorkInTimeLevelsOff...) stays level.

--- a/internal/dispatch/startwindow.go
+++ b/internal/dispatch/startwindow.go
@@ -8,7 +8,9 @@
 const (
 	// maxStartWindow bounds the committed starts of tasks whose order a minion, the
 	// worker process that is to run the task, has not answered yet.
-	maxStartWindow = 192
+	maxStartWindow = 1024
+	// initialStartWindow is the bound at the start of a term.
+	initialStartWindow = 192
 	// minStartWindow is the lowest such bound. It keeps starts going while answers
 	// are late for another reason than the leader's load.
 	minStartWindow = 24
@@ -20,7 +22,10 @@
 	startWindowDecrease = 0.75
 	// startWindowIncrease is how many starts the window grows by with as many
 	// answers as it is large.
-	startWindowIncrease = 4
+	startWindowIncrease = 16
+	// maxLateShare divides the answers of a window into the late ones from which on the
+	// leader is slow. Fewer are those of slow minions, or of one replica.
+	maxLateShare = 8
 )
 
 // startWindow bounds the starts in flight: those that are committed and whose order
@@ -31,15 +36,16 @@
 	mu       sync.Mutex
 	size     float64
 	inFlight int
-	// answers counts the answers since the last decrease, totals all starts that ended.
-	answers int
-	totals  startTotals
+	// answers counts the answers since the last change of size, late those of them that
+	// were late. totals counts all starts that ended.
+	answers, late int
+	totals        startTotals
 }
 
 // startTotals counts the starts that were answered and those that were not.
 type startTotals struct{ answered, unanswered uint64 }
 
-func newStartWindow() *startWindow { return &startWindow{size: maxStartWindow} }
+func newStartWindow() *startWindow { return &startWindow{size: initialStartWindow} }
 
 // free returns how many more starts may be committed now.
 func (w *startWindow) free() int {
@@ -73,12 +79,16 @@
 	}
 	w.answers++
 	w.totals.answered++
-	switch {
-	case duration < lateStart:
-		w.size = min(w.size+startWindowIncrease/w.size, maxStartWindow)
-	case w.answers >= int(w.size):
-		// The answers to the starts of a larger window have all arrived.
+	if duration >= lateStart {
+		w.late++
+	}
+	if w.answers < int(w.size) {
+		return
+	}
+	if w.late > w.answers/maxLateShare {
 		w.size = max(w.size*startWindowDecrease, minStartWindow)
-		w.answers = 0
+	} else {
+		w.size = min(w.size+startWindowIncrease, maxStartWindow)
 	}
+	w.answers, w.late = 0, 0
 }
