batchservice: all replicas take announcements and hand them on in groups

Cause: each minion announces itself every 1.5 s, and the reply named the leader as the address for the next one. So 1,100 minions made 730 HTTP requests a second at the leader, each with a call to itself.

The method for a single one is gone.

--- a/internal/batchservice/calls.go
+++ b/internal/batchservice/calls.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/hex"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -172,16 +173,25 @@
 	return wave, err
 }
 
-// announce records a minion's announcement and replies with the address of this
-// replica, the leader, for later announcements.
-func (s *Server) announce(ctx context.Context, d *dispatch.Dispatcher, req *apiv1.AnnounceMinionRequest) (*apiv1.AnnounceMinionResponse, error) {
-	if err := checkAnnouncement(req, time.Now().UnixMilli()); err != nil {
-		return nil, err
-	}
-	if err := d.Announce(ctx, req); err != nil {
-		return nil, err
-	}
-	return &apiv1.AnnounceMinionResponse{ReportTo: s.opts.ReportAddress}, nil
+// announceAll records announcements of minions.
+func (s *Server) announceAll(ctx context.Context, d *dispatch.Dispatcher, req *apiv1.AnnounceMinionsRequest) (*apiv1.AnnounceMinionsResponse, error) {
+	resp := &apiv1.AnnounceMinionsResponse{Results: make([]*apiv1.Status, len(req.Announcements))}
+	now := time.Now().UnixMilli()
+	var wg sync.WaitGroup
+	for i, a := range req.Announcements {
+		wg.Go(func() {
+			err := checkAnnouncement(a, now)
+			if err == nil {
+				err = d.Announce(ctx, a)
+			}
+			resp.Results[i] = result.OK()
+			if err != nil {
+				resp.Results[i] = result.From(err).Status()
+			}
+		})
+	}
+	wg.Wait()
+	return resp, nil
 }
 
 // checkAnnouncement returns why an announcement names no minion to use. A notice of
--- a/internal/batchservice/client.go
+++ b/internal/batchservice/client.go
@@ -19,10 +19,21 @@
 // Client calls the batch service at the control leader, the leader of the control
 // group. Every call is idempotent. Errors are *result.Error; OUTCOME_UNKNOWN means
 // that the call may have been carried out.
-type Client struct{ control Invoker }
+type Client struct {
+	control   Invoker
+	announcer announcer
+	// reportTo is the address for later announcements of a minion, empty for any.
+	reportTo string
+}
 
 // NewClient returns a client that sends its calls through control.
-func NewClient(control Invoker) *Client { return &Client{control: control} }
+func NewClient(control Invoker) *Client { return NewReplicaClient(control, "") }
+
+// NewReplicaClient is like NewClient, for a process at reportTo that takes announcements
+// of minions.
+func NewReplicaClient(control Invoker, reportTo string) *Client {
+	return &Client{control: control, announcer: announcer{control: control}, reportTo: reportTo}
+}
 
 // Submit submits a job under the id that the call's path names.
 func (c *Client) Submit(ctx context.Context, call *apiv1.QueueCall, job *apiv1.BatchJob) error {
@@ -75,9 +86,8 @@
 }
 
 // Announce forwards a minion's announcement, which describes the minion and its
-// state, and returns the address to which the minion sends later announcements.
+// state, and returns the address to which the minion sends later announcements: this
+// process, so that all replicas share the work.
 func (c *Client) Announce(ctx context.Context, req *apiv1.AnnounceMinionRequest) (string, error) {
-	resp := &apiv1.AnnounceMinionResponse{}
-	err := c.control.Invoke(ctx, MethodAnnounce, req, resp)
-	return resp.ReportTo, err
+	return c.reportTo, c.announcer.announce(ctx, req)
 }
--- a/internal/batchservice/server.go
+++ b/internal/batchservice/server.go
@@ -26,15 +26,15 @@
 
 // Names of the service's rpc methods.
 const (
-	MethodSubmit     = "Batch.Submit"
-	MethodGet        = "Batch.Get"
-	MethodCancel     = "Batch.Cancel"
-	MethodPutCatalog = "Batch.PutCatalog"
-	MethodGetCatalog = "Batch.GetCatalog"
-	MethodSetZone    = "Batch.SetZone"
-	MethodStartWave  = "Batch.StartWave"
-	MethodGetWave    = "Batch.GetWave"
-	MethodAnnounce   = "Batch.Announce"
+	MethodSubmit      = "Batch.Submit"
+	MethodGet         = "Batch.Get"
+	MethodCancel      = "Batch.Cancel"
+	MethodPutCatalog  = "Batch.PutCatalog"
+	MethodGetCatalog  = "Batch.GetCatalog"
+	MethodSetZone     = "Batch.SetZone"
+	MethodStartWave   = "Batch.StartWave"
+	MethodGetWave     = "Batch.GetWave"
+	MethodAnnounceAll = "Batch.AnnounceAll"
 )
 
 // Node is the part of a control replica that the service uses.
@@ -49,9 +49,6 @@
 	Log          *logrus.Entry
 	// Registry registers the metrics; nil registers none.
 	Registry prometheus.Registerer
-	// ReportAddress is the ip:port at which this replica accepts minions'
-	// announcements.
-	ReportAddress string
 	// Dispatch configures the dispatcher that runs while this replica leads. Its
 	// StateMachine, Node and Log are set by the server.
 	Dispatch dispatch.Options
@@ -105,7 +102,7 @@
 	register(s, srv, MethodSetZone, s.setZone)
 	register(s, srv, MethodStartWave, s.startWave)
 	register(s, srv, MethodGetWave, s.getWave)
-	register(s, srv, MethodAnnounce, s.announce)
+	register(s, srv, MethodAnnounceAll, s.announceAll)
 }
 
 // register adds a method that only the leader serves and records the duration
--- a/internal/batchservice/server_test.go
+++ b/internal/batchservice/server_test.go
@@ -190,16 +190,19 @@
 	call := &apiv1.QueueCall{Host: "h", Path: "/q/5c0e7a21d94b36f8", Key: "k"}
 	for method, req := range map[string]proto.Message{
 		MethodSubmit: &apiv1.SubmitBatchRequest{Call: call}, MethodPutCatalog: &apiv1.PutCatalogRequest{},
-		MethodStartWave: &apiv1.StartWaveRequest{}, MethodAnnounce: &apiv1.AnnounceMinionRequest{Minion: &apiv1.BatchMinion{}},
+		MethodStartWave: &apiv1.StartWaveRequest{},
 	} {
 		err := c.control.Invoke(t.Context(), method, req, &apiv1.Empty{})
 		g.Expect(result.CodeOf(err)).To(Equal(apiv1.ResultCode_RESULT_CODE_INVALID_ARGUMENT), method)
 		g.Expect(result.From(err).NotRun).To(BeTrue(), method)
 	}
-	for _, method := range []string{MethodSubmit, MethodGet, MethodCancel, MethodSetZone, MethodAnnounce} {
+	for _, method := range []string{MethodSubmit, MethodGet, MethodCancel, MethodSetZone, MethodAnnounceAll} {
 		g.Expect(c.control.Invoke(t.Context(), method, &apiv1.Empty{}, &apiv1.Empty{})).To(Or(Succeed(), HaveOccurred()), method)
 	}
-	_, err := c.GetCatalog(t.Context())
+	_, err := c.Announce(t.Context(), &apiv1.AnnounceMinionRequest{Minion: &apiv1.BatchMinion{}})
+	g.Expect(result.CodeOf(err)).To(Equal(apiv1.ResultCode_RESULT_CODE_INVALID_ARGUMENT))
+	g.Expect(result.From(err).NotRun).To(BeTrue())
+	_, err = c.GetCatalog(t.Context())
 	g.Expect(err).NotTo(HaveOccurred(), "the process still serves")
 }
 
--- a/internal/daemon/batchcore/daemon.go
+++ b/internal/daemon/batchcore/daemon.go
@@ -128,7 +128,7 @@
 		Direct: direct, Open: d.openRelayStream, Peers: d.otherReplicas, Clock: clock.Boot{}, Log: d.Process.Log, Registry: d.Process.Registry,
 	})
 	service := batchservice.New(batchservice.Options{
-		StateMachine: stateMachine, Log: d.Process.Log, Registry: d.Process.Registry, ReportAddress: settings.ControlAddress,
+		StateMachine: stateMachine, Log: d.Process.Log, Registry: d.Process.Registry,
 		Dispatch: dispatch.Options{
 			Minions: minions, Clock: clock.Boot{},
 			Lease: min(daemon.Millis(settings.LeaseMs), daemon.Millis(settings.MaxLeaseMs)), MaxLease: daemon.Millis(settings.MaxLeaseMs), Retention: daemon.Millis(settings.JobRetentionMs),
@@ -194,7 +194,7 @@
 func (d *Daemon) serve(path string, settings *apiv1.BatchControlSettings, a Adapter, listeners []net.Listener) {
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
-	controlServer := daemon.NewHTTPServer(a.NewHandler(batchservice.NewClient(d.leaderTracker.ControlClient()), d.Process.Log))
+	controlServer := daemon.NewHTTPServer(a.NewHandler(batchservice.NewReplicaClient(d.leaderTracker.ControlClient(), settings.ControlAddress), d.Process.Log))
 	adminServer := d.Process.AdminServer()
 	d.httpServers = []*http.Server{controlServer, adminServer}
 	go daemon.Serve(d.Process.Log, "rpc", func() error { return d.rpcServer.Serve(listeners[0]) })
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -78,7 +78,8 @@
 	defer cancel()
 	for first := true; ; first = false {
 		m := &apiv1.RelayAnswers{}
-		if stream.Receive(m, silenceTimeout) != nil || ctx.Err() != nil {
+		// A replica of an earlier version, without such streams, doesn't send its time.
+		if stream.Receive(m, silenceTimeout) != nil || ctx.Err() != nil || m.ReplicaTimeUs == 0 {
 			break
 		}
 		l.receive(m)
