relay: a replica makes no call of a leader whose term is over

Strengthens the proof of decision 0014: between two leaders, a replica that knows the later term refuses the calls of the earlier one as not sent, beside the minions' own fences. Test: TestReplicaGivesNoOrderOfAnEarlierTerm (without the check the replica starts twice).

--- a/internal/daemon/batchcore/daemon.go
+++ b/internal/daemon/batchcore/daemon.go
@@ -123,7 +123,7 @@
 	d.Process.Log.WithFields(logrus.Fields{"limit": budget.Limit, "reserved": budget.Reserved, "minion_calls": budget.MinionCalls}).Info("file descriptors divided")
 	stateMachine := state.New()
 	direct := a.NewMinions(budget.MinionCalls, d.Process.Registry)
-	relay.NewServer(direct, clock.Boot{}).Register(d.rpcServer)
+	relay.NewServer(direct, clock.Boot{}, d.term).Register(d.rpcServer)
 	minions := relay.NewClient(relay.Options{
 		Direct: direct, Open: d.openRelayStream, Peers: d.otherReplicas, Clock: clock.Boot{}, Log: d.Process.Log, Registry: d.Process.Registry,
 	})
@@ -150,7 +150,11 @@
 		OnLeader: func(ctx context.Context) {
 			var wg sync.WaitGroup
 			defer wg.Wait()
-			wg.Go(func() { minions.Run(ctx) })
+			wg.Go(func() {
+				if term, ok := d.awaitTerm(ctx); ok {
+					minions.Run(ctx, term)
+				}
+			})
 			service.OnLeader(ctx)
 		},
 	})
@@ -175,6 +179,27 @@
 	return d.rpcClient.OpenStream(ctx, address, relay.Method)
 }
 
+// term returns the latest term that the replica knows, zero before it has started.
+func (d *Daemon) term() uint64 {
+	if node := d.started.Load(); node != nil {
+		return node.Status().Term
+	}
+	return 0
+}
+
+// awaitTerm returns the term of this replica, which leads, or false when ctx ends before
+// the replica is known here.
+func (d *Daemon) awaitTerm(ctx context.Context) (term uint64, ok bool) {
+	for d.started.Load() == nil {
+		select {
+		case <-ctx.Done():
+			return 0, false
+		case <-time.After(time.Millisecond):
+		}
+	}
+	return d.term(), true
+}
+
 // otherReplicas returns the rpc addresses of the group's replicas without this one.
 func (d *Daemon) otherReplicas() []string {
 	node := d.started.Load()
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -76,8 +76,8 @@
 }
 
 // Run keeps streams to the other replicas until ctx ends. It is called while this
-// replica leads.
-func (c *Client) Run(ctx context.Context) {
+// replica leads, with its term.
+func (c *Client) Run(ctx context.Context, term uint64) {
 	var wg sync.WaitGroup
 	cancels := map[string]context.CancelFunc{}
 	for ctx.Err() == nil {
@@ -87,7 +87,7 @@
 			if cancels[address] == nil {
 				linkCtx, cancel := context.WithCancel(ctx)
 				cancels[address] = cancel
-				l := newLink(address, c.o.Clock)
+				l := newLink(address, term, c.o.Clock)
 				c.setLink(address, l)
 				wg.Go(func() { l.run(linkCtx, c.o.Open, c.streamChanged) })
 			}
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -24,8 +24,10 @@
 // link is the leader's stream to one replica.
 type link struct {
 	address string
-	clock   clock.Clock
-	wake    chan struct{}
+	// term is the leader's.
+	term  uint64
+	clock clock.Clock
+	wake  chan struct{}
 
 	mu     sync.Mutex
 	isOpen bool
@@ -52,8 +54,8 @@
 	answer chan *apiv1.RelayedAnswer
 }
 
-func newLink(address string, c clock.Clock) *link {
-	return &link{address: address, clock: c, wake: make(chan struct{}, 1), pending: map[uint64]*pendingCall{}}
+func newLink(address string, term uint64, c clock.Clock) *link {
+	return &link{address: address, term: term, clock: c, wake: make(chan struct{}, 1), pending: map[uint64]*pendingCall{}}
 }
 
 // run keeps a stream open until ctx ends.
@@ -119,7 +121,7 @@
 	l.sent++
 	l.unconfirmed = append(l.unconfirmed, now)
 	m := &apiv1.RelayCalls{
-		Number: l.sent, ReplicaTimeUs: l.replicaTimeUS, HeldUs: uint64((now - l.heardAt).Microseconds()), Disconnected: l.disconnected,
+		Number: l.sent, Term: l.term, ReplicaTimeUs: l.replicaTimeUS, HeldUs: uint64((now - l.heardAt).Microseconds()), Disconnected: l.disconnected,
 	}
 	for _, c := range l.queue {
 		if p := l.pending[c.Id]; p != nil {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -93,8 +94,10 @@
 // group is a leader with replicas that make its calls.
 type group struct {
 	*Client
-	network  *fakes.StreamNetwork
-	leader   *recorder
+	network *fakes.StreamNetwork
+	leader  *recorder
+	// term is the latest term that the replicas know; the leader's is 3.
+	term     atomic.Uint64
 	replicas map[string]*recorder
 }
 
@@ -109,7 +112,7 @@
 			p.replicas[a] = &recorder{}
 		}
 		p.network.Serve = func(ctx context.Context, address string, s *fakes.Stream) {
-			NewServer(p.replicas[address], c).Serve(ctx, s)
+			NewServer(p.replicas[address], c, p.term.Load).Serve(ctx, s)
 		}
 		p.Client = NewClient(Options{
 			Direct: p.leader, Peers: func() []string { return addresses }, Clock: c, Log: logrus.NewEntry(quiet),
@@ -117,7 +120,7 @@
 		})
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
-		go func() { p.Run(ctx); close(done) }()
+		go func() { p.Run(ctx, 3); close(done) }()
 		time.Sleep(time.Second)
 		fn(t, NewWithT(t), p)
 		cancel()
@@ -212,6 +215,18 @@
 	}
 }
 
+// Guards against an order that a replica gives for a leader that it knows to be replaced.
+func TestReplicaGivesNoOrderOfAnEarlierTerm(t *testing.T) {
+	play(t, func(t *testing.T, g *WithT, p *group) {
+		p.term.Store(3)
+		_, err := p.Start(t.Context(), testTarget, testStart)
+		g.Expect(err).NotTo(HaveOccurred())
+		p.term.Store(4)
+		_, _ = p.Start(t.Context(), testTarget, testStart)
+		g.Expect(p.replicas["a"].counts()).To(Equal([3]int{1, 0, 0}))
+	}, "a")
+}
+
 // Guards against an order whose stream was lost and that counts as not given, so that
 // its task starts a second time.
 func TestOrderOnALostStreamMayHaveBeenGiven(t *testing.T) {
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -8,8 +8,9 @@
 //   - A replica makes no call that was given to it more than maxCallAge ago. It knows the
 //     age without common clocks: the leader sends back the replica's own time, with how
 //     long it has had it. Both are read on clocks that count a suspension.
-//   - The fencing token and the end of the lease are the leader's, so that orders of a
-//     deposed leader are refused by the minion as those on its own connections.
+//   - A replica makes no call of a leader whose term it knows to be over. The fencing token
+//     and the end of the lease are the leader's, so that a minion refuses orders of a
+//     deposed leader as those on its own connections.
 //   - A replica that is suspended, slow or cut off is not taken for silent minions: their
 //     hold calls are made by the leader itself, within the same call.
 package relay
@@ -52,10 +53,14 @@
 type Server struct {
 	minions dispatch.MinionClient
 	clock   clock.Clock
+	term    func() uint64
 }
 
-// NewServer returns a server that calls through minions.
-func NewServer(minions dispatch.MinionClient, c clock.Clock) *Server { return &Server{minions, c} }
+// NewServer returns a server that calls through minions. term returns the latest term
+// that this replica knows.
+func NewServer(minions dispatch.MinionClient, c clock.Clock, term func() uint64) *Server {
+	return &Server{minions, c, term}
+}
 
 // Register adds the server's method to srv.
 func (s *Server) Register(srv *rpc.Server) {
@@ -148,9 +153,13 @@
 			s.minions.Disconnect(targetOf(t))
 		}
 		out.update(func() { out.received = m.Number })
+		deposed := m.Term < s.term()
 		for _, c := range m.Calls {
 			wg.Go(func() {
-				answer := s.call(ctx, c, sentAt, receivedAt)
+				answer := errDeposed(c.Id)
+				if !deposed {
+					answer = s.call(ctx, c, sentAt, receivedAt)
+				}
 				out.update(func() { out.answers = append(out.answers, answer) })
 			})
 		}
@@ -168,3 +177,8 @@
 	defer cancel()
 	return carryOut(ctx, s.minions, c)
 }
+
+// errDeposed is the answer to a call of a leader that another one has replaced.
+func errDeposed(id uint64) *apiv1.RelayedAnswer {
+	return answerMessage(id, 0, &dispatch.Refusal{Reason: dispatch.NotSent, Detail: "the leader was replaced"})
+}
