--- a/internal/dispatch/relayed_test.go
+++ b/internal/dispatch/relayed_test.go
@@ -24,7 +24,9 @@
 func relayVia(seed uint64, direct dispatch.MinionClient, c clock.Clock, network *fakes.StreamNetwork) *dispatch.Via {
 	quiet := logrus.New()
 	quiet.SetOutput(io.Discard)
-	network.Serve = func(ctx context.Context, _ string, s *fakes.Stream) { relay.NewServer(direct, c, func() uint64 { return 1 }).Serve(ctx, s) }
+	network.Serve = func(ctx context.Context, _ string, s *fakes.Stream) {
+		relay.NewServer(direct, c, func() uint64 { return 1 }).Serve(ctx, s)
+	}
 	client := relay.NewClient(relay.Options{
 		Direct: direct, Peers: func() []string { return replicas }, Clock: c, Log: logrus.NewEntry(quiet),
 		Open: func(ctx context.Context, address string) (relay.Stream, error) { return network.Open(ctx, address) },
