--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -18,14 +18,18 @@
 	loggedAt time.Duration
 	rounds   int
 	// limited counts the rounds that the window of starts bounded.
-	limited                 int
-	planned                 int
-	planning, commits, idle time.Duration
-	answers                 int
-	answerTime              time.Duration
+	limited int
+	// planned is how many starts the rounds planned.
+	planned int
+	// planning, commits and pauses are what the rounds took, one after the other.
+	planning, commits, pauses time.Duration
+	// answers counts the starts that were answered, answerTime is the sum of the times
+	// that they took from their commit on.
+	answers    int
+	answerTime time.Duration
 }
 
-// observeStart counts a start that was answered after a time since its commit.
+// observeStart counts a start that ended after a time since its commit.
 func (l *load) observeStart(d time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -44,7 +48,7 @@
 	}
 	l.planning += planning
 	l.commits += commit
-	l.idle += max(pause, 0)
+	l.pauses += max(pause, 0)
 }
 
 // log logs the load once in loadLogInterval.
@@ -57,10 +61,10 @@
 	if l.planned > 0 {
 		log.WithFields(logrus.Fields{
 			"rounds": l.rounds, "limited_rounds": l.limited, "starts": l.planned, "planning_ms": l.planning.Milliseconds(),
-			"commit_ms": l.commits.Milliseconds(), "pause_ms": l.idle.Milliseconds(), "window": window, "in_flight": inFlight,
+			"commit_ms": l.commits.Milliseconds(), "pause_ms": l.pauses.Milliseconds(), "window": window, "in_flight": inFlight,
 			"answers": l.answers, "mean_answer_ms": (l.answerTime / time.Duration(max(l.answers, 1))).Milliseconds(),
 		}).Info("load of the leader")
 	}
 	l.loggedAt, l.rounds, l.limited, l.planned, l.answers = now, 0, 0, 0, 0
-	l.planning, l.commits, l.idle, l.answerTime = 0, 0, 0, 0
+	l.planning, l.commits, l.pauses, l.answerTime = 0, 0, 0, 0
 }
--- a/internal/dispatch/relayed_test.go
+++ b/internal/dispatch/relayed_test.go
@@ -38,7 +38,7 @@
 			address := replicas[random.IntN(len(replicas))]
 			switch random.IntN(8) {
 			case 0, 1:
-				network.Hold(address, time.Duration(random.IntN(4000))*time.Millisecond)
+				network.Suspend(address, time.Duration(random.IntN(4000))*time.Millisecond)
 			case 2:
 				network.Cut(address)
 			case 3, 4:
--- a/internal/dispatch/startwindow.go
+++ b/internal/dispatch/startwindow.go
@@ -15,7 +15,7 @@
 	// are late for another reason than the leader's load.
 	minStartWindow = 24
 	// lateStart is the time from the commit of a start to the minion's answer from
-	// which the window gets smaller. It is well below slowOrderThreshold, from which
+	// which the answer is late. It is well below slowOrderThreshold, from which
 	// minions get no new work.
 	lateStart = 100 * time.Millisecond
 	// startWindowDecrease is the factor by which the window gets smaller.
@@ -31,7 +31,7 @@
 // startWindow bounds the starts in flight: those that are committed and whose order
 // is not answered. A leader that commits more starts than it can send makes each of
 // them late, until minions seem not to answer and what they started is stopped. So
-// the window gets smaller while answers are late and grows while they are not.
+// the window gets smaller while many answers are late and grows while few are.
 type startWindow struct {
 	mu       sync.Mutex
 	size     float64
--- a/internal/fakes/stream.go
+++ b/internal/fakes/stream.go
@@ -18,16 +18,16 @@
 	Serve func(ctx context.Context, address string, s *Stream)
 
 	mu sync.Mutex
-	// heldUntil is until when nothing arrives at or from an address.
-	heldUntil map[string]time.Time
-	cut       map[string]bool
-	streams   map[*Stream]bool
-	wg        sync.WaitGroup
+	// suspendedUntil is until when nothing arrives at or from an address.
+	suspendedUntil map[string]time.Time
+	cut            map[string]bool
+	streams        map[*Stream]bool
+	wg             sync.WaitGroup
 }
 
 // NewStreamNetwork returns a network without faults.
 func NewStreamNetwork() *StreamNetwork {
-	return &StreamNetwork{heldUntil: map[string]time.Time{}, cut: map[string]bool{}, streams: map[*Stream]bool{}}
+	return &StreamNetwork{suspendedUntil: map[string]time.Time{}, cut: map[string]bool{}, streams: map[*Stream]bool{}}
 }
 
 // Stream is one end of a stream. What one end has sent arrives even if that end closes
@@ -66,11 +66,11 @@
 	return &Stream{network: n, address: address, inbox: make(chan []byte, 4096), closed: make(chan struct{})}
 }
 
-// Hold delays all messages of an address, as if its process were suspended.
-func (n *StreamNetwork) Hold(address string, d time.Duration) {
+// Suspend delays all messages of an address, as if its process were suspended.
+func (n *StreamNetwork) Suspend(address string, d time.Duration) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.heldUntil[address] = time.Now().Add(d)
+	n.suspendedUntil[address] = time.Now().Add(d)
 }
 
 // Cut closes the streams of an address, and refuses new ones until Restore.
@@ -92,7 +92,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	delete(n.cut, address)
-	delete(n.heldUntil, address)
+	delete(n.suspendedUntil, address)
 }
 
 // Close closes all streams and waits until they are no longer served.
@@ -109,7 +109,7 @@
 func (n *StreamNetwork) untilDelivery(address string) time.Duration {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return time.Until(n.heldUntil[address])
+	return time.Until(n.suspendedUntil[address])
 }
 
 // Send sends a message.
@@ -164,17 +164,17 @@
 	}
 }
 
-// await waits until held messages are delivered. A suspended replica doesn't notice that
+// await waits until delayed messages are delivered. A suspended replica doesn't notice that
 // its time is over or that the stream was closed before it has resumed.
 func (s *Stream) await(timeout <-chan time.Time, d time.Duration) error {
 	if s.isReplica {
 		time.Sleep(d)
 		return nil
 	}
-	held := time.NewTimer(d)
-	defer held.Stop()
+	resumed := time.NewTimer(d)
+	defer resumed.Stop()
 	select {
-	case <-held.C:
+	case <-resumed.C:
 		return nil
 	case <-s.closed:
 		return io.ErrClosedPipe
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -167,7 +167,7 @@
 // suspended meanwhile, and another leader may have ordered otherwise.
 func TestSuspendedReplicaGivesNoOldOrder(t *testing.T) {
 	play(t, func(t *testing.T, g *WithT, p *group) {
-		p.network.Hold("a", 5*time.Second)
+		p.network.Suspend("a", 5*time.Second)
 		ctx, cancel := within(400 * time.Millisecond)
 		defer cancel()
 		_, err := p.Start(ctx, testTarget, testStart)
@@ -184,7 +184,7 @@
 // suspended or cut off: their tasks would be started again elsewhere.
 func TestLostReplicaIsNotASilentMinion(t *testing.T) {
 	for name, fault := range map[string]func(p *group){
-		"suspended": func(p *group) { p.network.Hold("a", time.Minute) },
+		"suspended": func(p *group) { p.network.Suspend("a", time.Minute) },
 		"cut off":   func(p *group) { p.network.Cut("a") },
 		"no path to the minion": func(p *group) {
 			p.replicas["a"].setSilent(true)
@@ -254,7 +254,7 @@
 // against a leader that makes all calls itself when it is slow, not the replicas.
 func TestPromptReplicasAreChosen(t *testing.T) {
 	play(t, func(t *testing.T, g *WithT, p *group) {
-		p.network.Hold("a", 400*time.Millisecond)
+		p.network.Suspend("a", 400*time.Millisecond)
 		time.Sleep(maxLinkDelay + heartbeatInterval + 2*pause)
 		targets := map[*link]int{}
 		for i := range 200 {
@@ -263,7 +263,7 @@
 		g.Expect(targets).To(HaveLen(2))
 		g.Expect(targets[p.byPeer["a"]]).To(BeZero())
 		for _, address := range []string{"a", "b", "c"} {
-			p.network.Hold(address, 400*time.Millisecond)
+			p.network.Suspend(address, 400*time.Millisecond)
 		}
 		time.Sleep(maxLinkDelay + heartbeatInterval + 2*pause)
 		g.Expect(p.linkFor(testTarget.Incarnation)).NotTo(BeNil())
