--- /dev/null
+++ b/review/standin/cloud.go
@@ -0,0 +1,253 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	numMachines = 8
+	moveTime    = 1500 * time.Millisecond
+	upkeepTime  = 2 * time.Second
+	perRack     = 4
+	// States of a machine.
+	up, moving, upkeep, off = "up", "moving", "upkeep", "down"
+)
+
+// machine is what a minion runs on. The cloud's mu guards what changes.
+type machine struct {
+	id, zone, rack, address string
+	pool, state             string
+	minion                  *minion
+	lives                   int
+}
+
+func (m *machine) labels() []string { return []string{"a", m.rack} }
+
+// cloud stands in for the platform's machine API.
+type cloud struct {
+	c      *cluster
+	server *http.Server
+
+	mu       sync.Mutex
+	closed   bool
+	machines []*machine
+	// upkeeps holds when the upkeep of a machine began, by wave and machine.
+	upkeeps map[int]map[string]time.Time
+	waves   map[int][]string
+	// strange is the machine whose entry names a state that the protocol doesn't have.
+	strange string
+}
+
+// startCloud starts the machine API and a minion on each machine.
+func startCloud(c *cluster) (*cloud, error) {
+	p := &cloud{c: c, upkeeps: map[int]map[string]time.Time{}, waves: map[int][]string{}}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /machines", p.list)
+	mux.HandleFunc("POST /machine-move", p.order(p.move))
+	mux.HandleFunc("POST /machine-upkeep", p.order(p.startUpkeep))
+	l, err := net.Listen("tcp", net.JoinHostPort(c.host(cloudHost), cloudPort))
+	if err != nil {
+		return nil, err
+	}
+	p.server = &http.Server{Handler: mux}
+	go func() { _ = p.server.Serve(l) }() // returns when close closes the server
+	for i := range numMachines {
+		m := &machine{
+			id: fmt.Sprint("m-", i+1), zone: zones[i%len(zones)], rack: fmt.Sprint("r1-", i/perRack+1), pool: service, state: up,
+			address: net.JoinHostPort(c.host(firstMinion+i), minionPort),
+		}
+		p.machines = append(p.machines, m)
+		if err := p.newLife(m); err != nil {
+			return nil, err
+		}
+	}
+	return p, nil
+}
+
+// newLife starts a minion with a new id on a machine.
+func (p *cloud) newLife(m *machine) (err error) {
+	m.lives++
+	m.minion, err = startMinion(p.c, m, fmt.Sprintf("i-%s-%d", m.id, m.lives))
+	return err
+}
+
+func (p *cloud) close() {
+	p.server.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for _, m := range p.machines {
+		if m.minion != nil {
+			m.minion.end("ends with the case")
+		}
+	}
+}
+
+func (p *cloud) list(w http.ResponseWriter, _ *http.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var rows []map[string]any
+	for _, m := range p.machines {
+		id, state := "", m.state
+		if m.minion != nil {
+			id = m.minion.id
+		}
+		if m.id == p.strange {
+			state = "checking"
+		}
+		rows = append(rows, map[string]any{
+			"machine": m.id, "pool": m.pool, "state": state, "zone": m.zone, "labels": m.labels(), "capacity": capacity(), "identifier": id,
+		})
+	}
+	_ = json.NewEncoder(w).Encode(map[string]any{"machines": rows, "nextPageToken": ""}) // the caller may have gone
+}
+
+// machineOrder is the body of an order for a machine.
+type machineOrder struct {
+	Machine, Pool string
+	Wave          int
+}
+
+// order serves an order, which returns the reason of a refusal.
+func (p *cloud) order(carryOut func(m *machine, o machineOrder) string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var o machineOrder
+		if json.NewDecoder(r.Body).Decode(&o) != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		for _, m := range p.machines {
+			if m.id != o.Machine {
+				continue
+			}
+			reason := carryOut(m, o)
+			p.c.rec.add("cloud: %s of %s by %s: %q", r.URL.Path, m.id, r.Header.Get("Bergamotdrum-Duty-Holder"), reason)
+			if reason != "" {
+				w.WriteHeader(http.StatusConflict)
+			}
+			_ = json.NewEncoder(w).Encode(map[string]string{"reason": reason}) // the caller may have gone
+			return
+		}
+		w.WriteHeader(http.StatusBadRequest)
+	}
+}
+
+// move moves a machine to another pool. The caller holds mu.
+func (p *cloud) move(m *machine, o machineOrder) string {
+	switch {
+	case m.pool == o.Pool:
+		return ""
+	case m.state != up:
+		return "busy"
+	}
+	m.pool = o.Pool
+	p.away(m, moving, moveTime, "is moved to "+o.Pool)
+	return ""
+}
+
+// startUpkeep starts the upkeep of a machine of a wave. The caller holds mu.
+func (p *cloud) startUpkeep(m *machine, o machineOrder) string {
+	inWave := false
+	for _, id := range p.waves[o.Wave] {
+		inWave = inWave || id == m.id
+	}
+	_, begun := p.upkeeps[o.Wave][m.id]
+	switch {
+	case !inWave:
+		return "wave"
+	case begun:
+		return ""
+	case m.state != up:
+		return "busy"
+	}
+	p.upkeeps[o.Wave][m.id] = time.Now()
+	p.away(m, upkeep, upkeepTime, "goes into upkeep")
+	return ""
+}
+
+// away ends a machine's minion and starts another one after a time, unless the machine
+// is in the spare pool then, where machines are off. The caller holds mu.
+func (p *cloud) away(m *machine, state string, d time.Duration, reason string) {
+	m.state = state
+	if m.minion != nil {
+		m.minion.end(reason)
+		m.minion = nil
+	}
+	time.AfterFunc(d, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if p.closed {
+			return
+		}
+		m.state = up
+		if m.pool == spareName {
+			return
+		}
+		if err := p.newLife(m); err != nil {
+			p.c.rec.add("machine %s: %v", m.id, err)
+			m.state = off
+		}
+	})
+}
+
+// addWave makes a wave known to the platform.
+func (p *cloud) addWave(number int, machines []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.waves[number], p.upkeeps[number] = machines, map[string]time.Time{}
+}
+
+// setStrange sets the machine whose entry names an unknown state.
+func (p *cloud) setStrange(machine string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.strange = machine
+	p.c.rec.add("cloud: machine with an entry of another writer: %q", machine)
+}
+
+// upkeepBegun reports whether the upkeep of a machine began.
+func (p *cloud) upkeepBegun(wave int, machine string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, ok := p.upkeeps[wave][machine]
+	return ok
+}
+
+// minions returns the minions of the service that are up.
+func (p *cloud) minions() []*minion {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []*minion
+	for _, m := range p.machines {
+		if m.minion != nil && m.pool == service {
+			out = append(out, m.minion)
+		}
+	}
+	return out
+}
+
+// crash ends a minion's process and starts it again under its id after a time.
+func (p *cloud) crash(n *minion, down time.Duration) {
+	n.end("crashes")
+	time.AfterFunc(down, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		m := n.machine
+		if p.closed || m.minion != n {
+			return // the machine was moved meanwhile
+		}
+		next, err := startMinion(p.c, m, n.id)
+		if err != nil {
+			p.c.rec.add("machine %s: %v", m.id, err)
+			return
+		}
+		m.minion = next
+	})
+}
