--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -26,6 +26,8 @@
 	operatorTimeout = time.Second
 	callerTimeout   = 3 * time.Second
 	retryPause      = 200 * time.Millisecond
+	// lastingMS is longer than any case.
+	lastingMS = 3_600_000
 )
 
 // route, tenantEntry and configuration are the parts of a configuration that the cases
@@ -104,7 +106,7 @@
 // idle and moved to the spare pool.
 func lastingJob() job {
 	return job{"00000000000000bb", []step{{
-		Count: numMachines, CPU: 500, MemoryMB: 256, EstimatedMS: 1000, AntiAffinity: 1, LongRunning: true, WorkMS: 3_600_000,
+		Count: numMachines, CPU: 500, MemoryMB: 256, EstimatedMS: 1000, AntiAffinity: 1, LongRunning: true, WorkMS: lastingMS,
 	}}}
 }
 
--- a/review/standin/cloud.go
+++ b/review/standin/cloud.go
@@ -12,10 +12,9 @@
 const (
 	numMachines = 8
 	moveTime    = 1500 * time.Millisecond
-	upkeepTime  = 2 * time.Second
 	perRack     = 4
 	// States of a machine.
-	up, moving, upkeep, off = "up", "moving", "upkeep", "down"
+	up, moving, off = "up", "moving", "down"
 )
 
 // machine is what a minion runs on. The cloud's mu guards what changes.
@@ -36,20 +35,14 @@
 	mu       sync.Mutex
 	closed   bool
 	machines []*machine
-	// upkeeps holds when the upkeep of a machine began, by wave and machine.
-	upkeeps map[int]map[string]time.Time
-	waves   map[int][]string
-	// strange is the machine whose entry names a state that the protocol doesn't have.
-	strange string
 }
 
 // startCloud starts the machine API and a minion on each machine.
 func startCloud(c *cluster) (*cloud, error) {
-	p := &cloud{c: c, upkeeps: map[int]map[string]time.Time{}, waves: map[int][]string{}}
+	p := &cloud{c: c}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /machines", p.list)
 	mux.HandleFunc("POST /machine-move", p.order(p.move))
-	mux.HandleFunc("POST /machine-upkeep", p.order(p.startUpkeep))
 	l, err := net.Listen("tcp", net.JoinHostPort(c.host(cloudHost), cloudPort))
 	if err != nil {
 		return nil, err
@@ -97,9 +90,6 @@
 		if m.minion != nil {
 			id = m.minion.id
 		}
-		if m.id == p.strange {
-			state = "checking"
-		}
 		rows = append(rows, map[string]any{
 			"machine": m.id, "pool": m.pool, "state": state, "zone": m.zone, "labels": m.labels(), "capacity": capacity(), "identifier": id,
 		})
@@ -108,10 +98,7 @@
 }
 
 // machineOrder is the body of an order for a machine.
-type machineOrder struct {
-	Machine, Pool string
-	Wave          int
-}
+type machineOrder struct{ Machine, Pool string }
 
 // order serves an order, which returns the reason of a refusal.
 func (p *cloud) order(carryOut func(m *machine, o machineOrder) string) http.HandlerFunc {
@@ -152,26 +139,6 @@
 	return ""
 }
 
-// startUpkeep starts the upkeep of a machine of a wave. The caller holds mu.
-func (p *cloud) startUpkeep(m *machine, o machineOrder) string {
-	inWave := false
-	for _, id := range p.waves[o.Wave] {
-		inWave = inWave || id == m.id
-	}
-	_, begun := p.upkeeps[o.Wave][m.id]
-	switch {
-	case !inWave:
-		return "wave"
-	case begun:
-		return ""
-	case m.state != up:
-		return "busy"
-	}
-	p.upkeeps[o.Wave][m.id] = time.Now()
-	p.away(m, upkeep, upkeepTime, "goes into upkeep")
-	return ""
-}
-
 // away ends a machine's minion and starts another one after a time, unless the machine
 // is in the spare pool then, where machines are off. The caller holds mu.
 func (p *cloud) away(m *machine, state string, d time.Duration, reason string) {
@@ -197,29 +164,6 @@
 	})
 }
 
-// addWave makes a wave known to the platform.
-func (p *cloud) addWave(number int, machines []string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.waves[number], p.upkeeps[number] = machines, map[string]time.Time{}
-}
-
-// setStrange sets the machine whose entry names an unknown state.
-func (p *cloud) setStrange(machine string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.strange = machine
-	p.c.rec.add("cloud: machine with an entry of another writer: %q", machine)
-}
-
-// upkeepBegun reports whether the upkeep of a machine began.
-func (p *cloud) upkeepBegun(wave int, machine string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	_, ok := p.upkeeps[wave][machine]
-	return ok
-}
-
 // minions returns the minions of the service that are up.
 func (p *cloud) minions() []*minion {
 	p.mu.Lock()
--- a/review/standin/cluster.go
+++ b/review/standin/cluster.go
@@ -128,36 +128,48 @@
 	return errors.New("the tasks that last have not all started")
 }
 
+// startProcesses starts all processes for the first time, the cores first.
 func (c *cluster) startProcesses() error {
-	var seeds []string
-	for i := range numSeeds {
-		seeds = append(seeds, net.JoinHostPort(c.host(firstCore+i), controlPort))
-	}
-	for i := range numCores {
-		if err := c.startProcess("core", firstCore+i, i, seeds); err != nil {
-			return err
+	for i := range numCores + numFronts {
+		role, host, number := "core", firstCore+i, i
+		if i >= numCores {
+			role, host, number = "front", firstFront+i-numCores, i-numCores
 		}
-	}
-	for i := range numFronts {
-		if err := c.startProcess("front", firstFront+i, i, seeds); err != nil {
+		p, err := c.startProcess(role, host, number, true)
+		if err != nil {
 			return err
 		}
+		c.procs = append(c.procs, p)
 	}
 	return nil
 }
 
+// restart starts a core process again that has ended.
+func (c *cluster) restart(core int) error {
+	p, err := c.startProcess("core", firstCore+core, core, false)
+	if err == nil {
+		c.procs[core] = p
+		c.rec.add("%s starts again", p.name)
+	}
+	return err
+}
+
 // startProcess starts a process with the command of the deploy file and the settings
 // that its template gives.
-func (c *cluster) startProcess(role string, host, number int, seeds []string) error {
+func (c *cluster) startProcess(role string, host, number int, first bool) (*proc, error) {
+	var seeds []string
+	for i := range numSeeds {
+		seeds = append(seeds, net.JoinHostPort(c.host(firstCore+i), controlPort))
+	}
 	name := fmt.Sprintf("%s-%d", role, number+1)
 	ip := c.host(host)
 	template, err := os.ReadFile(filepath.Join("deploy", role+".ini"))
 	if err != nil {
-		return err
+		return nil, err
 	}
 	text := fill(string(template), map[string]string{
 		"nodeName": name, "zone": zones[number%len(zones)], "ipAddress": ip, "internalPorts.0": rpcPort,
-		"dataDirectory": filepath.Join(c.dir, "data-"+name), "seedNodes": strings.Join(seeds, ","), "firstStart": "true",
+		"dataDirectory": filepath.Join(c.dir, "data-"+name), "seedNodes": strings.Join(seeds, ","), "firstStart": fmt.Sprint(first),
 		"listenAddresses.front": net.JoinHostPort(ip, frontPort), "listenAddresses.ready": net.JoinHostPort(ip, readyPort),
 		"listenAddresses.control": net.JoinHostPort(ip, controlPort), "faultTolerance.machines": "2",
 		"bounds.maxHoldMs": "6000", "bounds.contactMs": "3000", "cloud.address": net.JoinHostPort(c.host(cloudHost), cloudPort),
@@ -165,25 +177,24 @@
 	})
 	settings := filepath.Join(c.dir, name+".ini")
 	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
-		return err
+		return nil, err
 	}
-	log, err := os.Create(filepath.Join(c.dir, name+".log"))
+	log, err := os.OpenFile(filepath.Join(c.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	defer log.Close()
 	cmd := exec.Command(program, role, settings)
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
-		return err
+		return nil, err
 	}
 	p := &proc{name: name, cmd: cmd, exited: make(chan struct{})}
 	go func() {
 		_ = cmd.Wait() // the processes are killed at the end
 		close(p.exited)
 	}()
-	c.procs = append(c.procs, p)
-	return nil
+	return p, nil
 }
 
 var (
@@ -208,16 +219,16 @@
 // close ends all processes and stand-ins.
 func (c *cluster) close() {
 	close(c.stop)
+	if c.cloud != nil {
+		c.cloud.close()
+	}
+	c.wg.Wait() // until then a process may be started again
 	for _, p := range c.procs {
 		_ = p.cmd.Process.Signal(syscall.SIGKILL) // it may have ended already
 	}
 	for _, p := range c.procs {
 		<-p.exited
 	}
-	if c.cloud != nil {
-		c.cloud.close()
-	}
-	c.wg.Wait()
 	if keep := os.Getenv("KEEP"); keep != "" {
 		_ = os.CopyFS(keep, os.DirFS(c.dir))
 	}
