--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -82,14 +82,15 @@
 
 // step is a step of a job. WorkMS is how long its tasks take; minions know it.
 type step struct {
-	Count        int   `json:"count"`
-	CPU          int   `json:"cpu"`
-	MemoryMB     int   `json:"requestedMemoryMb"`
-	EstimatedMS  int   `json:"estimatedMs"`
-	After        []int `json:"after,omitempty"`
-	AntiAffinity int   `json:"antiAffinity,omitempty"`
-	LongRunning  bool  `json:"longRunning,omitempty"`
-	WorkMS       int   `json:"-"`
+	Count        int    `json:"count"`
+	CPU          int    `json:"cpu"`
+	MemoryMB     int    `json:"requestedMemoryMb"`
+	EstimatedMS  int    `json:"estimatedMs"`
+	After        []int  `json:"after,omitempty"`
+	AntiAffinity int    `json:"antiAffinity,omitempty"`
+	Affinity     string `json:"affinity,omitempty"`
+	LongRunning  bool   `json:"longRunning,omitempty"`
+	WorkMS       int    `json:"-"`
 }
 
 type job struct {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -50,6 +50,9 @@
 		return exitNotRun
 	}
 	defer c.close()
+	if name == "lease" {
+		c.maxHoldMS = 10_000 // maxHoldMs of foulee-sahel
+	}
 	type outcome struct {
 		broken bool
 		err    error
