--- a/review/standin/changes.go
+++ b/review/standin/changes.go
@@ -15,8 +15,8 @@
 	// process that uses more.
 	memoryLimitMB = 280
 	// A configuration of the small sites has idleRoutes and some more routes. A big_config
-	// of these sites adds 350; the case has four of them, as its day has.
-	idleRoutes, bigRoutes = 110, 4 * 350
+	// of these sites adds 350; the case has six of them.
+	idleRoutes, bigRoutes = 110, 6 * 350
 	maxChanges            = 400
 	// changeInterval is the gap_s of a config_storm of the small sites.
 	changeInterval = 330 * time.Millisecond
