--- a/internal/batch/minions.go
+++ b/internal/batch/minions.go
@@ -15,7 +15,7 @@
 // is one that is older than the recorded one, except that it drains: an incarnation
 // that drains is about to end and never gets work again. Runs (executions of tasks) on
 // an incarnation that is gone end as lost. Losses of incarnations that answered again
-// are cleared.
+// are cleared. Incarnations that have ended stay recorded until they are forgotten.
 func (s *State) observeMinions(logTimeMS int64, cmd *apiv1.ObserveMinions) {
 	for _, m := range cmd.Minions {
 		if recordFault(m, logTimeMS) != "" {
@@ -39,8 +39,12 @@
 		}
 		if m := s.minions[incarnation.ID]; m != nil && IncarnationOf(m.Life) == incarnation {
 			s.removeMinion(incarnation.ID)
+			s.noteEnded(incarnation)
 		}
 	}
+	for _, last := range cmd.Forgotten {
+		s.forgetEnded(IncarnationOf(last))
+	}
 }
 
 // laterAnnouncement returns the later of two announcements of one incarnation, the
@@ -70,6 +74,9 @@
 
 // setMinion adds a minion, or replaces the record of the same id.
 func (s *State) setMinion(m *apiv1.BatchMinion) {
+	if known := s.minions[m.Life.Id]; known != nil && IncarnationOf(known.Life) != IncarnationOf(m.Life) {
+		s.noteEnded(IncarnationOf(known.Life))
+	}
 	s.minions[m.Life.Id] = m
 	s.minionsRevision++
 	i, known := s.minionIndex(m.Life.Id)
--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -2,9 +2,10 @@
 // pools and client accounts; jobs, which consist of steps, their equal tasks and
 // the runs (executions) of these; minions, the worker processes that tasks run
 // on; zones out of service; maintenance waves, lists of machines to be maintained;
-// and the longest lease that leaders give to minions. The package is deterministic: it does no I/O and reads no clock,
-// and time enters only as the log time of a command, the largest time that a
-// command so far carries.
+// the longest lease that leaders give to minions; and the lifetimes of minions that
+// have ended and for which calls may still be carried out. The package is
+// deterministic: it does no I/O and reads no clock, and time enters only as the log
+// time of a command, the largest time that a command so far carries.
 //
 // A machine here is what a minion runs on, under the name that the machine
 // provider gives it. The schema calls the maintenance of one machine of a wave
@@ -54,6 +55,9 @@
 	waves map[uint64]*apiv1.MaintenanceWave
 	// losses holds the tasks under which an incarnation was lost for an unknown reason.
 	losses map[Incarnation][]TaskRef
+	// ended holds the ended incarnations for which calls may still be carried out, by
+	// the minion's id.
+	ended map[string]endedIncarnations
 	// longestLeaseMS is described at LongestLeaseMS.
 	longestLeaseMS uint32
 	// revision increases whenever a run starts, ends or becomes obsolete (no
@@ -75,6 +79,7 @@
 		usage:    map[string]Usage{},
 		waves:    map[uint64]*apiv1.MaintenanceWave{},
 		losses:   map[Incarnation][]TaskRef{},
+		ended:    map[string]endedIncarnations{},
 	}
 }
 
@@ -139,7 +144,7 @@
 // Snapshot returns the whole state. It shares memory with the state, so later
 // commands may change it.
 func (s *State) Snapshot() *apiv1.BatchSnapshot {
-	snap := &apiv1.BatchSnapshot{Catalog: s.catalog.Catalog, ZonesOut: s.ZonesOut(), LongestLeaseMs: s.longestLeaseMS}
+	snap := &apiv1.BatchSnapshot{Catalog: s.catalog.Catalog, ZonesOut: s.ZonesOut(), LongestLeaseMs: s.longestLeaseMS, EndedLives: s.snapshotEnded()}
 	for _, id := range sortedKeys(s.jobs) {
 		snap.Jobs = append(snap.Jobs, s.jobs[id].BatchJob)
 	}
@@ -159,6 +164,7 @@
 	s.revision, s.minionsRevision = revision+1, minionsRevision+1
 	s.catalog = newCatalog(snap.GetCatalog())
 	s.longestLeaseMS = snap.GetLongestLeaseMs()
+	s.restoreEnded(snap.GetEndedLives())
 	for _, z := range snap.GetZonesOut() {
 		s.zonesOut[z] = true
 	}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -27,8 +27,8 @@
 	// the tasks to start. Some work becomes due by time alone, without a change of
 	// the state.
 	planInterval = 100 * time.Millisecond
-	// forgetInterval is the time between two removals of jobs that ended longer
-	// than Options.Retention ago.
+	// forgetInterval is the time between two removals of what is no longer needed of
+	// ended jobs and minions.
 	forgetInterval = 10 * time.Second
 )
 
@@ -74,9 +74,6 @@
 	clock   clock.Clock
 	log     *logrus.Entry
 	metrics *metrics
-	// startedAt is when the term began, startedUnixMS the same by the time of day.
-	startedAt     time.Duration
-	startedUnixMS int64
 	// leases is what follows from the record of the longest lease at the term's start.
 	leases leaseRecord
 	// allowedLeaseNS is the length of the leases that may be given now, as a
@@ -111,6 +108,7 @@
 
 	ends          endQueue
 	announcements announcementFilter
+	lateCalls     lateCalls
 	fleet         *fleetManager
 }
 
@@ -126,7 +124,6 @@
 		startWindow: newStartWindow(),
 		admission:   newAdmission(),
 	}
-	d.startedAt, d.startedUnixMS = now, time.Now().UnixMilli()
 	d.leases = readLeaseRecord(o.StateMachine, now, o.MaxLease)
 	d.allowRecorded(d.leases.recordedMS)
 	d.confirmedAt.Store(int64(now - leadershipTTL))
@@ -238,10 +235,12 @@
 	return o, capacity, ok
 }
 
-// forgetLoop removes jobs that ended longer than Options.Retention ago.
+// forgetLoop removes jobs that ended longer than Options.Retention ago, and
+// incarnations of minions that ended longer than lateCallTime ago.
 func (d *Dispatcher) forgetLoop() {
 	for d.ctx.Err() == nil {
 		sleep(d.ctx, forgetInterval)
+		d.forgetEnded()
 		before := int64(0)
 		d.opts.StateMachine.Read(func(st *state.State) { before = st.LogTimeMS - d.opts.Retention.Milliseconds() })
 		cmd := &apiv1.BatchCommand{Body: &apiv1.BatchCommand_ForgetJobs{ForgetJobs: &apiv1.ForgetBatchJobs{EndedBeforeUnixMs: before}}}
--- a/internal/dispatch/fakecluster_test.go
+++ b/internal/dispatch/fakecluster_test.go
@@ -232,8 +232,9 @@
 }
 
 // deliver calls do on the minion at an address, or applies a random fault of the
-// network. A call without a reply returns when ctx ends.
-func (c *fakeCluster) deliver(ctx context.Context, to Target, do func(m *fakeMinion) error) error {
+// network. A call without a reply returns when ctx ends. A call that is carried out late
+// reaches the next incarnation under the id if reachesNext is set.
+func (c *fakeCluster) deliver(ctx context.Context, to Target, reachesNext bool, do func(m *fakeMinion) error) error {
 	c.mu.Lock()
 	roll := c.rand.IntN(100)
 	switch m := c.minions[to.Address]; {
@@ -245,16 +246,14 @@
 		c.mu.Unlock()
 		return syscall.ECONNREFUSED
 	case roll < c.lostRequestPercent+c.delayedRequestPercent:
-		// A minion that restarts has no memory of earlier calls, so a delayed call
-		// is dropped when the incarnation that received it has ended.
 		delay := time.Duration(2+c.rand.IntN(10)) * time.Second
 		time.AfterFunc(delay, func() {
 			c.mu.Lock()
 			defer c.mu.Unlock()
-			if c.minions[to.Address] == m && !m.unreachable {
-				m.late = true
-				_ = do(m)
-				m.late = false
+			if now := c.minions[to.Address]; (now == m || reachesNext && now.id == m.id) && !now.unreachable {
+				now.late = true
+				_ = do(now)
+				now.late = false
 			}
 		})
 		c.mu.Unlock()
@@ -276,7 +275,8 @@
 }
 
 func (c *fakeCluster) Start(ctx context.Context, to Target, o StartOrder) (clockMS int64, err error) {
-	err = c.deliver(ctx, to, func(m *fakeMinion) error { clockMS = m.clock(); return m.start(o) })
+	// A start order that outlives the incarnation that it was meant for is not played.
+	err = c.deliver(ctx, to, false, func(m *fakeMinion) error { clockMS = m.clock(); return m.start(o) })
 	return clockMS, err
 }
 
@@ -330,7 +330,7 @@
 	c.mu.Lock()
 	c.stops++
 	c.mu.Unlock()
-	err = c.deliver(ctx, to, func(m *fakeMinion) error {
+	err = c.deliver(ctx, to, true, func(m *fakeMinion) error {
 		clockMS = m.clock()
 		if refusal := m.fence(token); refusal != nil {
 			return refusal
@@ -347,7 +347,7 @@
 func (c *fakeCluster) Hold(ctx context.Context, to Target, o HoldRequest) (reply *HoldReply, err error) {
 	deadline := time.Now().Add(o.MaxWait)
 	for {
-		err = c.deliver(ctx, to, func(m *fakeMinion) error {
+		err = c.deliver(ctx, to, true, func(m *fakeMinion) error {
 			reply = nil
 			if refusal := m.fence(o.Token); refusal != nil {
 				return refusal
--- a/internal/dispatch/incarnations.go
+++ b/internal/dispatch/incarnations.go
@@ -58,6 +58,9 @@
 		d.latest[t.Incarnation.ID] = max(d.latest[t.Incarnation.ID], t.Incarnation.StartedMS)
 		s := newSession(d, t.Target)
 		s.notice = notice
+		if t.endedBefore != (batch.Incarnation{}) {
+			s.expectLateCalls(t.endedBefore)
+		}
 		ctx, cancel := context.WithCancel(d.ctx)
 		s.cancel = cancel
 		d.sessions[t.Incarnation] = s
--- a/internal/dispatch/leaserecord.go
+++ b/internal/dispatch/leaserecord.go
@@ -6,7 +6,6 @@
 	"github.com/sirupsen/logrus"
 
 	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
-	"bergamotdrum.example/bergamotdrum/internal/batch"
 	"bergamotdrum.example/bergamotdrum/internal/state"
 )
 
@@ -58,20 +57,6 @@
 	return recorded
 }
 
-// inheritedLeaseEnd returns when the leases that earlier leaders gave to an incarnation,
-// one lifetime of a minion's process, have ended.
-//
-// An incarnation that started shortly before the term may hold the longest lease that a
-// minion accepts: a delayed renewal that was meant for the incarnation before it, under
-// the same id, names an end on the clock of that one, which has run for longer.
-func (d *Dispatcher) inheritedLeaseEnd(inc batch.Incarnation) time.Duration {
-	ageAtStart := time.Duration(d.startedUnixMS-inc.StartedMS) * time.Millisecond
-	if d.leases.inherited > 0 && ageAtStart < d.opts.MaxLease {
-		return d.startedAt + longestLease(d.opts.MaxLease) + leadershipTTL
-	}
-	return d.leases.inheritedEnd
-}
-
 // allowedLease returns the length of the leases that this leader may give now: at
 // most what is recorded, and zero while nothing is.
 func (d *Dispatcher) allowedLease() time.Duration { return time.Duration(d.allowedLeaseNS.Load()) }
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -100,6 +100,9 @@
 	// recorded is set when it is its minion's latest recorded incarnation, draining
 	// when that is about to end.
 	recorded, draining bool
+	// endedBefore is the latest ended incarnation of the minion's id if calls for
+	// earlier ones may reach this one, else zero.
+	endedBefore batch.Incarnation
 }
 
 // targetsOf returns every incarnation, that is, lifetime of a minion's process,
@@ -109,7 +112,9 @@
 	minions := st.Minions()
 	out := make([]sessionTarget, 0, len(minions))
 	for _, m := range minions {
-		out = append(out, sessionTarget{Target{Incarnation: batch.IncarnationOf(m.Life), Address: m.Address}, true, m.Draining})
+		inc := batch.IncarnationOf(m.Life)
+		ended, _ := st.EndedBefore(inc)
+		out = append(out, sessionTarget{Target{Incarnation: inc, Address: m.Address}, true, m.Draining, ended})
 	}
 	for _, inc := range st.LoadedIncarnations() {
 		m := st.Minion(inc.ID)
@@ -182,7 +187,7 @@
 		s.mu.Lock()
 		out[s.target.Incarnation] = placement.Health{
 			Usable:  usable && !s.health.quarantined(now),
-			Suspect: s.health.suspect(now),
+			Suspect: s.health.suspect(now) || s.mayHoldLateLease(),
 		}
 		s.mu.Unlock()
 	}
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -120,6 +120,11 @@
 
 	mu    sync.Mutex
 	lease lease
+	// endedBefore is the latest ended incarnation of the minion's id while calls for
+	// earlier ones may have reached this one, else zero. lateLeaseEnd is when a lease
+	// from such a call has ended, zero before the first answer.
+	endedBefore  batch.Incarnation
+	lateLeaseEnd time.Duration
 	// renewedAt is when the last hold call was sent that renewed the lease, zero before
 	// the first.
 	renewedAt time.Duration
@@ -163,7 +168,7 @@
 		orderSlots: make(chan struct{}, maxParallelOrders),
 		// An earlier session of this term may have renewed the lease just now, when
 		// the minion's address changed.
-		lease:  newLease(max(d.inheritedLeaseEnd(t.Incarnation), d.clock.Now()+longestLease(d.opts.Lease))),
+		lease:  newLease(max(d.leases.inheritedEnd, d.clock.Now()+longestLease(d.opts.Lease))),
 		orders: map[batch.RunKey]*runOrder{},
 	}
 }
@@ -203,6 +208,7 @@
 		}
 		s.handleReply(ctx, reply, sentAt)
 		s.clearLosses(ctx)
+		s.forgetEarlier(ctx)
 	}
 }
 
@@ -219,6 +225,7 @@
 	}
 	s.answering, s.answeredAt = true, now
 	s.lease.observeClock(reply.ClockMS, now)
+	s.boundLateLease(now)
 	ends := s.reconcile(reply, sentAt, now)
 	s.mu.Unlock()
 	if len(ends) > 0 && !s.commitEnds(ctx, ends) {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -24,8 +24,9 @@
 	// Usable minions answered recently, have not just refused an order, and are
 	// not quarantined (excluded from new work for a time) after failed runs.
 	Usable bool
-	// Suspect minions, on which a run failed or which refused a start as unhealthy
-	// lately, get work only if no other minion can run it.
+	// Suspect minions get work only if no other minion can run it: a run failed on them
+	// or they refused a start as unhealthy lately, or they have just started again under
+	// their id, so that their runs are released late if they fall silent.
 	Suspect bool
 }
 
