--- a/internal/batch/runs.go
+++ b/internal/batch/runs.go
@@ -110,10 +110,16 @@
 	return u.CPUMillis <= int64(r.GetCpuMillis()) && u.MemoryMB <= int64(r.GetMemoryMb()) && u.Accelerators <= int64(r.GetAccelerators())
 }
 
-// WithinLimit is like Within, but a zero field in r means no limit.
-func (u Usage) WithinLimit(r *apiv1.Resources) bool {
-	fits := func(used int64, limit uint32) bool { return limit == 0 || used <= int64(limit) }
-	return fits(u.CPUMillis, r.GetCpuMillis()) && fits(u.MemoryMB, r.GetMemoryMb()) && fits(u.Accelerators, r.GetAccelerators())
+// Allows reports whether a limit allows to start a task while u is in use. What is below
+// the limit may exceed it by one task: a large task would otherwise wait for as long as
+// smaller ones run, and one that is larger than the limit for ever. A zero field in limit
+// means no limit.
+func (u Usage) Allows(task Usage, limit *apiv1.Resources) bool {
+	allows := func(used, added int64, limit uint32) bool {
+		return limit == 0 || used < int64(limit) || used+added <= int64(limit)
+	}
+	return allows(u.CPUMillis, task.CPUMillis, limit.GetCpuMillis()) && allows(u.MemoryMB, task.MemoryMB, limit.GetMemoryMb()) &&
+		allows(u.Accelerators, task.Accelerators, limit.GetAccelerators())
 }
 
 // ActiveRun is a run that has not ended.
@@ -221,9 +227,6 @@
 	return out
 }
 
-// AccountUsage returns the resources that count against the limit of an account.
-func (s *State) AccountUsage(account string) Usage { return s.usage[account] }
-
 // track adds a run to the load of its incarnation, to the usage of its account
 // and to the runs of its job.
 func (s *State) track(j *Job, ref TaskRef, task *apiv1.BatchTask, run *apiv1.BatchRun) {
--- a/internal/batch/starts.go
+++ b/internal/batch/starts.go
@@ -105,7 +105,7 @@
 		return "minion runs max_per_minion tasks of the step"
 	case !used.Add(ResourcesOnMinion(step), 1).Within(m.Capacity):
 		return "minion lacks capacity"
-	case !s.WithinAccountLimit(j, step, 1):
+	case !s.AccountAllows(j, step, Usage{}):
 		return "account is at its limit"
 	}
 	return ""
@@ -127,13 +127,11 @@
 	return ""
 }
 
-// WithinAccountLimit reports whether the limit of the job's account allows n more tasks
-// of the step. An account that the published catalog (of queues, pools and client
-// accounts) doesn't have is not limited.
-func (s *State) WithinAccountLimit(j *Job, step *apiv1.BatchStep, n int64) bool {
+// AccountAllows reports whether the limit of the job's account allows to start a task of
+// the step (see Usage.Allows) when the account's tasks use change more than now. An
+// account that the published catalog (of queues, pools and client accounts) doesn't have
+// is not limited.
+func (s *State) AccountAllows(j *Job, step *apiv1.BatchStep, change Usage) bool {
 	a := s.catalog.accounts[j.Account]
-	if a == nil {
-		return true
-	}
-	return s.usage[j.Account].Add(ResourcesOf(step), n).WithinLimit(a.Limit)
+	return a == nil || s.usage[j.Account].Add(change, 1).Allows(ResourcesOf(step), a.Limit)
 }
--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -15,7 +15,8 @@
 //   - a task has more than one active run only when its step is speculative, that
 //     is, marked as one whose tasks may run twice at a time;
 //   - a run starts only when its step's predecessors are done, its minion
-//     accepts work, and minion capacity and account limit still hold with it;
+//     accepts work, the minion's capacity still holds with it, and the account is
+//     below its limit before it (see Usage.Allows);
 //   - a run number of a task is never used twice, and a task of a step that is
 //     not long-running never starts again once it is done or has failed
 //     max_attempts times;
--- a/internal/dispatch/relocation.go
+++ b/internal/dispatch/relocation.go
@@ -146,10 +146,11 @@
 	added map[batch.Incarnation]batch.Usage
 }
 
-// take takes the capacity for a task on the first minion that has it, and reports
-// whether there is one.
+// take takes the capacity for a task that is to be stopped, or was, on the first minion
+// that has it, and reports whether there is one.
 func (r *room) take(j *batch.Job, step *apiv1.BatchStep, ref batch.TaskRef) bool {
-	if !r.state.WithinAccountLimit(j, step, 0) {
+	stopped := batch.Usage{}.Add(batch.ResourcesOf(step), -1)
+	if !r.state.AccountAllows(j, step, stopped) {
 		return false
 	}
 	for _, m := range r.state.Minions() {
--- a/internal/placement/isolation.go
+++ b/internal/placement/isolation.go
@@ -263,7 +263,8 @@
 	if step.Gang {
 		tasks = step.Count
 	}
-	if closed >= most || !p.in.State.WithinAccountLimit(j, step, int64(tasks)) {
+	others := batch.Usage{}.Add(batch.ResourcesOf(step), int64(tasks)-1)
+	if closed >= most || !p.in.State.AccountAllows(j, step, others) {
 		return closed
 	}
 	chosen := p.soonestEmpty(p.eligible(step, unit, pool, tasks), step, unit, tasks)
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -264,10 +264,10 @@
 	p.starts = append(p.starts, &apiv1.StartedRun{Task: ref.Name(), Run: run, Minion: c.minion.Life})
 }
 
-// chooseMinion returns the best candidate for a task, nil if it fits on none or
-// would exceed the limit of the job's account.
+// chooseMinion returns the best candidate for a task, nil if it fits on none or the
+// limit of the job's account forbids it.
 func (p *planner) chooseMinion(j *batch.Job, step *apiv1.BatchStep, ref batch.TaskRef, pool []*candidate) *candidate {
-	if !p.withinAccountLimit(j, step) {
+	if !p.in.State.AccountAllows(j, step, p.startedUsage[j.Account]) {
 		return nil
 	}
 	isSuspect := j.Crashes(ref) > 0
@@ -285,19 +285,6 @@
 	}
 }
 
-// withinAccountLimit reports whether the resources that the tasks of the job's
-// account use stay within the account's limit with the starts of this round (one
-// pass of the planner) and one more task of the step added. An unknown account
-// has no limit.
-func (p *planner) withinAccountLimit(j *batch.Job, step *apiv1.BatchStep) bool {
-	a := p.in.State.Account(j.Account)
-	if a == nil {
-		return true
-	}
-	u := p.in.State.AccountUsage(j.Account).Add(p.startedUsage[j.Account], 1).Add(batch.ResourcesOf(step), 1)
-	return u.WithinLimit(a.Limit)
-}
-
 // canRun reports whether the candidate has the free resources for a task, isn't
 // closed to it, and meets the step's constraints on labels and tasks per minion.
 func (c *candidate) canRun(step *apiv1.BatchStep, ref batch.TaskRef) bool {
