replica: bound the log by its size (Fault)

Callers saw nothing served: after some hundred changes of a configuration with many routes each control replica used more than its memory, was killed, read its log at the start and was killed again.

A new gauge, bergamot_replica_log_bytes.

--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -34,8 +34,9 @@
 }
 
 const (
-	defaultMaxInflight     = 64
-	defaultMaxMessageBytes = 1 << 20
+	defaultMaxInflight      = 64
+	defaultMaxInflightBytes = 8 << 20
+	defaultMaxMessageBytes  = 1 << 20
 )
 
 // Errors of Propose, ProposeConfChange and ReadIndex. When one of them is
@@ -62,6 +63,9 @@
 	// MaxInflight is the maximum number of unacknowledged append messages to
 	// one follower; zero means 64.
 	MaxInflight int
+	// MaxInflightBytes bounds the size of the entries in these messages. Only the
+	// last message may exceed it. Zero means 8 MiB.
+	MaxInflightBytes int
 	// MaxMessageBytes is the maximum size of the entries of one append
 	// message. A single larger entry is sent alone. Zero means 1 MiB.
 	MaxMessageBytes int
@@ -171,6 +175,9 @@
 	if cfg.MaxInflight == 0 {
 		cfg.MaxInflight = defaultMaxInflight
 	}
+	if cfg.MaxInflightBytes == 0 {
+		cfg.MaxInflightBytes = defaultMaxInflightBytes
+	}
 	if cfg.MaxMessageBytes == 0 {
 		cfg.MaxMessageBytes = defaultMaxMessageBytes
 	}
@@ -223,6 +230,9 @@
 // LastIndex returns the index of the last entry of the log.
 func (c *Core) LastIndex() uint64 { return c.log.lastIndex() }
 
+// LogBytes returns the size of the log entries in memory, see EntryBytes.
+func (c *Core) LogBytes() int { return c.log.bytes }
+
 // SnapshotIndex returns the index of the last entry that the newest snapshot
 // includes.
 func (c *Core) SnapshotIndex() uint64 { return c.snapshot.Index }
--- a/internal/consensus/core_test.go
+++ b/internal/consensus/core_test.go
@@ -110,7 +110,7 @@
 	for len(n.disk.entries) > 0 && n.disk.entries[0].Index <= meta.Index {
 		n.disk.entries = n.disk.entries[1:]
 	}
-	n.core.Compact(meta, meta.Index-uint64(s.rng.IntN(3)))
+	n.core.Compact(meta, s.rng.IntN(3), 1<<20)
 }
 
 // loseDisk destroys the disk of a replica and adds a new replica with an empty
--- a/internal/consensus/follower.go
+++ b/internal/consensus/follower.go
@@ -92,14 +92,14 @@
 }
 
 // Compact is called when the snapshot with meta, taken of applied state, is
-// synced. It drops the log entries up to keepAfter, or up to the snapshot if that
-// is lower. With the entries that are kept, followers that lag a little behind
-// don't need a snapshot.
-func (c *Core) Compact(meta *apiv1.SnapshotMeta, keepAfter uint64) {
+// synced. It drops the log entries up to the snapshot, except for the last ones: at
+// most keepEntries, of at most keepBytes in total. With the entries that are kept,
+// followers that lag a little behind don't need a snapshot.
+func (c *Core) Compact(meta *apiv1.SnapshotMeta, keepEntries, keepBytes int) {
 	if meta.Index <= c.snapshot.Index || meta.Index > c.log.applied {
 		return
 	}
 	c.snapshot = meta
-	c.log.compact(min(keepAfter, meta.Index))
+	c.log.compact(c.log.startOfTail(meta.Index, keepEntries, keepBytes))
 	c.compactGroups(c.log.base)
 }
--- a/internal/consensus/log.go
+++ b/internal/consensus/log.go
@@ -12,6 +12,7 @@
 	base     uint64
 	baseTerm uint64 // term of the entry at base
 	entries  []*apiv1.LogEntry
+	bytes    int // size of entries, see EntryBytes
 	// firstUnsynced is the index of the first entry that isn't synced yet; it
 	// is lastIndex+1 if all are.
 	firstUnsynced uint64
@@ -19,6 +20,20 @@
 	applied       uint64 // highest index applied to the state machine
 }
 
+// entryOverheadBytes is what an entry takes beside its data, roughly.
+const entryOverheadBytes = 128
+
+// EntryBytes returns the memory that a log entry takes, roughly.
+func EntryBytes(e *apiv1.LogEntry) int { return len(e.Data) + entryOverheadBytes }
+
+func sizeOf(entries []*apiv1.LogEntry) int {
+	size := 0
+	for _, e := range entries {
+		size += EntryBytes(e)
+	}
+	return size
+}
+
 // reset discards all entries; the log then starts after a snapshot whose last
 // entry has the given index and term.
 func (l *raftLog) reset(index, term uint64) {
@@ -71,6 +86,7 @@
 // append appends entries; the index of the first must be lastIndex+1.
 func (l *raftLog) append(entries []*apiv1.LogEntry) {
 	l.entries = append(l.entries, entries...)
+	l.bytes += sizeOf(entries)
 }
 
 // truncate drops the entries from index on. It panics if one of them is
@@ -83,6 +99,7 @@
 	// The capacity is limited so that the next append copies the slice: a slice
 	// that entriesFrom returned before must keep its entries.
 	keep := index - l.base - 1
+	l.bytes -= sizeOf(l.entries[keep:])
 	l.entries = l.entries[:keep:keep]
 	l.firstUnsynced = min(l.firstUnsynced, index)
 }
@@ -100,10 +117,23 @@
 		return
 	}
 	t, _ := l.term(index)
+	l.bytes -= sizeOf(l.entries[:index-l.base])
 	l.entries = append([]*apiv1.LogEntry(nil), l.entries[index-l.base:]...)
 	l.base, l.baseTerm = index, t
 }
 
+// startOfTail returns the lowest index at which the log may start so that the entries
+// from there up to index are at most maxEntries, and at most maxBytes in total.
+func (l *raftLog) startOfTail(index uint64, maxEntries, maxBytes int) uint64 {
+	start := index
+	for bytes := 0; start > l.base && index-start < uint64(maxEntries); start-- {
+		if bytes += EntryBytes(l.entries[start-l.base-1]); bytes > maxBytes {
+			break
+		}
+	}
+	return start
+}
+
 // upToDate reports whether a log whose last entry has the given index and term
 // is at least as up to date as this one, which its owner needs to get a vote.
 func (l *raftLog) upToDate(index, term uint64) bool {
--- a/internal/consensus/progress.go
+++ b/internal/consensus/progress.go
@@ -26,9 +26,10 @@
 	// probeSent is set in state probing while the reply to an append message is
 	// outstanding. The reply to a heartbeat lets the leader send another one.
 	probeSent bool
-	// inflight holds the index of the last entry of each unacknowledged append
-	// message, in ascending order.
-	inflight []uint64
+	// inflight holds the unacknowledged append messages, in ascending order of their
+	// entries, and inflightBytes is the size of all these entries.
+	inflight      []inflightMessage
+	inflightBytes int
 	// snapshotRetryTicks is the number of ticks until a snapshot that wasn't
 	// acknowledged is sent again.
 	snapshotRetryTicks int
@@ -39,6 +40,26 @@
 	readRound uint64
 }
 
+// inflightMessage is an append message that isn't acknowledged yet.
+type inflightMessage struct {
+	lastIndex uint64 // of its entries
+	bytes     int    // size of its entries
+}
+
+// addInflight records that an append message was sent.
+func (p *progress) addInflight(lastIndex uint64, bytes int) {
+	p.inflight = append(p.inflight, inflightMessage{lastIndex, bytes})
+	p.inflightBytes += bytes
+}
+
+// dropInflight removes the n oldest messages.
+func (p *progress) dropInflight(n int) {
+	for _, m := range p.inflight[:n] {
+		p.inflightBytes -= m.bytes
+	}
+	p.inflight = p.inflight[n:]
+}
+
 // acknowledge records that the replica has synced the log up to index. It reports
 // whether match advanced.
 func (p *progress) acknowledge(index uint64) bool {
@@ -52,10 +73,10 @@
 // releaseInflight removes the messages that are acknowledged by index.
 func (p *progress) releaseInflight(index uint64) {
 	n := 0
-	for n < len(p.inflight) && p.inflight[n] <= index {
+	for n < len(p.inflight) && p.inflight[n].lastIndex <= index {
 		n++
 	}
-	p.inflight = p.inflight[n:]
+	p.dropInflight(n)
 }
 
 // startProbing makes the leader check with the next append message whether the
@@ -64,16 +85,16 @@
 	p.state = probing
 	p.next = max(next, p.match+1)
 	p.probeSent = false
-	p.inflight = nil
+	p.inflight, p.inflightBytes = nil, 0
 }
 
 // isPaused reports whether flow control forbids sending another append message.
-func (p *progress) isPaused(maxInflight int) bool {
+func (p *progress) isPaused(cfg *Config) bool {
 	switch p.state {
 	case probing:
 		return p.probeSent
 	case replicating:
-		return len(p.inflight) >= maxInflight
+		return len(p.inflight) >= cfg.MaxInflight || p.inflightBytes >= cfg.MaxInflightBytes
 	}
 	return true
 }
--- a/internal/consensus/replicate.go
+++ b/internal/consensus/replicate.go
@@ -84,7 +84,7 @@
 // permits.
 func (c *Core) sendEntries(id uint64) {
 	p := c.progressOf[id]
-	for p.next <= c.log.lastIndex() && !p.isPaused(c.cfg.MaxInflight) {
+	for p.next <= c.log.lastIndex() && !p.isPaused(&c.cfg) {
 		c.sendAppend(id, p)
 	}
 }
@@ -109,7 +109,7 @@
 	}
 	if len(entries) > 0 {
 		p.next += uint64(len(entries))
-		p.inflight = append(p.inflight, p.next-1)
+		p.addInflight(p.next-1, sizeOf(entries))
 	}
 }
 
@@ -192,8 +192,8 @@
 	// A follower that missed an append message rejects the next one, even an
 	// empty one, and returns the index from which it needs entries. The oldest
 	// message in flight is given up so that one more may be sent.
-	if len(p.inflight) >= c.cfg.MaxInflight {
-		p.inflight = p.inflight[1:]
+	if p.state == replicating && p.isPaused(&c.cfg) {
+		p.dropInflight(1)
 	}
 	c.sendAppend(m.From, p)
 }
--- a/internal/consensus/sim_test.go
+++ b/internal/consensus/sim_test.go
@@ -107,7 +107,7 @@
 	n.commitAtRead = map[uint64]uint64{}
 	n.running = true
 	n.core = New(Config{
-		ID: n.id, ElectionTicks: electionTicks, HeartbeatTicks: 2, MaxInflight: 4, MaxMessageBytes: 64,
+		ID: n.id, ElectionTicks: electionTicks, HeartbeatTicks: 2, MaxInflight: 4, MaxInflightBytes: 600, MaxMessageBytes: 64,
 		Rand: rand.New(rand.NewPCG(s.rng.Uint64(), n.id)),
 	}, st)
 }
@@ -220,10 +220,13 @@
 	}
 }
 
-// checkLogs checks log matching: if two logs have an entry with the same index and
-// term, they are equal up to that entry.
+// checkLogs checks that the sizes of logs are counted right, and log matching: if two
+// logs have an entry with the same index and term, they are equal up to that entry.
 func (s *sim) checkLogs() {
 	for i, a := range s.nodes {
+		if l := &a.core.log; l.bytes != sizeOf(l.entries) {
+			s.t.Fatalf("the log of replica %d has %d bytes and is counted as %d", a.id, sizeOf(l.entries), l.bytes)
+		}
 		for _, b := range s.nodes[i+1:] {
 			matched := false
 			base := max(a.core.log.base, b.core.log.base)
--- a/internal/daemon/batchcore/daemon.go
+++ b/internal/daemon/batchcore/daemon.go
@@ -68,6 +68,7 @@
 // It returns before the replica has found or joined its group. path is the
 // settings file, which is watched for changes of the seeds.
 func Start(path string, settings *apiv1.BatchControlSettings, a Adapter) (*Daemon, error) {
+	daemon.LimitMemory(settings.MaxMemoryBytes)
 	secret, err := daemon.ClusterSecret(settings.ClusterSecretFile, settings.AllowNoSecret)
 	if err != nil {
 		return nil, err
--- a/internal/daemon/batchfront/daemon.go
+++ b/internal/daemon/batchfront/daemon.go
@@ -57,6 +57,7 @@
 // Start opens the listeners and serves. path is the settings file, which is
 // watched for changes of the seeds.
 func Start(path string, settings *apiv1.BatchFrontSettings, a Adapter) (*Daemon, error) {
+	daemon.LimitMemory(settings.MaxMemoryBytes)
 	secret, err := daemon.ClusterSecret(settings.ClusterSecretFile, settings.AllowNoSecret)
 	if err != nil {
 		return nil, err
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"runtime/debug"
 	"syscall"
 	"testing"
 	"time"
@@ -156,3 +157,15 @@
 		httpServer.Close()
 	}
 }
+
+// Guards against a process whose heap grows to a multiple of its live data, beyond the
+// memory that it may use, before it is collected.
+func TestGarbageIsCollectedWithinTheMemoryOfTheProcess(t *testing.T) {
+	g := NewWithT(t)
+	before := debug.SetMemoryLimit(-1)
+	defer debug.SetMemoryLimit(before)
+	LimitMemory(0)
+	g.Expect(debug.SetMemoryLimit(-1)).To(Equal(before), "no limit is set")
+	LimitMemory(280 << 20)
+	g.Expect(debug.SetMemoryLimit(-1)).To(BeEquivalentTo(224 << 20))
+}
--- a/internal/publish/publish.go
+++ b/internal/publish/publish.go
@@ -25,6 +25,10 @@
 	maxOutcomes = 4096
 	// maxVersions bounds the versions that are kept, including the current one.
 	maxVersions = 50
+	// maxVersionBytes bounds the size of these versions. The current one is kept
+	// whatever its size. At the size that the system is built for, 50 versions are
+	// 23 MB.
+	maxVersionBytes = 32 << 20
 	// maxRequestIDBytes bounds the length of a request id.
 	maxRequestIDBytes = 128
 	// maxProblems bounds the problems listed in a CONFIG_INVALID message.
@@ -38,6 +42,9 @@
 	// versions is ordered from oldest to current, and empty before the first
 	// publish.
 	versions []*apiv1.Config
+	// sizes has the encoded sizes of the versions.
+	sizes   []int
+	dropped droppedVersions
 	// outcomes is in commit order.
 	outcomes    []*apiv1.PublishOutcome
 	outcomeByID map[string]*apiv1.PublishOutcome
@@ -142,7 +149,8 @@
 		Author:          cmd.Author,
 		Comment:         cmd.Comment,
 	}
-	s.versions = keepLast(append(s.versions, config), maxVersions)
+	s.keep(config)
+	s.trim(logTimeMS)
 	return config.Version
 }
 
@@ -176,14 +184,16 @@
 	return s.versions[len(s.versions)-1]
 }
 
-// History returns the kept versions, at most maxVersions, from the oldest to the
-// current one. The caller must not modify them. The history of a snapshot does not
+// History returns the kept versions, at most maxVersions of at most maxVersionBytes,
+// from the oldest to the current one. The caller must not modify them. The history of a snapshot does not
 // include the current version.
 func (s *State) History() []*apiv1.Config { return slices.Clone(s.versions) }
 
 // Snapshot returns the state as a message. Later publishes don't modify it.
 func (s *State) Snapshot() *apiv1.PublishSnapshot {
-	snap := &apiv1.PublishSnapshot{Outcomes: slices.Clone(s.outcomes)}
+	snap := &apiv1.PublishSnapshot{
+		Outcomes: slices.Clone(s.outcomes), DroppedDeadlineMs: s.dropped.deadlineMS, DroppedUntilUnixMs: s.dropped.untilMS,
+	}
 	if n := len(s.versions); n > 0 {
 		snap.Current = s.versions[n-1]
 		snap.History = slices.Clone(s.versions[:n-1])
@@ -196,9 +206,12 @@
 // without a current version, or if a request id appears twice.
 func (s *State) Restore(snap *apiv1.PublishSnapshot) error {
 	restored := New()
-	restored.versions = slices.Clone(snap.GetHistory())
+	restored.dropped = droppedVersions{snap.GetDroppedDeadlineMs(), snap.GetDroppedUntilUnixMs()}
+	for _, c := range snap.GetHistory() {
+		restored.keep(c)
+	}
 	if snap.GetCurrent() != nil {
-		restored.versions = append(restored.versions, snap.Current)
+		restored.keep(snap.Current)
 	} else if len(restored.versions) > 0 {
 		return fmt.Errorf("publish snapshot: there is a history but no current version")
 	}
--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -73,6 +73,7 @@
 	running, appliedAtStart atomic.Int32
 	// diskFull makes all writes to the data folder fail for lack of space.
 	diskFull, freedBySnapshot atomic.Bool
+	snapshotsFail             atomic.Bool
 	saves                     atomic.Int32 // attempts to write to the log
 	saveTime                  atomic.Int64 // time that each takes, as a time.Duration
 	server                    *rpc.Server
--- a/internal/replica/full_disk.go
+++ b/internal/replica/full_disk.go
@@ -57,7 +57,6 @@
 // which removes older segments. The core takes no calls before Advance, so it drops
 // the entries later.
 func (n *Node) recordDuringWait(w writtenSnapshot) {
-	n.snapshotInProgress = false
 	if n.recordSnapshot(w) {
 		n.compactAfterWait = w.meta
 	}
--- a/internal/replica/full_disk_test.go
+++ b/internal/replica/full_disk_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync/atomic"
 	"testing"
@@ -24,11 +25,18 @@
 	full            *atomic.Bool
 	saves           *atomic.Int32
 	saveTime        *atomic.Int64
+	// snapshotsFail makes the writes of the replica's own snapshots fail, which cover no
+	// entry after lastSaved.
+	snapshotsFail *atomic.Bool
+	lastSaved     atomic.Uint64
 }
 
 func (m *member) openFolder(path string) (dataFolder, *storage.Contents, error) {
 	folder, contents, err := openFolder(path)
-	return &limitedFolder{folder, &m.freedBySnapshot, &m.diskFull, &m.saves, &m.saveTime}, contents, err
+	return &limitedFolder{
+		dataFolder: folder, freedBySnapshot: &m.freedBySnapshot, full: &m.diskFull, saves: &m.saves, saveTime: &m.saveTime,
+		snapshotsFail: &m.snapshotsFail,
+	}, contents, err
 }
 
 func (f *limitedFolder) check() error {
@@ -44,10 +52,16 @@
 	if err := f.check(); err != nil && (sync || len(entries) > 0) {
 		return err
 	}
+	if len(entries) > 0 {
+		f.lastSaved.Store(entries[len(entries)-1].Index)
+	}
 	return f.dataFolder.Save(hs, entries, sync)
 }
 
 func (f *limitedFolder) WriteSnapshot(s *apiv1.Snapshot) error {
+	if f.snapshotsFail.Load() && s.Meta.Index <= f.lastSaved.Load() {
+		return errors.New("snapshots can't be written")
+	}
 	if err := f.check(); err != nil && !f.freedBySnapshot.Load() {
 		return err
 	}
@@ -167,7 +181,7 @@
 	m := c.leader()
 	for i := range 200 {
 		if m.node.runInLoop(t.Context(), func() {
-			if m.node.snapshotInProgress {
+			if m.node.snapshots.inProgress {
 				m.freedBySnapshot.Store(true)
 				m.diskFull.Store(true)
 			}
--- a/internal/replica/metrics.go
+++ b/internal/replica/metrics.go
@@ -6,6 +6,7 @@
 
 type metrics struct {
 	term, role, commit, applied, diskFull prometheus.Gauge
+	logBytes                              prometheus.Gauge
 	proposals, dropped                    prometheus.Counter
 	syncSeconds, snapshotSeconds          prometheus.Histogram
 }
@@ -28,13 +29,14 @@
 		commit:          gauge("commit_index", "Highest index known to be committed."),
 		applied:         gauge("applied_index", "Highest index applied."),
 		diskFull:        gauge("disk_full", "1 while the replica waits for space on its disk, otherwise 0."),
+		logBytes:        gauge("log_bytes", "Size of the log entries in memory, in bytes."),
 		proposals:       counter("proposals_total", "Proposals appended by this replica as leader."),
 		dropped:         counter("dropped_messages_total", "Messages dropped because a peer's queue was full."),
 		syncSeconds:     histogram("sync_seconds", "Time to write and sync one batch of the log."),
 		snapshotSeconds: histogram("snapshot_seconds", "Time to marshal the state, during which nothing else is applied."),
 	}
 	if registry != nil {
-		registry.MustRegister(m.term, m.role, m.commit, m.applied, m.diskFull, m.proposals, m.dropped, m.syncSeconds, m.snapshotSeconds)
+		registry.MustRegister(m.term, m.role, m.commit, m.applied, m.diskFull, m.logBytes, m.proposals, m.dropped, m.syncSeconds, m.snapshotSeconds)
 	}
 	return m
 }
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -48,22 +48,21 @@
 	// The following are used by the loop only. The maps hold calls that wait for
 	// an outcome: proposals by log index, barriers by barrier id, which is the
 	// context of their read in the core.
-	clusterID          uint64
-	applied            uint64
-	pendingProposals   map[uint64]*proposal
-	pendingBarriers    map[uint64]*barrier
-	lastBarrierID      uint64
-	senders            map[string]*sender
-	learnedAddresses   map[uint64]string // by replica id, see recordAddress
-	snapshotInProgress bool
-	lastSnapshotIndex  uint64
-	leaderTerm         uint64             // zero while this replica doesn't lead
-	cancelOnLeader     context.CancelFunc // nil while there is nothing to cancel
-	onLeaderDone       chan struct{}      // closed when the last OnLeader call has returned
-	hasWaited          bool               // for space on a full disk, with the present Ready
-	resumeOnLeader     bool               // OnLeader ran when that wait began
-	compactAfterWait   *apiv1.SnapshotMeta
-	lastTick           time.Duration
+	clusterID        uint64
+	applied          uint64
+	pendingProposals map[uint64]*proposal
+	pendingBarriers  map[uint64]*barrier
+	lastBarrierID    uint64
+	senders          map[string]*sender
+	learnedAddresses map[uint64]string // by replica id, see recordAddress
+	snapshots        snapshotProgress
+	leaderTerm       uint64             // zero while this replica doesn't lead
+	cancelOnLeader   context.CancelFunc // nil while there is nothing to cancel
+	onLeaderDone     chan struct{}      // closed when the last OnLeader call has returned
+	hasWaited        bool               // for space on a full disk, with the present Ready
+	resumeOnLeader   bool               // OnLeader ran when that wait began
+	compactAfterWait *apiv1.SnapshotMeta
+	lastTick         time.Duration
 	// slowSyncsSince is the start of the first of the latest syncs of the log if they
 	// were all slow, else zero.
 	slowSyncsSince time.Duration
@@ -157,7 +156,7 @@
 	if err := n.opts.StateMachine.Restore(state); err != nil {
 		return fmt.Errorf("restore snapshot %d: %w", s.Meta.Index, err)
 	}
-	n.applied = s.Meta.Index
+	n.observeRestored(s)
 	return nil
 }
 
@@ -320,4 +319,5 @@
 	}
 	n.status.Store(st)
 	n.metrics.observe(st)
+	n.metrics.logBytes.Set(float64(n.core.LogBytes()))
 }
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -25,6 +25,7 @@
 	defaultHeartbeatInterval = 100 * time.Millisecond
 	defaultElectionTimeout   = 500 * time.Millisecond
 	defaultSnapshotEntries   = 10_000
+	defaultSnapshotBytes     = 8 << 20
 	// ticksPerHeartbeat is the resolution of the random election timeouts. With
 	// one tick per heartbeat, replicas would often start elections at the same
 	// time.
@@ -82,7 +83,10 @@
 	// SnapshotEntries is the number of log entries between two snapshots, 10,000
 	// when zero.
 	SnapshotEntries uint64
-	StateMachine    StateMachine
+	// SnapshotBytes is the size of the log entries between two snapshots, 8 MiB when
+	// zero. It is the size of the last snapshot if that is larger.
+	SnapshotBytes int
+	StateMachine  StateMachine
 	// RPCServer gets the Raft methods from Start. It must not serve before Start
 	// has returned.
 	RPCServer *rpc.Server
@@ -119,6 +123,9 @@
 	if o.SnapshotEntries == 0 {
 		o.SnapshotEntries = defaultSnapshotEntries
 	}
+	if o.SnapshotBytes == 0 {
+		o.SnapshotBytes = defaultSnapshotBytes
+	}
 	if o.openFolder == nil {
 		o.openFolder = openFolder
 	}
--- a/internal/replica/propose.go
+++ b/internal/replica/propose.go
@@ -119,8 +119,8 @@
 	if p.ctx.Err() != nil || !p.claim() {
 		return // the caller learns that nothing was started
 	}
-	if len(n.pendingProposals) >= maxPendingProposals {
-		p.done <- outcome{err: result.NotRun(apiv1.ResultCode_RESULT_CODE_QUEUE_FULL, "%d proposals are pending", len(n.pendingProposals))}
+	if len(n.pendingProposals) >= maxPendingProposals || p.change == nil && n.logIsFull() {
+		p.done <- outcome{err: result.NotRun(apiv1.ResultCode_RESULT_CODE_QUEUE_FULL, "%d proposals are pending, the log has %d bytes", len(n.pendingProposals), n.core.LogBytes())}
 		return
 	}
 	var index uint64
--- a/internal/replica/ready.go
+++ b/internal/replica/ready.go
@@ -24,6 +24,10 @@
 	}
 	for _, m := range b.Messages {
 		n.recordAddress(m.From, b.FromAddress)
+		if len(m.Entries) > 0 && n.snapshotIsBehind() {
+			n.metrics.dropped.Inc() // the leader sends them again
+			continue
+		}
 		n.core.Step(m)
 	}
 }
@@ -145,7 +149,7 @@
 		}
 		res = n.opts.StateMachine.Apply(e.Index, cmd)
 	}
-	n.applied = e.Index
+	n.observeApplied(e)
 	if p, ok := n.pendingProposals[e.Index]; ok {
 		delete(n.pendingProposals, e.Index)
 		n.finishProposal(p, e, res)
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -79,15 +79,7 @@
 	return !slices.Equal(before, s.Fleet.LeavingVMs())
 }
 
-// MaxDeadlineMS returns the longest request timeout of any service, in milliseconds,
-// in all configurations kept. Older configurations count because a request that was
-// admitted under one of them may still be running.
-func (s *State) MaxDeadlineMS() uint32 {
-	longest := uint32(0)
-	for _, c := range s.Publish.History() {
-		for _, svc := range c.GetObjects().GetService() {
-			longest = max(longest, svc.MaxDeadlineMs)
-		}
-	}
-	return longest
-}
+// MaxDeadlineMS returns the longest request timeout of any service, in milliseconds, in
+// all configurations under which requests may still be running. A request that was
+// admitted under an older one may be.
+func (s *State) MaxDeadlineMS() uint32 { return s.Publish.LongestDeadlineMS(s.LogTimeMS) }
--- a/internal/storage/record.go
+++ b/internal/storage/record.go
@@ -49,10 +49,20 @@
 // appendRecord appends a record to buf and returns the extended buffer. Offset
 // is where the record will be in its file.
 func appendRecord(buf []byte, offset int64, kind recordKind, payload []byte) []byte {
-	buf = binary.LittleEndian.AppendUint32(buf, uint32(len(payload)))
-	buf = binary.LittleEndian.AppendUint32(buf, checksum(offset, kind, payload))
-	buf = append(buf, byte(kind))
-	return append(buf, payload...)
+	start := len(buf)
+	buf = append(buf, make([]byte, recordHeaderBytes)...)
+	buf = append(buf, payload...)
+	fillHeader(buf[start:], offset, kind)
+	return buf
+}
+
+// fillHeader writes the header of a record whose payload is already in place. Offset is
+// where the record will be in its file.
+func fillHeader(record []byte, offset int64, kind recordKind) {
+	payload := record[recordHeaderBytes:]
+	binary.LittleEndian.PutUint32(record, uint32(len(payload)))
+	binary.LittleEndian.PutUint32(record[4:], checksum(offset, kind, payload))
+	record[8] = byte(kind)
 }
 
 // decodeRecord decodes the record at offset of data, the contents of a whole
--- a/internal/storage/replay.go
+++ b/internal/storage/replay.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 
 	"google.golang.org/protobuf/proto"
 
@@ -164,7 +165,7 @@
 	for n < len(r.entries) && r.entries[n].Index <= meta.Index {
 		n++
 	}
-	r.entries = r.entries[n:]
+	r.entries = slices.Delete(r.entries, 0, n)
 }
 
 // truncateAfter drops the entries after index.
--- a/internal/storage/snapshot.go
+++ b/internal/storage/snapshot.go
@@ -21,14 +21,17 @@
 // WriteSnapshot durably writes a snapshot to a file. The log refers to it only
 // after UseSnapshot. It may be called while another method runs.
 func (f *Folder) WriteSnapshot(s *apiv1.Snapshot) error {
-	payload, err := proto.Marshal(s)
+	size := proto.Size(s)
+	if size > maxRecordBytes {
+		return fmt.Errorf("snapshot of %d bytes exceeds the limit of %d", size, maxRecordBytes)
+	}
+	// A snapshot is large, so it is marshaled into the record and not copied there.
+	record, err := proto.MarshalOptions{}.MarshalAppend(make([]byte, recordHeaderBytes, recordHeaderBytes+size), s)
 	if err != nil {
 		return fmt.Errorf("marshal snapshot: %w", err)
 	}
-	if len(payload) > maxRecordBytes {
-		return fmt.Errorf("snapshot of %d bytes exceeds the limit of %d", len(payload), maxRecordBytes)
-	}
-	if err := writeFile(f.path, snapshotName(s.Meta.Index), appendRecord(nil, 0, kindSnapshot, payload)); err != nil {
+	fillHeader(record, 0, kindSnapshot)
+	if err := writeFile(f.path, snapshotName(s.Meta.Index), record); err != nil {
 		return fmt.Errorf("write snapshot: %w", err)
 	}
 	return nil
--- a/internal/storage/wal.go
+++ b/internal/storage/wal.go
@@ -19,6 +19,9 @@
 	// record stays below maxRecordBytes even if one of its entries is as large as
 	// an rpc frame may be.
 	batchBytes = 16 << 20
+	// keptBufferBytes is the size up to which the buffer of a write is kept for the
+	// next one.
+	keptBufferBytes = 1 << 20
 )
 
 // segment describes one file of the log.
@@ -100,6 +103,9 @@
 		return err
 	}
 	w.size += int64(len(w.buf))
+	if cap(w.buf) > keptBufferBytes {
+		w.buf = nil
+	}
 	return nil
 }
 
