--- a/review/rig/minion.go
+++ b/review/rig/minion.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -32,6 +33,8 @@
 	run    int
 	how    string
 	e      *execution
+	// lapsed: the lease ran out after the end and before the end was taken note of.
+	lapsed bool
 }
 
 // minion is a stand-in of a minion that follows the pages. Its fields failing, silent and
@@ -62,6 +65,8 @@
 	// sheds: run-start is answered 503, as by an unhealthy minion. silent: no call is
 	// answered or carried out, and no heartbeat leaves, as behind a cut.
 	sheds, silent, noBeats bool
+	// lateShare of the orders is carried out late.
+	lateShare float64
 }
 
 var (
@@ -178,6 +183,9 @@
 		return
 	}
 	lapsed := m.clock() > m.until
+	for i := range m.ended {
+		m.ended[i].lapsed = m.ended[i].lapsed || lapsed
+	}
 	for task, r := range m.running {
 		switch {
 		case lapsed:
@@ -195,7 +203,7 @@
 	delete(m.running, task)
 	m.last++
 	m.highest[task] = max(m.highest[task], r.e.run)
-	m.ended = append(m.ended, endRow{m.last, task, r.e.run, how, r.e})
+	m.ended = append(m.ended, endRow{number: m.last, task: task, run: r.e.run, how: how, e: r.e})
 	m.w.end(r.e, how)
 	go m.leaveGang(r.e, how)
 }
@@ -270,6 +278,11 @@
 		http.Error(rw, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if m.isLate() {
+		go m.carryOutLate(r.URL.Path, r.Header.Get("Bergamotdrum-Expect-Instance"), o)
+		time.Sleep(3 * time.Second)
+		panic(http.ErrAbortHandler)
+	}
 	m.mu.Lock()
 	life := m.life
 	if m.silent || !m.up {
@@ -324,6 +337,37 @@
 	_ = json.NewEncoder(rw).Encode(reply)
 }
 
+// isLate reports whether an order is left unanswered and carried out later.
+func (m *minion) isLate() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return rand.Float64() < m.lateShare
+}
+
+// carryOutLate carries out an order 2 to 12 s after it came.
+func (m *minion) carryOutLate(path, id string, o order) {
+	time.Sleep(2*time.Second + rand.N(10*time.Second))
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.up || m.silent || m.id != id || o.FencingToken < m.token {
+		return
+	}
+	m.token = o.FencingToken
+	switch path {
+	case "/run-start":
+		status, _ := m.startRun(o)
+		m.w.logf("%s carries out a start of %s run %d late: %d", m.name, o.Task, o.Run, status)
+	case "/run-stop":
+		m.highest[o.Task] = max(m.highest[o.Task], o.Run)
+		if run := m.running[o.Task]; run != nil && run.e.run == o.Run {
+			m.finish(o.Task, run, "stopped")
+		}
+	default:
+		m.extend(o.UntilMs)
+		m.forget(o.LastSeen)
+	}
+}
+
 func (m *minion) extend(until int64) {
 	m.until = max(m.until, min(until, m.clock()+maxHold.Milliseconds()))
 }
@@ -387,7 +431,7 @@
 			continue
 		}
 		m.w.mu.Lock()
-		e.e.noted = true
+		e.e.noted = !e.lapsed
 		m.w.mu.Unlock()
 	}
 	m.ended = kept
--- a/review/rig/world.go
+++ b/review/rig/world.go
@@ -38,7 +38,7 @@
 
 // taskID names a task: job, occurrence, step and index.
 type taskID struct {
-	job                  string
+	job                   string
 	occurrence, st, index int
 }
 
