--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -18,7 +18,7 @@
 // scenario runs a case. trouble says whether the disruption is caused.
 type scenario func(d *deployment, trouble bool) error
 
-var scenarios = map[string]scenario{"crash": crash, "isolated": isolated, "foreign": foreign, "public": public, "waiting": waiting}
+var scenarios = map[string]scenario{"crash": crash, "beside": beside, "foreign": foreign, "public": public, "waiting": waiting}
 
 func main() {
 	if len(os.Args) != 4 || scenarios[os.Args[1]] == nil {
--- a/review/rig/minion.go
+++ b/review/rig/minion.go
@@ -131,7 +131,7 @@
 		}
 		go func(first int) {
 			for i := range m.controls {
-				if m.beat(m.controls[(first+i)%len(m.controls)], m.service, 0) {
+				if m.beat(m.controls[(first+i)%len(m.controls)]) {
 					return
 				}
 			}
@@ -141,16 +141,36 @@
 }
 
 // beat sends a heartbeat to a control address and reports whether it was acknowledged.
-func (m *minion) beat(control, service string, ahead uint64) bool {
+func (m *minion) beat(control string) bool {
 	m.mu.Lock()
 	m.seq++
-	body := map[string]any{
-		"service": service, "address": m.listener.Addr().String(), "zone": m.zone, "version": "v1", "slots": 8, "state": "ready",
+	body := m.entry()
+	id := m.id
+	m.mu.Unlock()
+	return m.put(control, id, body)
+}
+
+// entry returns what the minion says of itself. The caller holds mu.
+func (m *minion) entry() map[string]any {
+	return map[string]any{
+		"service": m.service, "address": m.listener.Addr().String(), "zone": m.zone, "version": "v1", "slots": 8, "state": "ready",
 		"coldRemainingMs": 0, "capacity": map[string]any{"cpu": m.cpu, "requestedMemoryMb": 32768, "gpu": 0}, "labels": m.labels,
-		"clockMs": m.clock(), "sequence": m.seq + ahead, "born": m.born.UnixMilli(),
+		"clockMs": m.clock(), "sequence": m.seq, "born": m.born.UnixMilli(),
 	}
+}
+
+// foreignBeat sends a heartbeat of another writer, which has begun just now, under the
+// minion's id. Its service is not one of the configuration.
+func (m *minion) foreignBeat(control string) bool {
+	m.mu.Lock()
+	body := m.entry()
 	id := m.id
 	m.mu.Unlock()
+	body["service"], body["sequence"], body["born"] = "service-of-another-writer", 1, time.Now().UnixMilli()
+	return m.put(control, id, body)
+}
+
+func (m *minion) put(control, id string, body map[string]any) bool {
 	data, _ := json.Marshal(body)
 	req, _ := http.NewRequest(http.MethodPut, "http://"+control+"/instances/"+id, bytes.NewReader(data))
 	resp, err := m.client.Do(req)
