--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,8 +1,8 @@
 #!/usr/bin/env bash
-# Heartbeats of another writer name a service that no configuration has. Exits with 1 when a
-# job of the sound minions is then never run, 0 when it is, 2 when the case could not run.
-# TROUBLE=0: no such heartbeats.
+# A minion that runs many jobs is lost for good; the others have room for all of them. Exits
+# with 1 when jobs then have nothing running, 0 when all have, 2 when the case could not run.
+# TROUBLE=0: the minion is not lost.
 set -u
 here="$(cd "$(dirname "$0")" && pwd)"
 cd "$here/../.."
-exec target/rig foreign target/bergamot-platform "$here/record.txt"
+exec target/rig beside target/bergamot-platform "$here/record.txt"
