--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -18,7 +18,7 @@
 // scenario runs a case. trouble says whether the disruption is caused.
 type scenario func(d *deployment, trouble bool) error
 
-var scenarios = map[string]scenario{"crash": crash, "beside": beside, "foreign": foreign, "public": public, "waiting": waiting}
+var scenarios = map[string]scenario{"beside": beside, "public": public, "waiting": waiting, "wave": wave}
 
 func main() {
 	if len(os.Args) != 4 || scenarios[os.Args[1]] == nil {
@@ -38,7 +38,7 @@
 	w := newWorld(io.MultiWriter(file, os.Stdout))
 	trouble := os.Getenv("TROUBLE") != "0"
 	w.logf("case %s, trouble: %v", name, trouble)
-	d, err := newDeployment(w, binary)
+	d, err := newDeployment(w, binary, name == "wave")
 	if err != nil {
 		w.logf("the case couldn't run: %v", err)
 		return exitNotRun
