--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,8 +1,8 @@
 #!/usr/bin/env bash
-# A machine is added, and a wave names it and three others. Exits with 1 when the wave is said
-# to be completed before the upkeep of that machine has begun, 0 when it is not, 2 when the
-# case could not run. TROUBLE=0: the machine was there from the start.
+# A configuration makes a route public while a job runs. Exits with 1 when the job is then
+# answered 410, 0 when it is not, 2 when the case could not run. TROUBLE=0: the
+# configuration changes nothing of the route.
 set -u
 here="$(cd "$(dirname "$0")" && pwd)"
 cd "$here/../.."
-exec target/rig wave target/bergamot-platform "$here/record.txt"
+exec target/rig public target/bergamot-platform "$here/record.txt"
