dispatch: log why machines of a wave wait for their maintenance

The logs told when a machine's maintenance was ordered, and nothing of why it wasn't before.

Each wave now logs every 2 s, while machines of it wait, how many wait for which reason, with one of each as an example; where tasks of a long-running step can't be spared, the step with its counts.

--- a/internal/dispatch/availability.go
+++ b/internal/dispatch/availability.go
@@ -36,13 +36,18 @@
 // step exceeding its limit of unavailable tasks.
 func (t taskAvailability) allowsMaintenance(l machineLoad) bool {
 	for _, s := range l.steps {
-		if t.unavailable[s.step]-s.starting+len(s.runs) > s.maxUnavailable {
+		if !t.allowsEnd(s) {
 			return false
 		}
 	}
 	return true
 }
 
+// allowsEnd reports whether all tasks of a step on a machine may end.
+func (t taskAvailability) allowsEnd(s stepLoad) bool {
+	return t.unavailable[s.step]-s.starting+len(s.runs) <= s.maxUnavailable
+}
+
 // markUnavailable counts the tasks of a machine that goes down as unavailable.
 func (t taskAvailability) markUnavailable(l machineLoad) {
 	for _, s := range l.steps {
--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -113,6 +113,8 @@
 	startSeen map[machineInWave]bool
 	// relocatedAt holds when a task was last relocated from a machine.
 	relocatedAt map[string]time.Duration
+	// waitsLoggedAt holds when it was last logged, by wave, why its machines wait.
+	waitsLoggedAt map[uint64]time.Duration
 	// failedAt holds when an order for a machine last failed.
 	failedAt map[string]time.Duration
 	// movingTo holds the destination pools of machines that are moving.
@@ -152,6 +154,7 @@
 		reserved:              map[batch.Incarnation]bool{},
 		answeredAt:            map[string]time.Duration{},
 		failedAt:              map[string]time.Duration{},
+		waitsLoggedAt:         map[uint64]time.Duration{},
 		maintainedIncarnation: map[string]batch.Incarnation{},
 		startSeen:             map[machineInWave]bool{},
 		relocatedAt:           map[string]time.Duration{},
--- a/internal/dispatch/waves.go
+++ b/internal/dispatch/waves.go
@@ -140,7 +140,8 @@
 // that are draining or have an order without an answer. open holds all open waves,
 // w included.
 func (f *fleetManager) advanceWave(w *apiv1.MaintenanceWave, open []*apiv1.MaintenanceWave, nowMS int64) []string {
-	loads := f.loads(w)
+	loads, waits := f.loads(w)
+	defer func() { f.logWaits(w, waits) }()
 	slices.SortStableFunc(loads, f.compareLoads)
 	down := batch.DownMachines(open)
 	for _, machine := range f.orders.pendingMachines() {
@@ -151,19 +152,33 @@
 	timeout := f.drainTimeout(w, nowMS, len(loads))
 	taken := 0
 	var starting []*apiv1.MachineService
-	for _, l := range loads {
+	for i, l := range loads {
+		machine := l.maintenance.Machine
 		if l.unknown || !f.availability.allowsMaintenance(l) {
+			waits.add(f.availability.waitReason(l))
 			f.relocateTask(l, budget)
 			continue
 		}
 		if taken >= budget+drainAhead {
+			for _, later := range loads[i:] {
+				waits.add(waitLimit, later.maintenance.Machine)
+			}
 			break
 		}
 		taken++
-		draining = append(draining, l.maintenance.Machine)
-		if taken <= budget && !blockedByOtherWave(l.maintenance.Machine, w, open, down) && f.drain(l, timeout) && f.ensureFreshList() {
+		draining = append(draining, machine)
+		switch {
+		case taken > budget:
+			waits.add(waitLimit, machine)
+		case blockedByOtherWave(machine, w, open, down):
+			waits.add(waitOtherWave, machine)
+		case !f.drain(l, timeout):
+			waits.add(waitDraining, machine)
+		case !f.ensureFreshList():
+			waits.add(waitList, machine)
+		default:
 			f.availability.markUnavailable(l)
-			down[l.maintenance.Machine] = true
+			down[machine] = true
 			starting = append(starting, l.maintenance)
 		}
 	}
@@ -277,20 +292,21 @@
 }
 
 // loads returns the loads of the machines of a wave that still need maintenance
-// and may get an order now.
-func (f *fleetManager) loads(w *apiv1.MaintenanceWave) []machineLoad {
-	var out []machineLoad
+// and may get an order now, and why others may not.
+func (f *fleetManager) loads(w *apiv1.MaintenanceWave) (out []machineLoad, waits waveWaits) {
 	f.d.opts.StateMachine.Read(func(st *state.State) {
 		for _, sv := range w.Services {
-			m, listed := f.machines[sv.Machine]
-			due := sv.State == apiv1.MachineServiceState_MACHINE_SERVICE_STATE_UNSPECIFIED && !f.orders.isPending(sv.Machine)
-			if !due || !listed || m.State != MachineUp || f.movingTo[sv.Machine] != "" || f.failedRecently(sv.Machine) {
+			if sv.State != apiv1.MachineServiceState_MACHINE_SERVICE_STATE_UNSPECIFIED {
+				continue
+			}
+			if reason := f.mayNotBeOrdered(sv.Machine); reason != "" {
+				waits.add(reason, sv.Machine)
 				continue
 			}
-			out = append(out, f.loadOf(st.Batch, sv, m))
+			out = append(out, f.loadOf(st.Batch, sv, f.machines[sv.Machine]))
 		}
 	})
-	return out
+	return out, waits
 }
 
 // loadOf returns the load of one machine. It is called while the state is locked
