dispatch: maintenance starts while the list of machines takes long to arrive

Cause: to start maintenance the list had to be younger than 200 ms, counted from its request. Since an order is sent and written only if the minion that the list shows answers, or the list was requested less than 1 s ago, so the stricter limit had lost its reason. It now counts from the list's arrival. For a machine whose minion doesn't answer, or that is shown without one, the limit of the orders' check applies before the order is committed: an order that is committed and may not be sent counts against the wave's limit.

Evidence: TestWaveCompletesWhileListTakesLong failed before (list of 300 ms, no machine in 40 s) and passes for 0.3, 0.9 and 1.5 s. With the limit for silent machines taken out TestMachineWithoutMinionGetsNoMaintenanceByOldList failed: the machine's order was committed and not sent.

Open: with lists of more than 1 s a machine that is powered off gets no maintenance.

--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -88,6 +88,8 @@
 	unusable map[string]bool
 	unnamed  int
 	listedAt time.Duration
+	// receivedAt is when the list arrived.
+	receivedAt time.Duration
 	// missingLists holds how many lists in a row, the latest included, lack a machine of
 	// an open wave. Lists that were requested before the wave was accepted don't count.
 	missingLists map[machineInWave]int
--- a/internal/dispatch/machinelist.go
+++ b/internal/dispatch/machinelist.go
@@ -38,7 +38,7 @@
 	}
 	f.recordList(list)
 	f.countMissing(open)
-	f.listedAt, f.listOutdated = now, false
+	f.listedAt, f.receivedAt, f.listOutdated = now, f.d.clock.Now(), false
 	return true
 }
 
--- a/internal/dispatch/machinelist_test.go
+++ b/internal/dispatch/machinelist_test.go
@@ -13,8 +13,7 @@
 	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
 )
 
-// listTime is how long a slow list takes. Maintenance starts only by a list that was
-// requested within maxListAge.
+// listTime is how long a slow list takes.
 const listTime = 150 * time.Millisecond
 
 // listingProvider is a fakeProvider whose list can lack machines or have entries for
@@ -30,6 +29,8 @@
 	unusable, unnamed []string
 	answerTime        time.Duration
 	readings          int
+	// poweredOff is a machine that the list shows in the pool "off", without a minion.
+	poweredOff string
 	// torn makes the next list lack m2, as if a machine before it had left between the
 	// readings of two pages.
 	torn bool
@@ -46,6 +47,11 @@
 		list.Machines = slices.DeleteFunc(list.Machines, func(m Machine) bool { return m.ID == "m2" })
 		p.torn = false
 	}
+	for i := range list.Machines {
+		if m := &list.Machines[i]; m.ID == p.poweredOff && m.State == MachineUp {
+			m.Pool, m.MinionID = "off", ""
+		}
+	}
 	list.Unusable, list.Unnamed = slices.Clone(p.unusable), len(p.unnamed)
 	answerTime := p.answerTime
 	p.listMu.Unlock()
@@ -241,6 +247,49 @@
 	}
 }
 
+// Guards against a wave none of whose machines gets its maintenance while the provider
+// takes long to answer with its list, though it answers.
+func TestWaveCompletesWhileListTakesLong(t *testing.T) {
+	for _, answerTime := range []time.Duration{300 * time.Millisecond, 900 * time.Millisecond, 1500 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			h, p := newListingHarness(t, answerTime)
+			defer func() { h.endTerm() }()
+			p.setMissing()
+			h.startWave()
+			time.Sleep(40 * time.Second)
+			p.expectWaveCompleted(g, "list takes %v", answerTime)
+		})
+	}
+}
+
+// Guards against maintenance by a list that took long, of a machine that it shows
+// without a minion: one may have started there and have tasks.
+func TestMachineWithoutMinionGetsNoMaintenanceByOldList(t *testing.T) {
+	for answerTime, maintained := range map[time.Duration]bool{900 * time.Millisecond: true, 1500 * time.Millisecond: false} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			h, p := newListingHarness(t, answerTime)
+			defer func() { h.endTerm() }()
+			h.propose(&apiv1.BatchCommand{Body: &apiv1.BatchCommand_PutCatalog{PutCatalog: &apiv1.Catalog{
+				Version: 2, Pools: []*apiv1.BatchPool{{Name: "p"}, {Name: "off", Spare: true}},
+				Queues: []*apiv1.BatchQueue{{Name: "q", Pool: "p", MaxAttempts: 3}},
+			}}})
+			p.listMu.Lock()
+			p.missing, p.poweredOff = nil, "m2"
+			p.listMu.Unlock()
+			time.Sleep(idleListInterval + answerTime)
+			h.startWave()
+			time.Sleep(40 * time.Second)
+			g.Expect(p.maintainedMachines()).To(ContainElements("m0", "m1"))
+			g.Expect(slices.Contains(p.maintainedMachines(), "m2")).To(Equal(maintained), "list takes %v", answerTime)
+			if !maintained {
+				g.Expect(h.maintenanceStates()[2]).To(Equal(apiv1.MachineServiceState_MACHINE_SERVICE_STATE_UNSPECIFIED), "an order would count against the limit of the wave")
+			}
+		})
+	}
+}
+
 // unansweredProvider neither carries out nor answers the first order of maintenance. It
 // counts the orders for that machine.
 type unansweredProvider struct {
--- a/internal/dispatch/waves.go
+++ b/internal/dispatch/waves.go
@@ -22,8 +22,8 @@
 	// a machine. A relocated task may be placed on the same machine again when no
 	// other one has free resources for it.
 	relocationInterval = 3 * time.Second
-	// maxListAge is the age up to which the list of machines is recent enough to
-	// tell which minion runs on a machine that goes into maintenance.
+	// maxListAge is how long after its arrival the list of machines is recent enough
+	// to start maintenance.
 	maxListAge = 200 * time.Millisecond
 	// maxDrainTimeout is the longest time that a machine's finite tasks, which end
 	// by themselves, are awaited before they are stopped.
@@ -174,7 +174,7 @@
 			waits.add(waitOtherWave, machine)
 		case !f.drain(l, timeout):
 			waits.add(waitDraining, machine)
-		case !f.ensureFreshList():
+		case !f.ensureFreshList(l.incarnation):
 			waits.add(waitList, machine)
 		default:
 			f.availability.markUnavailable(l)
@@ -202,9 +202,12 @@
 }
 
 // ensureFreshList reports whether the list of machines is recent enough to start
-// maintenance. If not, the next round reads it again.
-func (f *fleetManager) ensureFreshList() bool {
-	if f.d.clock.Now()-f.listedAt < maxListAge {
+// the maintenance of the machine on which it shows an incarnation. If not, the next
+// round reads it again. A list may take long to arrive: while it did, the machine may
+// have got another minion, unless the one that it shows still answers.
+func (f *fleetManager) ensureFreshList(inc batch.Incarnation) bool {
+	now := f.d.clock.Now()
+	if now-f.receivedAt < maxListAge && (f.answersRecently(inc, now) || now-f.listedAt < maxOrderAge) {
 		return true
 	}
 	f.listOutdated = true
@@ -285,7 +288,7 @@
 		if f.mayEnd(f.withTarget(call)) {
 			f.sendOrder(call)
 		} else {
-			f.listOutdated = f.listOutdated || f.d.clock.Now()-f.listedAt >= maxListAge
+			f.listOutdated = f.listOutdated || f.d.clock.Now()-f.receivedAt >= maxListAge
 		}
 	}
 	return machines
