dispatch: machines of a wave don't exchange their tasks

Each exchange also costs the task its work.

Now a task is relocated only if a minion that takes it has room. Tasks go to minions whose machine isn't due, or has no long-running tasks. Only one machine a pool at a time, the one to clear, may also give tasks to other occupied machines of waves, and it gets none back; another one takes its place when it finds no room or its maintenance begins.

--- a/internal/dispatch/availability.go
+++ b/internal/dispatch/availability.go
@@ -57,10 +57,11 @@
 
 // nextRelocation returns a task to relocate before the machine's maintenance, and
 // counts it as unavailable. The task's step has more tasks on the machine than may
-// be unavailable at the same time, and may have one more unavailable now.
-func (t taskAvailability) nextRelocation(l machineLoad) (batch.RunKey, bool) {
+// be unavailable at the same time, and may have one more unavailable now. hasRoom
+// reports whether a task can be placed elsewhere.
+func (t taskAvailability) nextRelocation(l machineLoad, hasRoom func(batch.RunKey) bool) (batch.RunKey, bool) {
 	for _, s := range l.steps {
-		if len(s.runs) > s.maxUnavailable && t.unavailable[s.step] < s.maxUnavailable {
+		if len(s.runs) > s.maxUnavailable && t.unavailable[s.step] < s.maxUnavailable && hasRoom(s.runs[0]) {
 			t.unavailable[s.step]++
 			return s.runs[0], true
 		}
--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -63,9 +63,10 @@
 	reserved map[batch.Incarnation]bool
 	// reservedAt is when reserved was last set, or a round began to plan with it.
 	reservedAt time.Duration
-	// maintenanceDue holds the incarnations whose machine belongs to an open wave
-	// (a maintenance request that is not completed) and has yet to be maintained.
-	maintenanceDue map[batch.Incarnation]bool
+	// maintenanceRanks holds the incarnations whose machine belongs to an open wave
+	// (a maintenance request that is not completed) and has yet to be maintained, with
+	// their placement.Input.MaintenanceRank.
+	maintenanceRanks map[batch.Incarnation]int
 
 	// availabilityMu is locked while it is decided which long-running tasks may become
 	// unavailable. It guards maintainedIncarnation and relocated.
@@ -113,8 +114,10 @@
 	// in maintenance. Its commit waits for the answer to a repeated order, and the
 	// machine may be back by then.
 	startSeen map[machineInWave]bool
-	// relocatedAt holds when a task was last relocated from a machine.
-	relocatedAt map[string]time.Duration
+	// clearing holds the machine to clear of each pool.
+	clearing map[string]clearedMachine
+	// nextRelocationAt holds from when on a task may be relocated from a machine.
+	nextRelocationAt map[string]time.Duration
 	// waitsLoggedAt holds when it was last logged, by wave, why its machines wait.
 	waitsLoggedAt map[uint64]time.Duration
 	// failedAt holds when an order for a machine last failed.
@@ -159,7 +162,8 @@
 		waitsLoggedAt:         map[uint64]time.Duration{},
 		maintainedIncarnation: map[string]batch.Incarnation{},
 		startSeen:             map[machineInWave]bool{},
-		relocatedAt:           map[string]time.Duration{},
+		clearing:              map[string]clearedMachine{},
+		nextRelocationAt:      map[string]time.Duration{},
 		relocated:             map[batch.TaskRef]bool{},
 		movingTo:              map[string]string{},
 		ending:                endingIncarnations{until: map[batch.Incarnation]time.Duration{}},
@@ -170,10 +174,10 @@
 	}
 }
 
-// reservedAndDue returns the incarnations that get no new work, and those whose
-// machine is due for maintenance. The planning rounds call it. Without completed
+// reservedAndDue returns the incarnations that get no new work, and the ranks of those
+// whose machine is due for maintenance. The planning rounds call it. Without completed
 // rounds only incarnations that an order on its way may end are reserved.
-func (f *fleetManager) reservedAndDue() (reserved, maintenanceDue map[batch.Incarnation]bool) {
+func (f *fleetManager) reservedAndDue() (reserved map[batch.Incarnation]bool, maintenanceRanks map[batch.Incarnation]int) {
 	now := f.d.clock.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -187,7 +191,7 @@
 			reserved[inc] = true
 		}
 	}
-	return reserved, maps.Clone(f.maintenanceDue)
+	return reserved, maps.Clone(f.maintenanceRanks)
 }
 
 // keepReserved prevents that the reservations expire while a round plans with them. If
@@ -228,7 +232,7 @@
 
 // setReserved sets which incarnations get no new work: those given, those on the
 // given machines, which are draining, and those on machines with an unanswered
-// order. It also sets the incarnations whose machine is due for maintenance.
+// order. It also sets the ranks of those whose machine is due for maintenance.
 func (f *fleetManager) setReserved(machines []string, incarnations []batch.Incarnation) {
 	now := f.d.clock.Now()
 	reserved := map[batch.Incarnation]bool{}
@@ -236,7 +240,7 @@
 		reserved[inc] = true
 	}
 	since := map[string]time.Duration{}
-	maintenanceDue := map[batch.Incarnation]bool{}
+	var ranks map[batch.Incarnation]int
 	f.d.opts.StateMachine.Read(func(st *state.State) {
 		for _, id := range machines {
 			since[id] = now
@@ -252,15 +256,11 @@
 				reserved[batch.IncarnationOf(minion.Life)] = true
 			}
 		}
-		for id, due := range f.machinesDue {
-			if minion := st.Batch.Minion(f.machines[id].MinionID); minion != nil && due {
-				maintenanceDue[batch.IncarnationOf(minion.Life)] = true
-			}
-		}
+		ranks = f.rankDueMachines(st.Batch)
 	})
 	f.drainingSince = since
 	f.mu.Lock()
-	f.reserved, f.maintenanceDue, f.reservedAt = reserved, maintenanceDue, now
+	f.reserved, f.maintenanceRanks, f.reservedAt = reserved, ranks, now
 	f.mu.Unlock()
 }
 
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -154,7 +154,7 @@
 		return nil, false
 	}
 	in.Health = d.placementHealth(incarnations, now)
-	in.Reserved, in.MaintenanceDue = d.fleet.reservedAndDue()
+	in.Reserved, in.MaintenanceRank = d.fleet.reservedAndDue()
 	d.opts.StateMachine.Read(func(st *state.State) {
 		in.State = st.Batch
 		for _, inc := range d.announcements.outdated(st.Batch, minionsOf(st.Batch, pools), now, d.opts.MaxAnnouncementAge) {
--- a/internal/dispatch/relocation.go
+++ b/internal/dispatch/relocation.go
@@ -146,6 +146,10 @@
 	usable, reserved map[batch.Incarnation]bool
 	// added holds what take has taken.
 	added map[batch.Incarnation]batch.Usage
+	// ranks are those of minions whose machine is due for maintenance. If rankLimit is
+	// positive, minions whose rank isn't lower have no room.
+	ranks     map[batch.Incarnation]int
+	rankLimit int
 }
 
 // take takes the capacity for a task that is to be stopped, or was, on the first minion
@@ -157,7 +161,7 @@
 	}
 	for _, m := range r.state.Minions() {
 		inc := batch.IncarnationOf(m.Life)
-		if !r.usable[inc] || r.reserved[inc] || r.state.Exclusion(j, step, m) != "" {
+		if !r.usable[inc] || r.reserved[inc] || r.rankLimit > 0 && r.ranks[inc] >= r.rankLimit || r.state.Exclusion(j, step, m) != "" {
 			continue
 		}
 		load := r.state.LoadOf(inc)
--- a/internal/dispatch/waves.go
+++ b/internal/dispatch/waves.go
@@ -18,10 +18,6 @@
 	// machines of a maintenance request that may still go down) are drained in
 	// advance, that is, get no new work.
 	drainAhead = 1
-	// relocationInterval is the shortest time between two relocations of tasks from
-	// a machine. A relocated task may be placed on the same machine again when no
-	// other one has free resources for it.
-	relocationInterval = 3 * time.Second
 	// maxListAge is how long after its arrival the list of machines is recent enough
 	// to start maintenance.
 	maxListAge = 200 * time.Millisecond
@@ -214,20 +210,6 @@
 	return false
 }
 
-// relocateTask stops one task of a step that has too many tasks on the machine,
-// so that it is placed elsewhere. It does nothing when the wave has no budget.
-func (f *fleetManager) relocateTask(l machineLoad, budget int) {
-	last, relocated := f.relocatedAt[l.maintenance.Machine]
-	now := f.d.clock.Now()
-	if l.unknown || budget <= 0 || relocated && now-last < relocationInterval {
-		return
-	}
-	if run, ok := f.availability.nextRelocation(l); ok {
-		f.relocatedAt[l.maintenance.Machine] = now
-		f.relocate(run)
-	}
-}
-
 // compareLoads orders machines for maintenance: first those with long-running
 // tasks, since the limits of their steps make them go one after the other, then
 // those that are draining, then those with the fewest finite tasks.
@@ -363,6 +345,7 @@
 // before it is sent.
 func (f *fleetManager) startMaintenance(w *apiv1.MaintenanceWave, machines []*apiv1.MachineService) {
 	for _, sv := range machines {
+		f.stopClearing(sv.Machine, f.d.clock.Now())
 		f.maintainedIncarnation[sv.Machine] = f.incarnationOn(sv.Machine)
 		f.sendOrder(f.maintenanceCall(w, &apiv1.MachineService{
 			Machine: sv.Machine, State: apiv1.MachineServiceState_MACHINE_SERVICE_STATE_ORDERED,
--- a/internal/placement/candidates.go
+++ b/internal/placement/candidates.go
@@ -52,7 +52,7 @@
 		}
 		all = append(all, candidate{
 			minion: m, incarnation: incarnation, position: len(p.candidates[m.Pool]), load: p.in.State.LoadOf(incarnation),
-			suspect: h.Suspect, maintenanceDue: p.in.MaintenanceDue[incarnation],
+			suspect: h.Suspect, maintenanceRank: p.in.MaintenanceRank[incarnation],
 		})
 		c := &all[len(all)-1]
 		if c.load != nil {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -40,10 +40,10 @@
 	// Reserved minions get no new work, because their machine is about to be
 	// moved or taken out for maintenance.
 	Reserved map[batch.Incarnation]bool
-	// MaintenanceDue minions get long-running tasks (those that run until their job
-	// is canceled) only if no other minion can run them, because the minions'
-	// machine is due for maintenance.
-	MaintenanceDue map[batch.Incarnation]bool
+	// MaintenanceRank is positive for minions whose machine is due for maintenance. They
+	// get long-running tasks (those that run until their job is canceled) only if no
+	// minion of a lower rank can run them.
+	MaintenanceRank map[batch.Incarnation]int
 	// MaxStarts bounds the starts of one round. Only the gangs (steps whose tasks run
 	// only together) of the round's last job may exceed it, since a gang starts as a
 	// whole.
@@ -60,10 +60,10 @@
 	used batch.Usage
 	// Position among the pool's candidates, and the pool's index, nil while there is
 	// none.
-	position       int
-	room           *roomIndex
-	suspect        bool
-	maintenanceDue bool
+	position        int
+	room            *roomIndex
+	suspect         bool
+	maintenanceRank int
 	// closed minions run an isolated task (see isolation.go) or are set aside for
 	// one. They start only the task they are set aside for, and overdue ones.
 	closed bool
@@ -332,8 +332,8 @@
 // machines of the others can be moved to another pool, but the tasks of one step
 // are spread so that the step doesn't depend on a single minion.
 func isBetterForLongRunning(a, b *candidate, ref batch.TaskRef) bool {
-	if a.maintenanceDue != b.maintenanceDue {
-		return b.maintenanceDue
+	if a.maintenanceRank != b.maintenanceRank {
+		return a.maintenanceRank < b.maintenanceRank
 	}
 	if x, y := a.stepTasks(ref) >= preferredMaxPerMinion, b.stepTasks(ref) >= preferredMaxPerMinion; x != y {
 		return y
