dispatch: log why tasks wait

The planner explains, once a second, the tasks that its round leaves waiting: of the reasons that rule out the minions of the pool, the one of the minion that comes closest to running the task. Long-running tasks come first, and at most 100 steps of a pool are explained.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -95,7 +95,9 @@
 	// the loads up to which it has updated the sessions. Only that loop uses the three.
 	minionsRevision uint64
 	targetsReadAt   time.Duration
-	loadsRevision   uint64
+	// waitsLoggedAt is when the planning loop last logged why tasks wait.
+	waitsLoggedAt time.Duration
+	loadsRevision uint64
 
 	startWindow *startWindow
 	load        load
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -155,6 +155,11 @@
 	}
 	in.Health = d.placementHealth(incarnations, now)
 	in.Reserved, in.MaintenanceRank = d.fleet.reservedAndDue()
+	explain := now-d.waitsLoggedAt >= waitLogInterval
+	var waiting map[string]placement.TaskWaits
+	if explain {
+		in.Waiting = &waiting
+	}
 	d.opts.StateMachine.Read(func(st *state.State) {
 		in.State = st.Batch
 		for _, inc := range d.announcements.outdated(st.Batch, minionsOf(st.Batch, pools), now, d.opts.MaxAnnouncementAge) {
@@ -162,6 +167,9 @@
 		}
 		starts = placement.Plan(in)
 	})
+	if explain {
+		d.logWaitingTasks(now, waiting)
+	}
 	d.admission.observeRound(now, len(starts) >= in.MaxStarts, totals)
 	return starts, true
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -44,6 +44,8 @@
 	// get long-running tasks (those that run until their job is canceled) only if no
 	// minion of a lower rank can run them.
 	MaintenanceRank map[batch.Incarnation]int
+	// Waiting, if it isn't nil, is set to why tasks wait after the round, by pool.
+	Waiting *map[string]TaskWaits
 	// MaxStarts bounds the starts of one round. Only the gangs (steps whose tasks run
 	// only together) of the round's last job may exceed it, since a gang starts as a
 	// whole.
@@ -89,6 +91,8 @@
 	// Resources of the tasks that this round starts, by client account.
 	startedUsage map[string]batch.Usage
 	starts       []*apiv1.StartedRun
+	// started holds the tasks of starts. It is kept only if Input.Waiting is set.
+	started map[batch.TaskRef]bool
 	// For each pool, the smallest task resources known to fit on no candidate.
 	// They stay unplaceable, since free resources only shrink during a round, and
 	// closed candidates stay closed.
@@ -120,7 +124,7 @@
 func newPlanner(in Input) *planner {
 	return &planner{
 		in: in, candidates: map[string][]*candidate{}, room: map[string]*roomIndex{},
-		startedUsage: map[string]batch.Usage{}, unplaceable: map[string]batch.Usage{},
+		startedUsage: map[string]batch.Usage{}, unplaceable: map[string]batch.Usage{}, started: map[batch.TaskRef]bool{},
 	}
 }
 
@@ -134,6 +138,9 @@
 		}
 		p.planJob(j)
 	}
+	if p.in.Waiting != nil {
+		*p.in.Waiting = p.explain(jobsOf(ranks))
+	}
 }
 
 // planJob plans the starts of a job, in the order of its due occurrences and
@@ -262,6 +269,9 @@
 
 // addStart adds the start of a task whose resources are already allocated.
 func (p *planner) addStart(ref batch.TaskRef, run uint32, c *candidate) {
+	if p.in.Waiting != nil {
+		p.started[ref] = true
+	}
 	p.starts = append(p.starts, &apiv1.StartedRun{Task: ref.Name(), Run: run, Minion: c.minion.Life})
 }
 
