dispatch: a pool gets a machine for tasks that have no room there

Callers: a long-running task waits for as long as the CPU of its pool suffices by the sum, though its step allows no further task on a minion, or no minion has its label or size.

Cause: pools are sized by CPU alone.

A task for which no minion of its pool has room is now a demand of its own: waiting long-running tasks, finite ones that no minion could run even if empty, and tasks that can't be relocated from a machine that is due. Such a pool gets one machine that meets the demand, powered-off ones first, unless one is on its way or empty there, and the next one after 3.4 s at the earliest. Its machines aren't powered off meanwhile.

TestTasksWithoutRoomDemandAMachine and TestOneMachineMovesForRoom check the policy.

--- a/internal/dispatch/capacity.go
+++ b/internal/dispatch/capacity.go
@@ -42,8 +42,10 @@
 	if f.d.clock.Now() < f.firstOrderAt {
 		return nil
 	}
-	plan := placement.PlanCapacity(f.capacityInput(unmovable))
+	in := f.capacityInput(unmovable)
+	plan := placement.PlanCapacity(in)
 	f.logCapacity(plan)
+	f.recordRoomMoves(in.RoomDemands, plan.Moves)
 	reserved := plan.Reserve
 	var ready []placement.Move
 	for _, m := range plan.Moves {
@@ -93,6 +95,7 @@
 		in.Demands = placement.Demands(st.Batch, time.Now().UnixMilli())
 		f.limitDemands(in.Demands, now)
 		f.recordDemands(in.Demands, now)
+		in.RoomDemands = f.roomDemands(st.Batch, usable, now)
 		for _, p := range st.Batch.Catalog().Pools {
 			in.SparePools[p.Name] = p.Spare
 			if p.Spare && in.PowerOffPool == "" {
@@ -191,7 +194,7 @@
 // poolMachine describes a machine for the planner. A machine that is moving
 // counts for the pool that it moves to.
 func (f *fleetManager) poolMachine(st *batch.State, m Machine, unmovable bool, usable map[batch.Incarnation]bool, now time.Duration) placement.Machine {
-	out := placement.Machine{ID: m.ID, Pool: m.Pool, CPUMillis: int64(m.Capacity.GetCpuMillis())}
+	out := placement.Machine{ID: m.ID, Pool: m.Pool, CPUMillis: int64(m.Capacity.GetCpuMillis()), Capacity: m.Capacity, Labels: m.Labels}
 	orderedAt, hadOrder := f.answeredAt[m.ID]
 	if to, ok := f.movingTo[m.ID]; ok {
 		out.Pool = to
--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -116,6 +116,10 @@
 	startSeen map[machineInWave]bool
 	// clearing holds the machine to clear of each pool.
 	clearing map[string]clearedMachine
+	// relocationDemands holds the latest demand for room of each pool by a task that
+	// can't be relocated, and movedForRoomAt when a machine was last moved there for room.
+	relocationDemands map[string]relocationDemand
+	movedForRoomAt    map[string]time.Duration
 	// nextRelocationAt holds from when on a task may be relocated from a machine.
 	nextRelocationAt map[string]time.Duration
 	// waitsLoggedAt holds when it was last logged, by wave, why its machines wait.
@@ -163,6 +167,8 @@
 		maintainedIncarnation: map[string]batch.Incarnation{},
 		startSeen:             map[machineInWave]bool{},
 		clearing:              map[string]clearedMachine{},
+		relocationDemands:     map[string]relocationDemand{},
+		movedForRoomAt:        map[string]time.Duration{},
 		nextRelocationAt:      map[string]time.Duration{},
 		relocated:             map[batch.TaskRef]bool{},
 		movingTo:              map[string]string{},
--- a/internal/dispatch/waveclearing.go
+++ b/internal/dispatch/waveclearing.go
@@ -3,7 +3,9 @@
 import (
 	"time"
 
+	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
 	"bergamotdrum.example/bergamotdrum/internal/batch"
+	"bergamotdrum.example/bergamotdrum/internal/placement"
 	"bergamotdrum.example/bergamotdrum/internal/state"
 )
 
@@ -100,30 +102,34 @@
 	case mayClear:
 		r.rankLimit = rankCleared
 	}
-	run, found, full := f.nextRelocation(l, r)
+	run, found, without := f.nextRelocation(l, r)
 	if found {
 		f.nextRelocationAt[machine] = now + relocationInterval
 		f.relocate(run)
 		return
 	}
 	f.nextRelocationAt[machine] = now + relocationRetryInterval
-	if full {
+	if without != nil && r.rankLimit == rankCleared {
+		f.relocationDemands[f.machines[machine].Pool] = relocationDemand{placement.RoomDemandOf(without), now}
 		f.stopClearing(machine, now)
 	}
 }
 
-// nextRelocation returns the task to relocate from a machine, if there is one. full is
-// set when a task may be unavailable and no minion has room for it.
-func (f *fleetManager) nextRelocation(l machineLoad, r room) (run batch.RunKey, found, full bool) {
+// nextRelocation returns the task to relocate from a machine, if there is one. without is
+// the step of a task that might be unavailable and for which no minion has room.
+func (f *fleetManager) nextRelocation(l machineLoad, r room) (run batch.RunKey, found bool, without *apiv1.BatchStep) {
 	f.d.opts.StateMachine.Read(func(st *state.State) {
 		r.state = st.Batch
 		f.reserveRoomForRelocated(&r)
 		run, found = f.availability.nextRelocation(l, func(key batch.RunKey) bool {
 			j := st.Batch.Job(key.Job)
 			step, _ := j.StepAndCheckpoint(key.TaskRef)
-			full = step == nil || !r.take(j, step, key.TaskRef)
-			return !full
+			if step == nil || r.take(j, step, key.TaskRef) {
+				return step != nil
+			}
+			without = step
+			return false
 		})
 	})
-	return run, found, full
+	return run, found, without
 }
--- a/internal/placement/capacity.go
+++ b/internal/placement/capacity.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 
+	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
 	"bergamotdrum.example/bergamotdrum/internal/batch"
 )
 
@@ -35,6 +36,9 @@
 	Incarnation batch.Incarnation
 	// CPUMillis is the CPU capacity in thousandths of a core.
 	CPUMillis int64
+	// Capacity and Labels are those of a minion on the machine.
+	Capacity *apiv1.Resources
+	Labels   []string
 	// ShrunkCPUMillis is how much of that its minion has not at present. A minion
 	// that the machine gets in another pool has all of it.
 	ShrunkCPUMillis int64
@@ -66,6 +70,8 @@
 type CapacityInput struct {
 	// Demands of the pools that have queues, by pool.
 	Demands map[string]Demand
+	// RoomDemands of tasks for which no minion of their pool has room, by pool.
+	RoomDemands map[string][]RoomDemand
 	// SparePools has the names of the pools whose machines are powered off.
 	SparePools map[string]bool
 	// PowerOffPool is the spare pool that idle machines are moved to, which powers
@@ -121,8 +127,8 @@
 // divides the fleet among the pools by their demand, first that of jobs which can
 // meet their latency limit, then that of late ones, and moves machines to pools
 // that have less than their share: first those that are powered off, then those
-// of pools that have more than theirs. Then it powers off idle machines. The
-// leader calls it in every round and orders the moves.
+// of pools that have more than theirs. Then it moves machines for tasks without room,
+// and powers off idle ones. The leader calls it in every round and orders the moves.
 func PlanCapacity(in CapacityInput) CapacityPlan {
 	p := &capacityPlanner{in: in, supplies: map[string]*poolSupply{}, spare: &poolSupply{}}
 	for pool := range in.Demands {
@@ -138,6 +144,7 @@
 	for _, s := range p.poolsWithShortage() {
 		p.fillShortage(s)
 	}
+	p.fillRoomDemands()
 	p.powerOffIdle()
 	return p.out
 }
@@ -283,6 +290,9 @@
 		return
 	}
 	for _, pool := range slices.Sorted(maps.Keys(p.supplies)) {
+		if len(p.in.RoomDemands[pool]) > 0 {
+			continue // an idle machine may be the one that a task is about to get
+		}
 		s := p.supplies[pool]
 		d := p.in.Demands[pool]
 		required := max(s.share, max(d.CPU(), d.Peak)*onSupplyPercent/100)
--- /dev/null
+++ b/internal/placement/roomdemand_test.go
@@ -0,0 +1,75 @@
+package placement
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+	"bergamotdrum.example/bergamotdrum/internal/batch"
+)
+
+// roomDemands returns the demands for room of pool "p".
+func (h *harness) roomDemands() []RoomDemand {
+	return RoomDemands(h.state, nowMS, func(m *apiv1.BatchMinion) bool { return h.health[batch.IncarnationOf(m.Life)].Usable })["p"]
+}
+
+// Load: long-running tasks of a step that allows one on a minion, and steps that need a
+// label or much memory, in a pool with CPU to spare. Guards against tasks that wait for as
+// long as the pool's CPU suffices, and against machines for tasks that have room, wait for
+// others to end, or exceed their account's limit.
+func TestTasksWithoutRoomDemandAMachine(t *testing.T) {
+	for name, c := range map[string]struct {
+		change func(s *apiv1.BatchStep)
+		limit  uint32
+		want   int
+	}{
+		"room":             {func(*apiv1.BatchStep) {}, 100_000, 0},
+		"tasks per minion": {func(s *apiv1.BatchStep) { s.MaxPerMinion = 1 }, 100_000, 1},
+		"label":            {func(s *apiv1.BatchStep) { s.RequiredLabel = "gpu" }, 100_000, 1},
+		"finite label":     {func(s *apiv1.BatchStep) { s.LongRunning, s.RequiredLabel = false, "gpu" }, 100_000, 1},
+		"finite size":      {func(s *apiv1.BatchStep) { s.LongRunning, s.Resources.MemoryMb = false, 200_000 }, 100_000, 1},
+		"finite, others end": {func(s *apiv1.BatchStep) {
+			s.LongRunning, s.MaxPerMinion, s.Resources.MemoryMb = false, 1, 60_000
+		}, 100_000, 0},
+		"account": {func(s *apiv1.BatchStep) { s.MaxPerMinion = 1 }, 1000, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			h := newHarness(&apiv1.Resources{CpuMillis: c.limit})
+			h.addMinion("m", 8000)
+			step := newStep(2, 1000)
+			step.LongRunning = true
+			c.change(step)
+			h.submit("j", "q", step)
+			h.apply(&apiv1.BatchCommand{Body: &apiv1.BatchCommand_UpdateRuns{UpdateRuns: &apiv1.UpdateRuns{Starts: h.plan()}}})
+			g.Expect(h.roomDemands()).To(HaveLen(c.want))
+		})
+	}
+}
+
+// Guards against a demand for room that gets no machine, one that can't meet it, or one
+// more in each round while the first is on its way or has just come.
+func TestOneMachineMovesForRoom(t *testing.T) {
+	g := NewWithT(t)
+	demand := RoomDemand{Label: "gpu", Needed: batch.Usage{CPUMillis: 100}}
+	input := func(poolMachine Machine, spare ...string) CapacityInput {
+		in := newCapacityInput(map[string]Demand{"a": {}}, newMachines("off", 3))
+		for i := range in.Machines {
+			in.Machines[i].Capacity = &apiv1.Resources{CpuMillis: machineCPU}
+			if i < len(spare) {
+				in.Machines[i].Labels = []string{spare[i]}
+			}
+		}
+		poolMachine.ID, poolMachine.Pool, poolMachine.CPUMillis = "a0", "a", machineCPU
+		poolMachine.Capacity, poolMachine.Labels = &apiv1.Resources{CpuMillis: machineCPU}, []string{"gpu"}
+		in.Machines = append(in.Machines, poolMachine)
+		in.RoomDemands = map[string][]RoomDemand{"a": {demand}}
+		return in
+	}
+	busy := Machine{Available: true, CooldownOver: true, Runs: 1, LongRunning: true}
+	g.Expect(PlanCapacity(input(busy, "", "gpu")).Moves).To(ConsistOf(HaveField("Machine", "off1")))
+	g.Expect(PlanCapacity(input(busy)).Moves).To(BeEmpty(), "no machine has the label")
+	g.Expect(PlanCapacity(input(Machine{Arriving: true}, "gpu")).Moves).To(BeEmpty(), "one is on its way")
+	g.Expect(PlanCapacity(input(Machine{Available: true, CooldownOver: true, Idle: true}, "gpu")).Moves).To(BeEmpty(), "one is empty and stays")
+}
