dispatch: log the starts and the release of long-running tasks

Starts of long-running tasks and the release of their runs are logged at level info; those of finite tasks stay at level debug.

TestRunsOfLongRunningTasksAreLogged failed before (0 of 1 start).

--- a/internal/dispatch/incarnations.go
+++ b/internal/dispatch/incarnations.go
@@ -283,6 +283,7 @@
 	for key, o := range s.orders {
 		if !o.released {
 			o.released = true
+			s.logRelease(key, o.isLongRunning)
 			ends = append(ends, &apiv1.EndedRun{Task: key.Name(), Run: key.Number, End: o.endOnClosing(cause), Checkpoint: o.checkpoint})
 		}
 	}
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -165,7 +165,7 @@
 	now := s.d.clock.Now()
 	answered = isAnswer(err)
 	s.d.metrics.startSeconds.Observe((now - o.sentAt).Seconds())
-	s.logStart(key, err)
+	s.logStart(key, o.isLongRunning, err)
 	s.mu.Lock()
 	s.lease.observeClock(clockMS, now)
 	end := s.handleStartAnswer(o, err, now)
--- a/internal/dispatch/runlog.go
+++ b/internal/dispatch/runlog.go
@@ -13,7 +13,9 @@
 
 // A leader starts far more runs (executions of tasks) than jobs. What goes as usual is
 // logged once a job at level info, and once a run only at level debug; metrics count
-// the runs. Each run that doesn't go as usual is logged at level info.
+// the runs. Each run that doesn't go as usual is logged at level info, and so are the
+// starts of long-running tasks and the release of their runs, since each moment without
+// a run counts for them.
 
 // logRun logs a line about a run, at level debug if it is a usual one. A line that the
 // level leaves out costs nothing.
@@ -29,8 +31,13 @@
 }
 
 // logStart logs the answer to a start order.
-func (s *session) logStart(key batch.RunKey, err error) {
-	s.logRun(key, err == nil, "start ordered", logrus.Fields{"outcome": outcomeName(err)})
+func (s *session) logStart(key batch.RunKey, isLongRunning bool, err error) {
+	s.logRun(key, err == nil && !isLongRunning, "start ordered", logrus.Fields{"outcome": outcomeName(err)})
+}
+
+// logRelease logs that a run was released, whose incarnation has ended.
+func (s *session) logRelease(key batch.RunKey, isLongRunning bool) {
+	s.logRun(key, !isLongRunning, "run released", nil)
 }
 
 // logEnd logs the end of a run that the minion reported.
--- a/internal/dispatch/runlog_test.go
+++ b/internal/dispatch/runlog_test.go
@@ -67,8 +67,8 @@
 		h.log.Logger.SetLevel(logrus.InfoLevel)
 		s := newSession(h.dispatcher, Target{Incarnation: batch.Incarnation{ID: "m", StartedMS: 1}})
 		key := batch.RunKey{TaskRef: batch.TaskRef{Job: "j"}, Number: 1}
-		s.logStart(key, &Refusal{Reason: RefusedUnhealthy})
-		s.logStart(key, errors.New("cut off"))
+		s.logStart(key, false, &Refusal{Reason: RefusedUnhealthy})
+		s.logStart(key, false, errors.New("cut off"))
 		g.Expect(count(hook, "start ordered")).To(Equal(2))
 		others := 0
 		for end := range apiv1.RunEnd_name {
@@ -108,3 +108,26 @@
 		g.Expect(count(hook, "job ended")).To(Equal(1))
 	})
 }
+
+// Guards against a log that doesn't tell for how long a long-running task was down, and
+// how long of that its minion's lease lasted.
+func TestRunsOfLongRunningTasksAreLogged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		h := newHarness(t, 1)
+		defer func() { h.endTerm() }()
+		hook := logtest.NewLocal(h.log.Logger)
+		h.restartWithLease(shortLease)
+		a := h.cluster.add("a")
+		h.announce(a)
+		time.Sleep(2 * time.Second)
+		h.submitLongRunning("job0", 1, 1)
+		time.Sleep(2 * time.Second)
+		h.announce(h.cluster.add("b"))
+		g.Expect(count(hook, "start ordered")).To(Equal(1))
+		a.crash()
+		time.Sleep(10 * time.Second)
+		g.Expect(count(hook, "run released")).To(Equal(1))
+		g.Expect(count(hook, "start ordered")).To(Equal(2))
+	})
+}
