placement: a pool gets as many machines as its tasks without room need

A demand for room now counts the machines that the waiting tasks of a step need by its tasks per minion. Machines on their way and empty ones in the pool count.

TestMachinesMoveForRoom and TestTasksWithoutRoomDemandAMachine.

--- a/internal/dispatch/roomdemand.go
+++ b/internal/dispatch/roomdemand.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"slices"
 	"time"
 
 	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
@@ -35,8 +34,8 @@
 		return usable[inc] && !reserved[inc]
 	})
 	for pool, r := range f.relocationDemands {
-		if now-r.at < maxRoomDemandAge && !slices.Contains(demands[pool], r.demand) {
-			demands[pool] = append(demands[pool], r.demand)
+		if now-r.at < maxRoomDemandAge {
+			demands[pool] = placement.AddRoomDemand(demands[pool], r.demand)
 		}
 	}
 	for pool := range demands {
--- a/internal/dispatch/waveclearing.go
+++ b/internal/dispatch/waveclearing.go
@@ -110,7 +110,7 @@
 	}
 	f.nextRelocationAt[machine] = now + relocationRetryInterval
 	if without != nil && r.rankLimit == rankCleared {
-		f.relocationDemands[f.machines[machine].Pool] = relocationDemand{placement.RoomDemandOf(without), now}
+		f.relocationDemands[f.machines[machine].Pool] = relocationDemand{placement.RoomDemandOf(without, 1), now}
 		f.stopClearing(machine, now)
 	}
 }
--- a/internal/placement/roomdemand.go
+++ b/internal/placement/roomdemand.go
@@ -8,29 +8,40 @@
 	"bergamotdrum.example/bergamotdrum/internal/batch"
 )
 
-// RoomDemand is that of a task for which no minion of its pool has room, also where the
-// pool has enough CPU: because of its size, its step's label, or the tasks per minion that
-// the step allows. The pool needs a machine more.
+// RoomDemand is that of tasks for which no minion of their pool has room, also where the
+// pool has enough CPU: because of their size, their step's label, or the tasks per minion
+// that the step allows. The pool needs more machines.
 type RoomDemand struct {
+	MachineNeed
+	// Machines is how many empty machines the tasks need.
+	Machines int
+}
+
+// MachineNeed is what a machine must have for a task.
+type MachineNeed struct {
 	// Label that the machine must have, empty if there is none.
 	Label string
 	// Needed is what the task needs on its minion.
 	Needed batch.Usage
 }
 
-// maxRoomDemands bounds the demands of a pool. One machine more at a time is ordered.
+// maxRoomDemands bounds the demands of a pool.
 const maxRoomDemands = 8
 
-// RoomDemandOf returns the demand of a task of the step.
-func RoomDemandOf(step *apiv1.BatchStep) RoomDemand {
-	return RoomDemand{Label: step.RequiredLabel, Needed: batch.ResourcesOnMinion(step)}
+// RoomDemandOf returns the demand of tasks of a step that wait.
+func RoomDemandOf(step *apiv1.BatchStep, tasks int) RoomDemand {
+	d := RoomDemand{MachineNeed{Label: step.RequiredLabel, Needed: batch.ResourcesOnMinion(step)}, 1}
+	if limit := int(step.MaxPerMinion); limit > 0 {
+		d.Machines = max((tasks+limit-1)/limit, 1)
+	}
+	return d
 }
 
 // RoomDemands returns the demands of waiting tasks, by pool. takesWork reports whether a
 // minion may get work. Finite tasks count only if none of the pool's minions could run them
 // when empty: others end, and Demands sizes the pool for their CPU.
 func RoomDemands(st *batch.State, nowUnixMS int64, takesWork func(*apiv1.BatchMinion) bool) map[string][]RoomDemand {
-	r := roomFinder{state: st, minions: map[string][]*apiv1.BatchMinion{}, sizes: map[poolSize]bool{}}
+	r := roomFinder{state: st, minions: map[string][]*apiv1.BatchMinion{}, fitsEmpty: map[poolNeed]bool{}}
 	for _, m := range st.Minions() {
 		if !m.Draining && !st.IsZoneOut(m.AvailabilityZone) && takesWork(m) {
 			r.minions[m.Pool] = append(r.minions[m.Pool], m)
@@ -45,22 +56,34 @@
 			}
 			for s, step := range j.Steps {
 				ref := batch.TaskRef{Job: j.Id, Occurrence: k, Step: uint32(s)}
-				if j.Waiting(k, uint32(s)) == 0 || !j.StepReady(k, uint32(s)) || r.hasRoom(pool, step, ref) || !st.AccountAllows(j, step, batch.Usage{}) {
+				waiting := int(j.Waiting(k, uint32(s)))
+				if waiting == 0 || !j.StepReady(k, uint32(s)) || r.hasRoom(pool, step, ref) || !st.AccountAllows(j, step, batch.Usage{}) {
 					continue
 				}
-				if d := RoomDemandOf(step); len(out[pool]) < maxRoomDemands && !slices.Contains(out[pool], d) {
-					out[pool] = append(out[pool], d)
-				}
+				out[pool] = AddRoomDemand(out[pool], RoomDemandOf(step, waiting))
 			}
 		}
 	}
 	return out
 }
 
-// poolSize is a demand in a pool.
-type poolSize struct {
+// AddRoomDemand adds a demand to those of a pool. Tasks of different steps with the same
+// need may share machines.
+func AddRoomDemand(demands []RoomDemand, d RoomDemand) []RoomDemand {
+	i := slices.IndexFunc(demands, func(other RoomDemand) bool { return other.MachineNeed == d.MachineNeed })
+	switch {
+	case i >= 0:
+		demands[i].Machines = max(demands[i].Machines, d.Machines)
+	case len(demands) < maxRoomDemands:
+		demands = append(demands, d)
+	}
+	return demands
+}
+
+// poolNeed is a need in a pool.
+type poolNeed struct {
 	pool string
-	RoomDemand
+	MachineNeed
 }
 
 // roomFinder looks for room in pools.
@@ -68,14 +91,14 @@
 	state *batch.State
 	// minions that may get work, by pool.
 	minions map[string][]*apiv1.BatchMinion
-	// sizes holds whether some minion can meet a demand when empty.
-	sizes map[poolSize]bool
+	// fitsEmpty holds whether some minion meets a need when empty.
+	fitsEmpty map[poolNeed]bool
 }
 
 // hasRoom reports whether some minion of the pool has room for a task of the step or, if
 // the task is finite, would have when empty.
 func (r *roomFinder) hasRoom(pool string, step *apiv1.BatchStep, ref batch.TaskRef) bool {
-	d := RoomDemandOf(step)
+	need := RoomDemandOf(step, 1).MachineNeed
 	if step.LongRunning {
 		return slices.ContainsFunc(r.minions[pool], func(m *apiv1.BatchMinion) bool {
 			load := r.state.LoadOf(batch.IncarnationOf(m.Life))
@@ -83,51 +106,59 @@
 			if load != nil {
 				used = load.Used
 			}
-			return d.fits(m.Labels, m.Capacity, used) && (step.MaxPerMinion == 0 || load.StepRuns(ref) < step.MaxPerMinion)
+			return need.fits(m.Labels, m.Capacity, used) && (step.MaxPerMinion == 0 || load.StepRuns(ref) < step.MaxPerMinion)
 		})
 	}
-	key := poolSize{pool, d}
-	fits, known := r.sizes[key]
+	key := poolNeed{pool, need}
+	fits, known := r.fitsEmpty[key]
 	if !known {
-		fits = slices.ContainsFunc(r.minions[pool], func(m *apiv1.BatchMinion) bool { return d.fits(m.Labels, m.Capacity, batch.Usage{}) })
-		r.sizes[key] = fits
+		fits = slices.ContainsFunc(r.minions[pool], func(m *apiv1.BatchMinion) bool { return need.fits(m.Labels, m.Capacity, batch.Usage{}) })
+		r.fitsEmpty[key] = fits
 	}
 	return fits
 }
 
 // fits reports whether a minion or machine with the labels and the capacity, of which used
-// is in use, meets the demand.
-func (d RoomDemand) fits(labels []string, capacity *apiv1.Resources, used batch.Usage) bool {
-	return (d.Label == "" || slices.Contains(labels, d.Label)) && used.Add(d.Needed, 1).Within(capacity)
+// is in use, meets the need.
+func (n MachineNeed) fits(labels []string, capacity *apiv1.Resources, used batch.Usage) bool {
+	return (n.Label == "" || slices.Contains(labels, n.Label)) && used.Add(n.Needed, 1).Within(capacity)
 }
 
-// fillRoomDemands plans the move of one machine to each pool with demands for room. It
-// waits for machines that are on their way to the pool, and for empty ones there: the
-// planning of tasks uses them soon.
+// fillRoomDemands plans moves of machines to pools with demands for room, as many as the
+// largest demand needs. Machines that are on their way to the pool and empty ones there
+// count: the planning of tasks uses them soon.
 func (p *capacityPlanner) fillRoomDemands() {
 	for _, pool := range slices.Sorted(maps.Keys(p.in.RoomDemands)) {
-		if p.supplies[pool] == nil || slices.ContainsFunc(p.out.Moves, func(m Move) bool { return m.To == pool }) {
+		if p.supplies[pool] == nil {
 			continue
 		}
 		for _, d := range p.in.RoomDemands[pool] {
-			if len(p.out.Moves) >= p.in.MaxMoves || p.expectsMachine(pool, d) || p.moveForRoom(pool, d) {
-				break
+			for n := p.expectedMachines(pool, d.MachineNeed); n < d.Machines && len(p.out.Moves) < p.in.MaxMoves; n++ {
+				if !p.moveForRoom(pool, d.MachineNeed) {
+					break
+				}
 			}
 		}
 	}
 }
 
-// expectsMachine reports whether the pool has an empty machine that meets the demand, or
-// gets one.
-func (p *capacityPlanner) expectsMachine(pool string, d RoomDemand) bool {
-	return slices.ContainsFunc(p.in.Machines, func(m Machine) bool {
-		return m.Pool == pool && (m.Arriving || m.Available && m.Runs == 0) && d.fits(m.Labels, m.Capacity, batch.Usage{})
-	})
+// expectedMachines returns how many empty machines that meet the need the pool has or gets.
+func (p *capacityPlanner) expectedMachines(pool string, need MachineNeed) int {
+	n := 0
+	for i := range p.in.Machines {
+		m := &p.in.Machines[i]
+		expected := m.Pool == pool && (m.Arriving || m.Available && m.Runs == 0)
+		expected = expected || slices.ContainsFunc(p.out.Moves, func(move Move) bool { return move.Machine == m.ID && move.To == pool })
+		if expected && need.fits(m.Labels, m.Capacity, batch.Usage{}) {
+			n++
+		}
+	}
+	return n
 }
 
-// moveForRoom plans the move of a machine without runs that meets the demand, and reports
+// moveForRoom plans the move of a machine without runs that meets the need, and reports
 // whether there is one: one that is powered off, or of a pool that can do without it.
-func (p *capacityPlanner) moveForRoom(pool string, d RoomDemand) bool {
+func (p *capacityPlanner) moveForRoom(pool string, need MachineNeed) bool {
 	sources := []*poolSupply{p.spare}
 	for _, name := range slices.Sorted(maps.Keys(p.supplies)) {
 		if name != pool {
@@ -136,7 +167,7 @@
 	}
 	for _, s := range sources {
 		for i, m := range s.movable {
-			if m.Runs > 0 || s != p.spare && s.surplus() < m.presentCPU() || !d.fits(m.Labels, m.Capacity, batch.Usage{}) {
+			if m.Runs > 0 || s != p.spare && s.surplus() < m.presentCPU() || !need.fits(m.Labels, m.Capacity, batch.Usage{}) {
 				continue
 			}
 			s.take(i)
--- a/internal/placement/roomdemand_test.go
+++ b/internal/placement/roomdemand_test.go
@@ -22,10 +22,11 @@
 	for name, c := range map[string]struct {
 		change func(s *apiv1.BatchStep)
 		limit  uint32
-		want   int
+		// want is how many machines are in demand.
+		want int
 	}{
 		"room":             {func(*apiv1.BatchStep) {}, 100_000, 0},
-		"tasks per minion": {func(s *apiv1.BatchStep) { s.MaxPerMinion = 1 }, 100_000, 1},
+		"tasks per minion": {func(s *apiv1.BatchStep) { s.MaxPerMinion = 1 }, 100_000, 2},
 		"label":            {func(s *apiv1.BatchStep) { s.RequiredLabel = "gpu" }, 100_000, 1},
 		"finite label":     {func(s *apiv1.BatchStep) { s.LongRunning, s.RequiredLabel = false, "gpu" }, 100_000, 1},
 		"finite size":      {func(s *apiv1.BatchStep) { s.LongRunning, s.Resources.MemoryMb = false, 200_000 }, 100_000, 1},
@@ -38,21 +39,26 @@
 			g := NewWithT(t)
 			h := newHarness(&apiv1.Resources{CpuMillis: c.limit})
 			h.addMinion("m", 8000)
-			step := newStep(2, 1000)
+			step := newStep(3, 1000)
 			step.LongRunning = true
 			c.change(step)
 			h.submit("j", "q", step)
 			h.apply(&apiv1.BatchCommand{Body: &apiv1.BatchCommand_UpdateRuns{UpdateRuns: &apiv1.UpdateRuns{Starts: h.plan()}}})
-			g.Expect(h.roomDemands()).To(HaveLen(c.want))
+			demands := h.roomDemands()
+			if c.want == 0 {
+				g.Expect(demands).To(BeEmpty())
+				return
+			}
+			g.Expect(demands).To(ConsistOf(HaveField("Machines", c.want)))
 		})
 	}
 }
 
 // Guards against a demand for room that gets no machine, one that can't meet it, or one
 // more in each round while the first is on its way or has just come.
-func TestOneMachineMovesForRoom(t *testing.T) {
+func TestMachinesMoveForRoom(t *testing.T) {
 	g := NewWithT(t)
-	demand := RoomDemand{Label: "gpu", Needed: batch.Usage{CPUMillis: 100}}
+	demand := RoomDemand{MachineNeed{Label: "gpu", Needed: batch.Usage{CPUMillis: 100}}, 1}
 	input := func(poolMachine Machine, spare ...string) CapacityInput {
 		in := newCapacityInput(map[string]Demand{"a": {}}, newMachines("off", 3))
 		for i := range in.Machines {
@@ -72,4 +78,7 @@
 	g.Expect(PlanCapacity(input(busy)).Moves).To(BeEmpty(), "no machine has the label")
 	g.Expect(PlanCapacity(input(Machine{Arriving: true}, "gpu")).Moves).To(BeEmpty(), "one is on its way")
 	g.Expect(PlanCapacity(input(Machine{Available: true, CooldownOver: true, Idle: true}, "gpu")).Moves).To(BeEmpty(), "one is empty and stays")
+	demand.Machines = 3
+	g.Expect(PlanCapacity(input(busy, "gpu", "", "gpu")).Moves).To(ConsistOf(HaveField("Machine", "off0"), HaveField("Machine", "off2")))
+	g.Expect(PlanCapacity(input(Machine{Arriving: true}, "gpu", "gpu", "gpu")).Moves).To(HaveLen(2))
 }
