--- a/internal/dispatch/capacity.go
+++ b/internal/dispatch/capacity.go
@@ -26,6 +26,9 @@
 	// the machine: 1.5 s for the move, and the planning rounds before and after
 	// it.
 	moveLeadTime = 1700 * time.Millisecond
+	// minionStartTime is how long after an order for a machine was carried out a machine
+	// without a minion in use counts as one that gets it.
+	minionStartTime = 2 * moveLeadTime
 	// startRateMemory is how long the rate of starts counts that the leader reached
 	// while it was the limit. It bridges the time in which refused callers stay away:
 	// the machines that they need would be powered off and ordered again.
@@ -42,10 +45,8 @@
 	if f.d.clock.Now() < f.firstOrderAt {
 		return nil
 	}
-	in := f.capacityInput(unmovable)
-	plan := placement.PlanCapacity(in)
+	plan := placement.PlanCapacity(f.capacityInput(unmovable))
 	f.logCapacity(plan)
-	f.recordRoomMoves(in.RoomDemands, plan.Moves)
 	reserved := plan.Reserve
 	var ready []placement.Move
 	for _, m := range plan.Moves {
@@ -213,6 +214,8 @@
 			out.ShrunkCPUMillis = max(out.CPUMillis-int64(minion.Capacity.GetCpuMillis()), 0)
 		}
 	}
+	// Its minion may need a moment to get its first work.
+	out.Arriving = out.Arriving || hadOrder && now-orderedAt < minionStartTime && m.State == MachineUp && !spare && !usable[out.Incarnation]
 	out.Idle = f.idleFor(m.ID, out.Runs, now) > idleTimeout
 	out.Available = (out.Available || spare) && m.State == MachineUp && !unmovable && !f.failedRecently(m.ID) && !st.IsZoneOut(m.AvailabilityZone)
 	return out
--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -117,9 +117,8 @@
 	// clearing holds the machine to clear of each pool.
 	clearing map[string]clearedMachine
 	// relocationDemands holds the latest demand for room of each pool by a task that
-	// can't be relocated, and movedForRoomAt when a machine was last moved there for room.
+	// can't be relocated.
 	relocationDemands map[string]relocationDemand
-	movedForRoomAt    map[string]time.Duration
 	// nextRelocationAt holds from when on a task may be relocated from a machine.
 	nextRelocationAt map[string]time.Duration
 	// waitsLoggedAt holds when it was last logged, by wave, why its machines wait.
@@ -168,7 +167,6 @@
 		startSeen:             map[machineInWave]bool{},
 		clearing:              map[string]clearedMachine{},
 		relocationDemands:     map[string]relocationDemand{},
-		movedForRoomAt:        map[string]time.Duration{},
 		nextRelocationAt:      map[string]time.Duration{},
 		relocated:             map[batch.TaskRef]bool{},
 		movingTo:              map[string]string{},
