placement: a machine with room for a waiting task isn't reserved for another pool

Cause: a pool with more CPU than its share gives its machines to pools with a shortage. One with finite runs gets no new work until these end, and is chosen again in each round. With the tasks per minion of a step, or a label, the other minions of the pool have no room for the task, whose demand for CPU is small. So a preference between pools was enforced as a condition on where a task may start, without a bound in time.

A machine that meets a demand for room of its own pool no longer leaves it.

--- a/internal/dispatch/roomdemand_test.go
+++ b/internal/dispatch/roomdemand_test.go
@@ -160,3 +160,45 @@
 		g.Expect(h.runningTasks()).To(Equal(2))
 	})
 }
+
+// Load: the pool of a long-running task has CPU to spare, and another pool asks for more
+// than the fleet has. Guards against a task that waits beside a minion with room, which is
+// reserved for the other pool until a finite task there ends.
+func TestTaskWithoutRoomStartsOnAMinionThatAnotherPoolWants(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		h, p := newSpareHarness(t)
+		defer h.endTerm()
+		p.mu.Lock()
+		clear(p.machines)
+		p.mu.Unlock()
+		h.propose(&apiv1.BatchCommand{Body: &apiv1.BatchCommand_PutCatalog{PutCatalog: &apiv1.Catalog{
+			Version: 3, Pools: []*apiv1.BatchPool{{Name: "p"}, {Name: "wanting"}},
+			Queues: []*apiv1.BatchQueue{{Name: "q", Pool: "p", MaxAttempts: 3}, {Name: "w", Pool: "wanting", MaxAttempts: 3}},
+		}}})
+		const cpu = 40 * taskCPUMillis
+		for _, id := range []string{"m0", "m1"} {
+			p.mu.Lock()
+			p.machines[id] = Machine{ID: id, Pool: "p", State: MachineUp, MinionID: id, Capacity: &apiv1.Resources{CpuMillis: cpu}}
+			p.mu.Unlock()
+			m := h.cluster.add(id)
+			h.setCapacity(m, cpu)
+			h.announce(m)
+		}
+		time.Sleep(3 * time.Second)
+		submit := func(id, queue, pool string, step *apiv1.BatchStep) {
+			step.Resources = &apiv1.Resources{CpuMillis: taskCPUMillis}
+			h.propose(&apiv1.BatchCommand{Body: &apiv1.BatchCommand_Submit{Submit: &apiv1.BatchJob{
+				Id: id, Queue: queue, AcceptedQueue: &apiv1.BatchQueue{Name: queue, Pool: pool}, Steps: []*apiv1.BatchStep{step},
+			}}})
+		}
+		submit("finite", "q", "p", &apiv1.BatchStep{Count: 2, MaxPerMinion: 1, EstimatedMs: 400})
+		time.Sleep(time.Second)
+		submit("many", "w", "wanting", &apiv1.BatchStep{Count: 200, EstimatedMs: 400})
+		time.Sleep(time.Second)
+		submit("lasting", "q", "p", &apiv1.BatchStep{Count: 2, MaxPerMinion: 1, LongRunning: true})
+		time.Sleep(3 * time.Second)
+		g.Expect(h.runningTasks()).To(Equal(4))
+		g.Expect(p.moves).To(BeZero())
+	})
+}
--- a/internal/placement/capacity.go
+++ b/internal/placement/capacity.go
@@ -163,7 +163,8 @@
 
 // collectMachines counts the supply of each pool and collects the machines that
 // may be moved. A machine that is powered off always may, if it is available.
-// Another one may only when its cooldown is over and it runs no long-running task.
+// Another one may only when its cooldown is over, it runs no long-running task, and no
+// task without room in its pool may get it.
 func (p *capacityPlanner) collectMachines() {
 	for i := range p.in.Machines {
 		m := &p.in.Machines[i]
@@ -178,7 +179,7 @@
 			s.cpuMillis += m.presentCPU()
 			s.machines++
 		}
-		if m.Available && !m.Arriving && (s == p.spare || m.CooldownOver && !m.LongRunning) {
+		if m.Available && !m.Arriving && (s == p.spare || m.CooldownOver && !m.LongRunning && !p.meetsRoomDemand(m)) {
 			s.movable = append(s.movable, m)
 		}
 	}
@@ -290,9 +291,6 @@
 		return
 	}
 	for _, pool := range slices.Sorted(maps.Keys(p.supplies)) {
-		if len(p.in.RoomDemands[pool]) > 0 {
-			continue // an idle machine may be the one that a task is about to get
-		}
 		s := p.supplies[pool]
 		d := p.in.Demands[pool]
 		required := max(s.share, max(d.CPU(), d.Peak)*onSupplyPercent/100)
--- a/internal/placement/roomdemand.go
+++ b/internal/placement/roomdemand.go
@@ -142,6 +142,12 @@
 	}
 }
 
+// meetsRoomDemand reports whether the machine meets a demand for room of its pool, now or
+// once its runs have ended.
+func (p *capacityPlanner) meetsRoomDemand(m *Machine) bool {
+	return slices.ContainsFunc(p.in.RoomDemands[m.Pool], func(d RoomDemand) bool { return d.fits(m.Labels, m.Capacity, batch.Usage{}) })
+}
+
 // expectedMachines returns how many empty machines that meet the need the pool has or gets.
 func (p *capacityPlanner) expectedMachines(pool string, need MachineNeed) int {
 	n := 0
--- a/internal/placement/roomdemand_test.go
+++ b/internal/placement/roomdemand_test.go
@@ -82,3 +82,22 @@
 	g.Expect(PlanCapacity(input(busy, "gpu", "", "gpu")).Moves).To(ConsistOf(HaveField("Machine", "off0"), HaveField("Machine", "off2")))
 	g.Expect(PlanCapacity(input(Machine{Arriving: true}, "gpu", "gpu", "gpu")).Moves).To(HaveLen(2))
 }
+
+// Load: one pool asks for more machines than the fleet has, and another one has a machine
+// to spare by its CPU, on which a finite task runs. Guards against a long-running task that
+// waits beside that machine's room, since the machine is reserved for the other pool until
+// its run ends.
+func TestMachineWithRoomForAWaitingTaskIsNotReserved(t *testing.T) {
+	g := NewWithT(t)
+	in := newCapacityInput(map[string]Demand{"a": {}, "b": {Ready: 10 * machineCPU}}, newMachines("a", 2), newMachines("b", 1))
+	for i := range in.Machines {
+		in.Machines[i].Capacity = &apiv1.Resources{CpuMillis: machineCPU}
+		in.Machines[i].Runs = 1
+	}
+	in.Machines[0].LongRunning = true
+	g.Expect(PlanCapacity(in).Reserve).To(ConsistOf(HaveField("ID", "a1")))
+	in.RoomDemands = map[string][]RoomDemand{"a": {{MachineNeed{Needed: batch.Usage{CPUMillis: 100}}, 1}}}
+	g.Expect(PlanCapacity(in).Reserve).To(BeEmpty())
+	in.RoomDemands["a"][0].Label = "gpu"
+	g.Expect(PlanCapacity(in).Reserve).To(HaveLen(1), "the task can't run there")
+}
