placement: machines for tasks without room come before a shortage of CPU

Long-running tasks are planned first, since every moment without them counts; the machines that they need came last, after pools whose demand for CPU takes whatever the fleet has.

TestRoomComesBeforeShortageOfCPU failed before: the one machine went to the pool with the larger demand.

--- a/internal/placement/capacity.go
+++ b/internal/placement/capacity.go
@@ -125,10 +125,11 @@
 
 // PlanCapacity plans the machine moves of one round, a pass of the planner. It
 // divides the fleet among the pools by their demand, first that of jobs which can
-// meet their latency limit, then that of late ones, and moves machines to pools
-// that have less than their share: first those that are powered off, then those
-// of pools that have more than theirs. Then it moves machines for tasks without room,
-// and powers off idle ones. The leader calls it in every round and orders the moves.
+// meet their latency limit, then that of late ones, and moves machines: first for
+// tasks without room, most of which are long-running, then to pools that have less
+// than their share. Machines that are powered off come first, then those of pools
+// that have more than theirs. Then it powers off idle machines. The leader calls it
+// in every round and orders the moves.
 func PlanCapacity(in CapacityInput) CapacityPlan {
 	p := &capacityPlanner{in: in, supplies: map[string]*poolSupply{}, spare: &poolSupply{}}
 	for pool := range in.Demands {
@@ -141,10 +142,10 @@
 		p.out.Pools[pool] = PoolSupply{Machines: s.machines, SupplyCPU: s.cpuMillis, DemandCPU: in.Demands[pool].CPU(), LateCPU: in.Demands[pool].Late}
 	}
 	p.setShares()
+	p.fillRoomDemands()
 	for _, s := range p.poolsWithShortage() {
 		p.fillShortage(s)
 	}
-	p.fillRoomDemands()
 	p.powerOffIdle()
 	return p.out
 }
--- a/internal/placement/roomdemand.go
+++ b/internal/placement/roomdemand.go
@@ -177,6 +177,8 @@
 				continue
 			}
 			s.take(i)
+			p.supplies[pool].cpuMillis += m.CPUMillis
+			p.supplies[pool].machines++
 			p.out.Moves = append(p.out.Moves, Move{Machine: m.ID, To: pool, Incarnation: m.Incarnation})
 			return true
 		}
--- a/internal/placement/roomdemand_test.go
+++ b/internal/placement/roomdemand_test.go
@@ -101,3 +101,17 @@
 	in.RoomDemands["a"][0].Label = "gpu"
 	g.Expect(PlanCapacity(in).Reserve).To(HaveLen(1), "the task can't run there")
 }
+
+// Load: one machine is powered off, and a pool asks for ten by its CPU. Guards against a
+// long-running task that waits for as long as the fleet is too small for the demand.
+func TestRoomComesBeforeShortageOfCPU(t *testing.T) {
+	g := NewWithT(t)
+	in := newCapacityInput(map[string]Demand{"a": {}, "b": {Ready: 10 * machineCPU}}, newMachines("a", 1), newMachines("b", 1), newMachines("off", 1))
+	for i := range in.Machines {
+		in.Machines[i].Capacity = &apiv1.Resources{CpuMillis: machineCPU}
+	}
+	in.Machines[0].Runs, in.Machines[0].LongRunning = 1, true
+	g.Expect(movesByPool(PlanCapacity(in))).To(Equal(map[string]int{"b": 1}))
+	in.RoomDemands = map[string][]RoomDemand{"a": {{MachineNeed{Needed: batch.Usage{CPUMillis: 100}}, 1}}}
+	g.Expect(movesByPool(PlanCapacity(in))).To(Equal(map[string]int{"a": 1}))
+}
