dispatch: bound what explaining and looking for room costs; a machine stays the one to clear

By reading: a relocation did not extend the time for which a machine is the one to clear, as its comment says; an explanation looked at 100 steps on each minion of a pool once a second, now at 25; and most finite steps fit on the first minion, which needs no table.

--- a/internal/dispatch/waveclearing.go
+++ b/internal/dispatch/waveclearing.go
@@ -105,11 +105,14 @@
 	run, found, without := f.nextRelocation(l, r)
 	if found {
 		f.nextRelocationAt[machine] = now + relocationInterval
+		if mayClear {
+			f.clearing[f.machines[machine].Pool] = clearedMachine{machine, now + clearingTime}
+		}
 		f.relocate(run)
 		return
 	}
 	f.nextRelocationAt[machine] = now + relocationRetryInterval
-	if without != nil && r.rankLimit == rankCleared {
+	if without != nil && mayClear {
 		f.relocationDemands[f.machines[machine].Pool] = relocationDemand{placement.RoomDemandOf(without, 1), now}
 		f.stopClearing(machine, now)
 	}
--- a/internal/placement/roomdemand.go
+++ b/internal/placement/roomdemand.go
@@ -109,6 +109,9 @@
 			return need.fits(m.Labels, m.Capacity, used) && (step.MaxPerMinion == 0 || load.StepRuns(ref) < step.MaxPerMinion)
 		})
 	}
+	if minions := r.minions[pool]; len(minions) > 0 && need.fits(minions[0].Labels, minions[0].Capacity, batch.Usage{}) {
+		return true
+	}
 	key := poolNeed{pool, need}
 	fits, known := r.fitsEmpty[key]
 	if !known {
--- a/internal/placement/waits.go
+++ b/internal/placement/waits.go
@@ -53,7 +53,7 @@
 
 // maxExplainedSteps bounds the steps of a pool whose tasks a round explains. They are the
 // first ones in the order of planning, so those with long-running tasks.
-const maxExplainedSteps = 100
+const maxExplainedSteps = 25
 
 // explain returns why tasks of the jobs wait after the round, by pool.
 func (p *planner) explain(jobs []*batch.Job) map[string]TaskWaits {
