placement: finite tasks without room ask for one machine

By reading: finite tasks of a step with a label that no minion of the pool has asked for as many machines as their tasks per minion need. One is enough: with it the demand for CPU sizes the pool. TestTasksWithoutRoomDemandAMachine (its case "finite label" has a limit now, and failed with 3 machines before).

--- a/internal/placement/roomdemand.go
+++ b/internal/placement/roomdemand.go
@@ -60,6 +60,9 @@
 				if waiting == 0 || !j.StepReady(k, uint32(s)) || r.hasRoom(pool, step, ref) || !st.AccountAllows(j, step, batch.Usage{}) {
 					continue
 				}
+				if !step.LongRunning {
+					waiting = 1 // with the first machine, Demands sizes the pool
+				}
 				out[pool] = AddRoomDemand(out[pool], RoomDemandOf(step, waiting))
 			}
 		}
--- a/internal/placement/roomdemand_test.go
+++ b/internal/placement/roomdemand_test.go
@@ -28,8 +28,10 @@
 		"room":             {func(*apiv1.BatchStep) {}, 100_000, 0},
 		"tasks per minion": {func(s *apiv1.BatchStep) { s.MaxPerMinion = 1 }, 100_000, 2},
 		"label":            {func(s *apiv1.BatchStep) { s.RequiredLabel = "gpu" }, 100_000, 1},
-		"finite label":     {func(s *apiv1.BatchStep) { s.LongRunning, s.RequiredLabel = false, "gpu" }, 100_000, 1},
-		"finite size":      {func(s *apiv1.BatchStep) { s.LongRunning, s.Resources.MemoryMb = false, 200_000 }, 100_000, 1},
+		"finite label": {func(s *apiv1.BatchStep) {
+			s.LongRunning, s.RequiredLabel, s.MaxPerMinion = false, "gpu", 1
+		}, 100_000, 1},
+		"finite size": {func(s *apiv1.BatchStep) { s.LongRunning, s.Resources.MemoryMb = false, 200_000 }, 100_000, 1},
 		"finite, others end": {func(s *apiv1.BatchStep) {
 			s.LongRunning, s.MaxPerMinion, s.Resources.MemoryMb = false, 1, 60_000
 		}, 100_000, 0},
