dispatch: one name for why a machine waits for maintenance; describe one step a round

Placement has a WaitReason for tasks. The step that keeps a machine from its maintenance was described for each machine in each round, also when nothing is logged; now for one.

--- a/internal/dispatch/waves.go
+++ b/internal/dispatch/waves.go
@@ -151,7 +151,7 @@
 	for i, l := range loads {
 		machine := l.maintenance.Machine
 		if l.unknown || !f.availability.allowsMaintenance(l) {
-			waits.add(f.availability.waitReason(l))
+			waits.addBlocked(f.availability, l)
 			f.relocateTask(l, budget)
 			continue
 		}
--- a/internal/dispatch/wavewaits.go
+++ b/internal/dispatch/wavewaits.go
@@ -15,39 +15,54 @@
 	waveWaitsMessage    = "machines wait for maintenance"
 )
 
-// waitReason is why the maintenance of a machine isn't ordered in this round. The text
+// maintenanceWait is why the maintenance of a machine isn't ordered in this round. The text
 // is the name of a log field.
-type waitReason string
+type maintenanceWait string
 
 const (
-	waitNotListed    waitReason = "not_listed"
-	waitNotUp        waitReason = "not_up"
-	waitMoving       waitReason = "moving_to_pool"
-	waitOrderPending waitReason = "order_pending"
-	waitOrderFailed  waitReason = "order_failed"
+	waitNotListed    maintenanceWait = "not_listed"
+	waitNotUp        maintenanceWait = "not_up"
+	waitMoving       maintenanceWait = "moving_to_pool"
+	waitOrderPending maintenanceWait = "order_pending"
+	waitOrderFailed  maintenanceWait = "order_failed"
 	// waitUnknown means that it isn't known which tasks the maintenance would end.
-	waitUnknown waitReason = "tasks_unknown"
+	waitUnknown maintenanceWait = "tasks_unknown"
 	// waitAvailability means that too many tasks of a step would be unavailable.
-	waitAvailability waitReason = "tasks_needed"
-	waitLimit        waitReason = "limit_of_wave"
-	waitOtherWave    waitReason = "limit_of_other_wave"
-	waitDraining     waitReason = "tasks_end"
-	waitList         waitReason = "list_too_old"
+	waitAvailability maintenanceWait = "tasks_needed"
+	waitLimit        maintenanceWait = "limit_of_wave"
+	waitOtherWave    maintenanceWait = "limit_of_other_wave"
+	waitDraining     maintenanceWait = "tasks_end"
+	waitList         maintenanceWait = "list_too_old"
 )
 
 // waveWaits holds why the machines of a wave wait in one round.
 type waveWaits struct {
-	counts map[waitReason]int
-	// examples describes one machine of each reason.
-	examples map[waitReason]string
+	counts map[maintenanceWait]int
+	// examples describes the first machine of each reason.
+	examples map[maintenanceWait]string
 }
 
-func (w *waveWaits) add(reason waitReason, example string) {
+func (w *waveWaits) add(reason maintenanceWait, example string) {
 	if w.counts == nil {
-		w.counts, w.examples = map[waitReason]int{}, map[waitReason]string{}
+		w.counts, w.examples = map[maintenanceWait]int{}, map[maintenanceWait]string{}
+	}
+	if w.counts[reason] == 0 {
+		w.examples[reason] = example
 	}
 	w.counts[reason]++
-	w.examples[reason] = example
+}
+
+// addBlocked adds a machine whose tasks don't permit its maintenance.
+func (w *waveWaits) addBlocked(t taskAvailability, l machineLoad) {
+	machine := l.maintenance.Machine
+	switch {
+	case l.unknown:
+		w.add(waitUnknown, machine)
+	case w.counts[waitAvailability] > 0:
+		w.add(waitAvailability, "")
+	default:
+		w.add(waitAvailability, machine+": "+t.neededStep(l))
+	}
 }
 
 // logWaits logs why machines of a wave wait, every waveWaitLogInterval.
@@ -61,7 +76,7 @@
 }
 
 // mayNotBeOrdered returns why a machine gets no order whatever it runs, or "".
-func (f *fleetManager) mayNotBeOrdered(machine string) waitReason {
+func (f *fleetManager) mayNotBeOrdered(machine string) maintenanceWait {
 	m, listed := f.machines[machine]
 	switch {
 	case f.orders.isPending(machine):
@@ -78,18 +93,13 @@
 	return ""
 }
 
-// waitReason returns why a machine whose tasks don't permit its maintenance waits, and
-// the machine, with the step that is the reason.
-func (t taskAvailability) waitReason(l machineLoad) (waitReason, string) {
-	machine := l.maintenance.Machine
-	if l.unknown {
-		return waitUnknown, machine
-	}
+// neededStep describes the step whose tasks keep a machine from its maintenance.
+func (t taskAvailability) neededStep(l machineLoad) string {
 	for _, s := range l.steps {
 		if !t.allowsEnd(s) {
-			return waitAvailability, fmt.Sprintf("%s: step %s has %d tasks here, %d of them starting, %d unavailable and %d allowed",
-				machine, s.step, len(s.runs), s.starting, t.unavailable[s.step], s.maxUnavailable)
+			return fmt.Sprintf("step %s has %d tasks here, %d of them starting, %d unavailable and %d allowed",
+				s.step, len(s.runs), s.starting, t.unavailable[s.step], s.maxUnavailable)
 		}
 	}
-	return waitAvailability, machine
+	return "no step"
 }
--- a/internal/dispatch/wavewaits_test.go
+++ b/internal/dispatch/wavewaits_test.go
@@ -24,7 +24,7 @@
 			Number: 1, Machines: []string{"m0", "m1", "m2", "no-such"}, MaxDown: 1, DueUnixMs: time.Now().Add(20 * time.Second).UnixMilli(),
 		}}})
 		time.Sleep(waveWaitLogInterval)
-		seen := map[waitReason]int{}
+		seen := map[maintenanceWait]int{}
 		lines := 0
 		for _, e := range hook.AllEntries() {
 			if e.Message != waveWaitsMessage {
@@ -32,10 +32,10 @@
 			}
 			lines++
 			g.Expect(e.Level).To(Equal(logrus.InfoLevel))
-			for reason, n := range e.Data["reasons"].(map[waitReason]int) {
+			for reason, n := range e.Data["reasons"].(map[maintenanceWait]int) {
 				seen[reason] += n
 			}
-			if example, ok := e.Data["examples"].(map[waitReason]string)[waitAvailability]; ok {
+			if example, ok := e.Data["examples"].(map[maintenanceWait]string)[waitAvailability]; ok {
 				g.Expect(example).To(ContainSubstring("step long-running.0.0"))
 			}
 		}
