placement: pools are sized by the resource that their tasks need most

Cause: demands counted CPU alone.

Change: a task counts with the CPU that stands for the resource of which it takes the largest share. Deployments whose tasks need CPU most are not affected.

The test fails before the change with 10,000 in place of 40,000.

--- a/internal/placement/demand.go
+++ b/internal/placement/demand.go
@@ -5,7 +5,9 @@
 	"bergamotdrum.example/bergamotdrum/internal/batch"
 )
 
-// Demand is the CPU demand of a pool's queues, in thousandths of a core.
+// Demand is the demand of a pool's queues, in thousandths of a core. A task that takes
+// a larger share of its minion's memory or accelerators than of the CPU counts with the
+// CPU that stands for it (see equivalence).
 type Demand struct {
 	// Running is the CPU of the running tasks of jobs that can still meet their
 	// latency limit, and of long-running tasks.
@@ -70,10 +72,11 @@
 	for _, q := range st.Catalog().Queues {
 		out[q.Pool] = Demand{}
 	}
+	e := newEquivalence(st)
 	for _, j := range st.ActiveJobs() {
 		q := st.QueueOf(j)
 		d := out[q.GetPool()]
-		addJobDemand(&d, q, j, nowUnixMS)
+		e.addJobDemand(&d, q, j, nowUnixMS)
 		out[q.GetPool()] = d
 	}
 	return out
@@ -81,7 +84,7 @@
 
 // addJobDemand adds the demand of a job's due occurrences, the repetitions of a
 // recurring job.
-func addJobDemand(d *Demand, q *apiv1.BatchQueue, j *batch.Job, nowUnixMS int64) {
+func (e equivalence) addJobDemand(d *Demand, q *apiv1.BatchQueue, j *batch.Job, nowUnixMS int64) {
 	limit := latencyLimitMS(q, j.BatchJob)
 	for k := range j.NumOccurrences() {
 		if !j.IsDue(k, nowUnixMS) {
@@ -90,9 +93,9 @@
 		slack := slackMS(limit, j, k, nowUnixMS)
 		recent := nowUnixMS-j.DueMS(k) < arrivalWindowMS
 		for s, step := range j.Steps {
-			addStepDemand(d, j, k, uint32(s), slack)
+			e.addStepDemand(d, j, k, uint32(s), slack)
 			if recent && (slack >= 0 || step.LongRunning) {
-				d.ArrivalRate += arrivingCPU(step)
+				d.ArrivalRate += e.arrivingCPU(step)
 			}
 		}
 	}
@@ -100,10 +103,10 @@
 
 // addStepDemand adds the demand of one step of an occurrence that has the given
 // slack, in milliseconds.
-func addStepDemand(d *Demand, j *batch.Job, occurrence, number uint32, slack int64) {
+func (e equivalence) addStepDemand(d *Demand, j *batch.Job, occurrence, number uint32, slack int64) {
 	step := j.Steps[number]
 	waiting, running := countTasks(j, occurrence, number)
-	cpu := batch.ResourcesOnMinion(step).CPUMillis
+	cpu := e.cpuMillis(batch.ResourcesOnMinion(step))
 	if !j.StepReady(occurrence, number) {
 		waiting = 0
 	}
@@ -136,8 +139,8 @@
 // arrivingCPU returns the CPU that a step adds to ArrivalRate, in thousandths of
 // a core: its estimated work divided by the arrival window. Tasks of a
 // long-running step don't end, so their whole CPU counts.
-func arrivingCPU(step *apiv1.BatchStep) int64 {
-	cpu := int64(step.Count) * batch.ResourcesOnMinion(step).CPUMillis
+func (e equivalence) arrivingCPU(step *apiv1.BatchStep) int64 {
+	cpu := int64(step.Count) * e.cpuMillis(batch.ResourcesOnMinion(step))
 	if step.LongRunning {
 		return cpu
 	}
--- a/internal/placement/demand_test.go
+++ b/internal/placement/demand_test.go
@@ -23,3 +23,18 @@
 	g.Expect(d.Late).To(Equal(4000 * estimate / lateDrainMS))
 	g.Expect(d.ArrivalRate).To(BeZero())
 }
+
+// Load: tasks that need much memory and little CPU. Guards against a pool that is sized by
+// CPU alone, where hundreds of tasks wait for memory beside idle cores.
+func TestDemandCountsTheScarcestResource(t *testing.T) {
+	g := NewWithT(t)
+	h := newHarness(nil)
+	h.addMinion("m", 16_000)
+	h.state.Minion("m").Capacity.MemoryMb = 32_000
+	step := newStep(10, 1000)
+	step.Resources.MemoryMb = 8000
+	h.submit("j", "q", step)
+	d := Demands(h.state, nowMS)["p"]
+	g.Expect(d.Ready).To(BeNumerically("==", 40_000), "a quarter of a machine each")
+	g.Expect(d.FiniteCPU).To(Equal(d.Ready))
+}
