placement: accounts take turns by weight and recent use; worthless jobs come last

Cause: the weight of a client account was used by no decision, and nothing kept what an account had used: of the jobs of a pool that can be on time, the newest was first, so the account that sent most got most. A job of an urgent queue whose result has no value any more came before jobs of less urgent queues that can be on time.

Change: within a priority, the account that for its weight used least is first, by its finite tasks of the last 5 to 10 s, those that run, and the jobs before. The use is part of the replicated state, in whole numbers, and decides no command. Worthless jobs come last.

--- a/internal/batch/runs.go
+++ b/internal/batch/runs.go
@@ -308,6 +308,7 @@
 		j.markBegun()
 	}
 	s.untrack(j, ref, run)
+	s.recordUse(logTimeMS, j, step, run)
 	task.Runs = slices.Delete(task.Runs, i, i+1)
 	if e.Checkpoint != "" {
 		task.Checkpoint = e.Checkpoint
--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -57,6 +57,9 @@
 	// usage holds the resources of the active runs by client account.
 	usage map[string]Usage
 	waves map[uint64]*apiv1.MaintenanceWave
+	// recentUse holds what the finite tasks of accounts took lately. Shares of room
+	// depend on it, and it outlives the leader; no command is decided by it.
+	recentUse map[useKey]periodUse
 	// losses holds the tasks under which an incarnation was lost for an unknown reason.
 	losses map[Incarnation][]TaskRef
 	// ended holds the ended incarnations for which calls may still be carried out, by
@@ -83,6 +86,7 @@
 		loads:       map[Incarnation]*Load{},
 		usage:       map[string]Usage{},
 		waves:       map[uint64]*apiv1.MaintenanceWave{},
+		recentUse:   map[useKey]periodUse{},
 		losses:      map[Incarnation][]TaskRef{},
 		ended:       map[string]endedIncarnations{},
 	}
@@ -113,6 +117,7 @@
 		err = s.updateServices(c.UpdateServices)
 	case *apiv1.BatchCommand_ForgetJobs:
 		s.forgetJobs(c.ForgetJobs.EndedBeforeUnixMs)
+		s.forgetUse(logTimeMS)
 	case *apiv1.BatchCommand_RecordLongestLease:
 		s.recordLongestLease(c.RecordLongestLease)
 		res.LongestLeaseMs = s.longestLeaseMS
@@ -151,6 +156,7 @@
 func (s *State) Snapshot() *apiv1.BatchSnapshot {
 	snap := &apiv1.BatchSnapshot{Catalog: s.catalog.Catalog, ZonesOut: s.ZonesOut(), LongestLeaseMs: s.longestLeaseMS, EndedLives: s.snapshotEnded()}
 	snap.FormerPools = sortedKeys(s.formerPools)
+	snap.RecentUse = s.snapshotUse()
 	for _, id := range sortedKeys(s.jobs) {
 		snap.Jobs = append(snap.Jobs, s.jobs[id].BatchJob)
 	}
@@ -171,6 +177,7 @@
 	s.catalog = newCatalog(snap.GetCatalog())
 	s.longestLeaseMS = snap.GetLongestLeaseMs()
 	s.restoreEnded(snap.GetEndedLives())
+	s.restoreUse(snap.GetRecentUse())
 	for _, p := range snap.GetFormerPools() {
 		s.formerPools[p] = true
 	}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -84,7 +84,8 @@
 
 // planner is the working state of one round.
 type planner struct {
-	in Input
+	in          Input
+	equivalence equivalence
 	// Candidates by pool, in the order of the minions' ids, and the index of each pool.
 	candidates map[string][]*candidate
 	room       map[string]*roomIndex
@@ -123,7 +124,7 @@
 
 func newPlanner(in Input) *planner {
 	return &planner{
-		in: in, candidates: map[string][]*candidate{}, room: map[string]*roomIndex{},
+		in: in, equivalence: newEquivalence(in.State), candidates: map[string][]*candidate{}, room: map[string]*roomIndex{},
 		startedUsage: map[string]batch.Usage{}, unplaceable: map[string]batch.Usage{}, started: map[batch.TaskRef]bool{},
 	}
 }
--- a/internal/placement/rank.go
+++ b/internal/placement/rank.go
@@ -11,7 +11,7 @@
 // jobOrder returns the jobs that have tasks to start, in the order in which the
 // planning round places them: jobs with long-running tasks first, then by the
 // queue's priority (0 is the most urgent). Within a priority, jobs that can
-// still meet their latency limit come first.
+// still meet their latency limit come first, in the order of setTurns.
 func (p *planner) jobOrder() []jobRank {
 	ranks := make([]jobRank, 0, len(p.in.State.ActiveJobs()))
 	for _, j := range p.in.State.ActiveJobs() {
@@ -19,6 +19,7 @@
 			ranks = append(ranks, p.rankJob(j, next))
 		}
 	}
+	p.setTurns(ranks)
 	slices.SortStableFunc(ranks, compareRanks)
 	return ranks
 }
@@ -77,6 +78,8 @@
 // jobRank is the sort key of a job in jobOrder.
 type jobRank struct {
 	job *batch.Job
+	// occurrence is the repetition that is next.
+	occurrence uint32
 	// The job has long-running tasks. They serve users for as long as they run,
 	// so every moment without them counts.
 	isLongRunning bool
@@ -84,45 +87,29 @@
 	lateness      lateness
 	// Some task of the occurrence has been started.
 	begun bool
-	// The time in Unix milliseconds from which the latency limit counts, and the one
-	// at which it ends.
-	due, deadline int64
 	// The job has no latency limit.
 	isUnlimited bool
+	// turn and order are the position among jobs that are equal otherwise, lower ones
+	// first. turn is set by setTurns.
+	turn, order int64
 }
 
-// compareRanks orders the job to place first as the lower one. When not all jobs can
-// be on time, those that are begun and then done late are wasted, so begun jobs come
-// first. Of the others the newest come first: they have the most time left for delays
-// that the plan can't foresee, and a job that waits until it has just enough time
-// would only hold up others. Jobs without a latency limit follow, the oldest first, since
-// they would wait for as long as newer ones arrive. The choice between jobs doesn't depend
-// on their size.
+// compareRanks orders the job to place first as the lower one. Jobs whose result has no
+// value any more come last, whatever their priority. When not all jobs can be on time,
+// those that are begun and then done late are wasted, so begun jobs come first. Jobs
+// without a latency limit follow those with one, the oldest first, since they would wait
+// for as long as newer ones arrive. The choice between jobs doesn't depend on their size.
 func compareRanks(a, b jobRank) int {
-	if a.isLongRunning != b.isLongRunning {
-		if a.isLongRunning {
-			return -1
-		}
-		return 1
-	}
-	if c := cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.lateness, b.lateness)); c != 0 {
-		return c
-	}
-	switch {
-	case a.begun != b.begun && a.begun:
-		return -1
-	case a.begun != b.begun:
-		return 1
-	case a.begun || a.lateness == worthless:
-		return cmp.Compare(a.deadline, b.deadline)
-	case a.isUnlimited != b.isUnlimited && a.isUnlimited:
-		return 1
-	case a.isUnlimited != b.isUnlimited:
-		return -1
-	case a.isUnlimited:
-		return cmp.Compare(a.due, b.due)
-	}
-	return cmp.Compare(b.due, a.due)
+	return cmp.Or(
+		compareBool(!a.isLongRunning, !b.isLongRunning),
+		compareBool(a.lateness == worthless, b.lateness == worthless),
+		cmp.Compare(a.priority, b.priority),
+		cmp.Compare(a.lateness, b.lateness),
+		compareBool(!a.begun, !b.begun),
+		compareBool(a.isUnlimited && !a.begun, b.isUnlimited && !b.begun),
+		cmp.Compare(a.turn, b.turn),
+		cmp.Compare(a.order, b.order),
+	)
 }
 
 // rankJob computes the rank of a job by one occurrence. Long-running jobs, and those of a
@@ -132,7 +119,7 @@
 	limit := latencyLimitMS(q, j.BatchJob)
 	dueMS := j.DueMS(occurrence)
 	r := jobRank{
-		job: j, priority: q.GetPriority(), due: dueMS, deadline: dueMS + limit, isLongRunning: hasLongRunning(j.BatchJob),
+		job: j, occurrence: occurrence, priority: q.GetPriority(), isLongRunning: hasLongRunning(j.BatchJob),
 		begun: j.Occurrence(occurrence) != nil,
 	}
 	r.isUnlimited = r.isLongRunning || limit == 0
@@ -147,6 +134,14 @@
 	default:
 		r.lateness = worthless
 	}
+	switch {
+	case r.begun || r.lateness == worthless:
+		r.order = dueMS + limit
+	case r.isUnlimited:
+		r.order = dueMS
+	default:
+		r.order = -dueMS
+	}
 	return r
 }
 
