placement: a job is accepted if a forecast has room for it

Cause: admission knew only how many tasks the leader can start.

Change: the leader forecasts, from the state and from what it knows of minions and machines, the work that waits and the room for it, and refuses at once what can't be done in time, with the reason and a Retry-After at which there is room.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -31,10 +31,18 @@
 )
 
 // admission refuses jobs that the leader can't start in time (see
-// placement.Admission). It refuses none unless the leader has been the limit for
-// startRateWindow.
+// placement.Admission), if it has been the limit for startRateWindow, and those for
+// which there is no room (see placement.RoomAdmission).
 type admission struct {
 	mu sync.Mutex
+	// room decides by a forecast that was made at forecastAt.
+	room       *placement.RoomAdmission
+	forecastAt time.Duration
+	// pending holds the jobs whose submission is proposed and has no outcome yet.
+	pending map[string]*apiv1.BatchJob
+	// decisions counts the decisions since loggedAt, by pool.
+	decisions map[string]*decisionCounts
+	loggedAt  time.Duration
 	// decider is nil until the rate of starts is known.
 	decider   *placement.Admission
 	countedAt time.Duration
@@ -49,7 +57,12 @@
 	proposed map[string]int
 }
 
-func newAdmission() *admission { return &admission{proposed: map[string]int{}} }
+func newAdmission() *admission {
+	return &admission{
+		proposed: map[string]int{}, pending: map[string]*apiv1.BatchJob{}, room: placement.NewRoomAdmission(),
+		decisions: map[string]*decisionCounts{},
+	}
+}
 
 // observeRound records whether the window of starts limited a planning round, and
 // how many starts ended during the term.
@@ -109,33 +122,57 @@
 	}
 }
 
-// decide returns zero when the job is accepted, and then counts it. Otherwise it
-// returns after how long the caller may come back. inTime is set when the submission is
-// expected to be committed before its caller gives up.
-func (a *admission) decide(now time.Duration, q *apiv1.BatchQueue, j *apiv1.BatchJob, inTime bool) time.Duration {
+// Reasons for which jobs are refused, beside those of placement.RoomAdmission.
+const (
+	reasonCommitTime placement.Reason = "commit_time"
+	reasonStartRate  placement.Reason = "start_rate"
+)
+
+// decide returns the zero value when the job is accepted, and then counts it. inTime is
+// set when the submission is expected to be committed before its caller gives up.
+func (a *admission) decide(now time.Duration, q *apiv1.BatchQueue, j *apiv1.BatchJob, inTime bool) placement.Refusal {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if !inTime && a.proposed[j.Id] == 0 {
-		return minSubmitRetryAfter
+	refusal := a.refusal(now, q, j, inTime)
+	a.count(q.GetPool(), refusal.Reason)
+	if refusal.Reason == "" {
+		a.markProposed(j)
 	}
-	if a.decider != nil && a.decider.Waiting != nil && a.proposed[j.Id] == 0 {
+	return refusal
+}
+
+// refusal is decide without the counts of submissions; the caller holds the lock.
+func (a *admission) refusal(now time.Duration, q *apiv1.BatchQueue, j *apiv1.BatchJob, inTime bool) placement.Refusal {
+	if a.proposed[j.Id] > 0 {
+		return placement.Refusal{}
+	}
+	if !inTime {
+		return placement.Refusal{Reason: reasonCommitTime, RetryAfter: minSubmitRetryAfter}
+	}
+	limited := a.decider != nil && a.decider.Waiting != nil
+	if limited {
 		if wait := a.decider.Decide(now, q, j); wait > 0 {
-			return wait
+			return placement.Refusal{Reason: reasonStartRate, RetryAfter: wait}
 		}
+	}
+	if refusal := a.room.Decide(now, q, j); refusal.Reason != "" {
+		return refusal
+	}
+	if limited {
 		a.decider.Add(q, j)
 	}
-	a.proposed[j.Id]++
-	return 0
+	a.room.Add(q, j)
+	return placement.Refusal{}
 }
 
 // AdmitJob returns nil when a job may be submitted. Then SubmissionEnded is called
-// with the outcome. Otherwise the error says that the job was not accepted and when
+// with the outcome. Otherwise the error says that the job was not accepted, why, and when
 // the caller may come back. inTime is set when the submission is expected to be
 // committed before its caller gives up: what runs for a caller that doesn't know of it
 // takes starts from others.
 func (d *Dispatcher) AdmitJob(j *apiv1.BatchJob, inTime bool) *result.Error {
 	now := d.clock.Now()
-	limited, countDue := d.admission.isLimited(now)
+	_, countDue := d.admission.isLimited(now)
 	known := false
 	var waiting map[string]int64
 	d.opts.StateMachine.Read(func(st *state.State) {
@@ -147,54 +184,62 @@
 	if countDue {
 		d.admission.setWaiting(now, waiting)
 	}
-	if known || !limited && inTime {
-		d.admission.markProposed(j.Id)
+	if known {
+		d.admission.addProposed(j)
 		return nil
 	}
-	wait := d.refusedFor(now, j, inTime)
-	if wait == 0 {
+	d.updateForecast(now)
+	refusal := d.refusalOf(now, j, inTime)
+	if refusal.Reason == "" {
 		return nil
 	}
-	d.metrics.jobsRefused.Inc()
-	err := result.NotRun(apiv1.ResultCode_RESULT_CODE_QUEUE_FULL, "queue %s can't accept the job in time; submit it again later", j.Queue)
-	wait = min(max(wait, minSubmitRetryAfter), maxSubmitRetryAfter)
+	d.metrics.jobsRefused.WithLabelValues(string(refusal.Reason)).Inc()
+	err := result.NotRun(apiv1.ResultCode_RESULT_CODE_QUEUE_FULL, "queue %s can't accept the job in time (%s); submit it again later", j.Queue, refusal.Reason)
+	wait := min(max(refusal.RetryAfter, minSubmitRetryAfter), maxSubmitRetryAfter)
 	// Callers that were refused together are not to return together.
 	err.RetryAfter = wait + rand.N(wait/4)
 	return err
 }
 
-// refusedFor returns zero when the job is accepted, and else after how long the caller
-// may come back.
-func (d *Dispatcher) refusedFor(now time.Duration, j *apiv1.BatchJob, inTime bool) time.Duration {
-	wait := d.admission.decide(now, j.AcceptedQueue, j, inTime)
-	if wait == 0 {
-		return 0
+// refusalOf returns the zero value when the job is accepted.
+func (d *Dispatcher) refusalOf(now time.Duration, j *apiv1.BatchJob, inTime bool) placement.Refusal {
+	refusal := d.admission.decide(now, j.AcceptedQueue, j, inTime)
+	if refusal.Reason == "" {
+		return refusal
 	}
 	// An earlier call may have submitted the job since AdmitJob read the state. Then it
 	// no longer counts as proposed.
 	known := false
 	d.opts.StateMachine.Read(func(st *state.State) { known = st.Batch.Job(j.Id) != nil })
 	if known {
-		d.admission.markProposed(j.Id)
-		return 0
+		d.admission.addProposed(j)
+		return placement.Refusal{}
 	}
-	return wait
+	return refusal
 }
 
-func (a *admission) markProposed(id string) {
+// addProposed counts a submission of a job that isn't refused.
+func (a *admission) addProposed(j *apiv1.BatchJob) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.proposed[id]++
+	a.markProposed(j)
+}
+
+// markProposed is addProposed for a caller that holds the lock.
+func (a *admission) markProposed(j *apiv1.BatchJob) {
+	a.proposed[j.Id]++
+	a.pending[j.Id] = j
 }
 
 // SubmissionEnded records the outcome of a job's submission. A job whose submission
 // may still be committed stays among those that are not refused.
 func (d *Dispatcher) SubmissionEnded(id string, err error) {
+	d.admission.mu.Lock()
+	defer d.admission.mu.Unlock()
+	delete(d.admission.pending, id)
 	if err != nil && !result.From(err).NotRun {
 		return
 	}
-	d.admission.mu.Lock()
-	defer d.admission.mu.Unlock()
 	if d.admission.proposed[id]--; d.admission.proposed[id] <= 0 {
 		delete(d.admission.proposed, id)
 	}
--- a/internal/dispatch/admission_test.go
+++ b/internal/dispatch/admission_test.go
@@ -104,8 +104,8 @@
 	job := newRefusedJob("a")
 	_, err := node.Propose(t.Context(), &apiv1.Command{Body: &apiv1.Command_Batch{Batch: &apiv1.BatchCommand{Body: &apiv1.BatchCommand_Submit{Submit: job}}}})
 	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(d.refusedFor(d.clock.Now(), job, true)).To(BeZero())
-	g.Expect(d.refusedFor(d.clock.Now(), newRefusedJob("b"), true)).NotTo(BeZero())
+	g.Expect(d.refusalOf(d.clock.Now(), job, true)).To(BeZero())
+	g.Expect(d.refusalOf(d.clock.Now(), newRefusedJob("b"), true)).NotTo(BeZero())
 }
 
 // Guards against "not run" for a job of which two submissions are proposed when one of
--- a/internal/dispatch/capacity.go
+++ b/internal/dispatch/capacity.go
@@ -45,8 +45,10 @@
 	if f.d.clock.Now() < f.firstOrderAt {
 		return nil
 	}
-	plan := placement.PlanCapacity(f.capacityInput(unmovable))
+	in := f.capacityInput(unmovable)
+	plan := placement.PlanCapacity(in)
 	f.logCapacity(plan)
+	f.recordArrivals(in.Machines, plan)
 	reserved := plan.Reserve
 	var ready []placement.Move
 	for _, m := range plan.Moves {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -74,6 +74,8 @@
 	clock   clock.Clock
 	log     *logrus.Entry
 	metrics *metrics
+	// startedAt is when the term began.
+	startedAt time.Duration
 	// leases is what follows from the record of the longest lease at the term's start.
 	leases leaseRecord
 	// allowedLeaseNS is the length of the leases that may be given now, as a
@@ -120,7 +122,7 @@
 func New(ctx context.Context, term uint64, o Options, m *Metrics) *Dispatcher {
 	now := o.Clock.Now()
 	d := &Dispatcher{
-		opts: o, term: term, ctx: ctx, clock: o.Clock, metrics: m.m,
+		opts: o, term: term, ctx: ctx, clock: o.Clock, metrics: m.m, startedAt: now,
 		log:         o.Log.WithField("term", term),
 		sessions:    map[batch.Incarnation]*session{},
 		latest:      map[string]int64{},
--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -53,7 +53,8 @@
 	// firstOrderAt is when this leader may give its first machine order.
 	firstOrderAt time.Duration
 
-	// mu guards the two sets that the planning rounds read, and reservedAt.
+	// mu guards the sets that the planning rounds read, and reservedAt, and the arrivals
+	// that the forecasts read.
 	mu sync.Mutex
 	// reserved holds the incarnations (lifetimes of a minion's process) that get
 	// no new work because their machine is draining for maintenance, is about to
@@ -67,6 +68,9 @@
 	// (a maintenance request that is not completed) and has yet to be maintained, with
 	// their placement.Input.MaintenanceRank.
 	maintenanceRanks map[batch.Incarnation]int
+	// arrivals are the machines that were on their way to pools at arrivalsAsOf.
+	arrivals     []machineArrival
+	arrivalsAsOf time.Duration
 
 	// availabilityMu is locked while it is decided which long-running tasks may become
 	// unavailable. It guards maintainedIncarnation and relocated.
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -20,7 +20,8 @@
 	planSeconds     prometheus.Histogram
 	startWindow     prometheus.Gauge
 	startsInFlight  prometheus.Gauge
-	jobsRefused     prometheus.Counter
+	// jobsRefused counts by reason.
+	jobsRefused *prometheus.CounterVec
 	// announcementsSetAside counts by fault.
 	announcementsSetAside *prometheus.CounterVec
 }
@@ -57,9 +58,9 @@
 		startsInFlight: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "bergamot_batch_starts_in_flight", Help: "Committed starts whose order is not answered, at the last planning round.",
 		}),
-		jobsRefused: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "bergamot_batch_jobs_refused_total", Help: "Submissions refused since the leader could not start the job's tasks in time.",
-		}),
+		jobsRefused: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "bergamot_batch_jobs_refused_total", Help: "Submissions refused since the job could not be done in time, by reason.",
+		}, []string{"reason"}),
 		announcementsSetAside: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "bergamot_batch_announcements_set_aside_total", Help: "Announcements that name no minion to use, by fault.",
 		}, []string{"fault"}),
