httplimit: the bodies and connections of all clients of a listener are bounded together

Cause: each body was bounded, their sum wasn't, and buffers doubled while they were read. Clients that stop just short of the end of legal bodies and stay ended a process.

Change: a budget of bytes for all bodies of a listener, taken as they arrive; when it is used up, the client that has stalled longest is dropped, otherwise the request is refused as not run. A quarter is kept for small bodies. Connections are bounded, idle and stalled ones are closed for others. Settings max_body_memory, max_connections and, for fronts, max_descriptors.

--- a/cmd/bergamot-platform/main.go
+++ b/cmd/bergamot-platform/main.go
@@ -34,6 +34,7 @@
 		Start: func(settings *apiv1.BatchControlSettings) (daemon.Service, error) {
 			return batchcore.Start(c.Settings, settings, batchcore.Adapter{
 				NewMinions: platform.NewMinionClient, NewProvider: platform.NewMachineProvider, NewHandler: platform.NewControlHandler,
+				MaxBodyBytes: platform.MaxControlBodyBytes,
 			})
 		},
 	}.Run(c.Settings, c.Check)
--- a/internal/control/operator.go
+++ b/internal/control/operator.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"io"
+	"errors"
 	"net/http"
 	"slices"
 	"strconv"
@@ -13,14 +13,15 @@
 	"google.golang.org/protobuf/proto"
 
 	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+	"bergamotdrum.example/bergamotdrum/internal/httplimit"
 	"bergamotdrum.example/bergamotdrum/internal/objects"
 	"bergamotdrum.example/bergamotdrum/internal/result"
 	"bergamotdrum.example/bergamotdrum/internal/state"
 )
 
 const (
-	// maxOperatorBodyBytes bounds the body of an operator's request.
-	maxOperatorBodyBytes = 16 << 20
+	// MaxOperatorBodyBytes bounds the body of an operator's request.
+	MaxOperatorBodyBytes = 16 << 20
 	// inForceTimeout bounds the time from a publish to its reply. If the
 	// configuration is not yet in force everywhere (acknowledged by every entry
 	// process with a live session) by then, the reply names the entry processes
@@ -43,6 +44,7 @@
 	leadership *leadership
 	operator   string
 	request    *http.Request
+	response   http.ResponseWriter
 }
 
 // operatorHandler handles one call and returns the message to reply with.
@@ -85,8 +87,7 @@
 			writeError(w, s.withOperatorAddress(result.From(err)))
 			return
 		}
-		r.Body = http.MaxBytesReader(w, r.Body, maxOperatorBodyBytes)
-		m, err := h(r.Context(), &operatorCall{leadership: l, operator: operator, request: r})
+		m, err := h(r.Context(), &operatorCall{leadership: l, operator: operator, request: r, response: w})
 		if err != nil {
 			writeError(w, s.withOperatorAddress(result.From(err)))
 			return
@@ -127,8 +128,11 @@
 
 // decode reads the body, which is JSON, into m.
 func (c *operatorCall) decode(m proto.Message) error {
-	body, err := io.ReadAll(c.request.Body)
-	if err != nil {
+	body, err := httplimit.ReadBody(c.response, c.request, MaxOperatorBodyBytes)
+	switch {
+	case errors.Is(err, httplimit.ErrNoMemory):
+		return result.NotRun(apiv1.ResultCode_RESULT_CODE_QUEUE_FULL, "%v; send the request again later", err)
+	case err != nil:
 		return result.NotRun(apiv1.ResultCode_RESULT_CODE_TOO_LARGE, "the body could not be read: %v", err)
 	}
 	if err := protojson.Unmarshal(body, m); err != nil {
--- a/internal/daemon/batchcore/daemon.go
+++ b/internal/daemon/batchcore/daemon.go
@@ -48,6 +48,8 @@
 	// NewHandler returns the handler of the control listener, which serves
 	// minions and operators.
 	NewHandler func(c *batchservice.Client, log *logrus.Entry) http.Handler
+	// MaxBodyBytes is the size of the largest body that the handler takes.
+	MaxBodyBytes int64
 }
 
 // Daemon is a running control replica.
@@ -62,6 +64,7 @@
 	rpcClient     *rpc.Client
 	leaderTracker *batchservice.LeaderTracker
 	httpServers   []*http.Server
+	descriptors   daemon.DescriptorBudget
 }
 
 // Start opens the listeners and the data folder, starts the replica and serves.
@@ -121,6 +124,7 @@
 		return err
 	}
 	budget := daemon.PlanDescriptors(limit)
+	d.descriptors = budget
 	d.Process.Log.WithFields(logrus.Fields{"limit": budget.Limit, "reserved": budget.Reserved, "minion_calls": budget.MinionCalls}).Info("file descriptors divided")
 	stateMachine := state.New()
 	direct := a.NewMinions(budget.MinionCalls, d.Process.Registry)
@@ -221,6 +225,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
 	controlServer := daemon.NewHTTPServer(a.NewHandler(batchservice.NewReplicaClient(d.leaderTracker.ControlClient(), settings.ControlAddress), d.Process.Log))
+	daemon.LimitClients(controlServer, daemon.ClientLimits{
+		Listener: "control", MaxBodyMemoryBytes: settings.MaxBodyMemoryBytes, MaxConnections: settings.MaxConnections,
+		MaxMemoryBytes: settings.MaxMemoryBytes, MaxBodyBytes: a.MaxBodyBytes, Descriptors: d.descriptors.Limit - d.descriptors.Reserved - d.descriptors.MinionCalls,
+	}, d.Process.Log, d.Process.Registry)
 	adminServer := d.Process.AdminServer()
 	d.httpServers = []*http.Server{controlServer, adminServer}
 	go daemon.Serve(d.Process.Log, "rpc", func() error { return d.rpcServer.Serve(listeners[0]) })
--- a/internal/daemon/batchfront/daemon.go
+++ b/internal/daemon/batchfront/daemon.go
@@ -70,6 +70,10 @@
 	if err != nil {
 		return nil, err
 	}
+	descriptors, err := daemon.DescriptorLimit(settings.MaxDescriptors)
+	if err != nil {
+		return nil, err
+	}
 	listeners, err := daemon.Listen(settings.CallerAddress, settings.ReadyAddress, settings.AdminAddress)
 	if err != nil {
 		return nil, err
@@ -80,18 +84,22 @@
 		leaderTracker: batchservice.NewLeaderTracker(client, seeds, process.Log),
 	}
 	process.AddReadinessCheck(d.leaderTracker.CheckReady)
-	d.serve(path, a, listeners)
+	d.serve(path, a, listeners, daemon.PlanDescriptors(descriptors))
 	process.Log.WithFields(logrus.Fields{"caller_address": settings.CallerAddress, "seeds": seeds}).Info("process started")
 	return d, nil
 }
 
-func (d *Daemon) serve(path string, a Adapter, listeners []net.Listener) {
+func (d *Daemon) serve(path string, a Adapter, listeners []net.Listener, descriptors daemon.DescriptorBudget) {
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
 	d.callerServer = daemon.NewHTTPServer(a.NewCallerHandler(HandlerOptions{
 		Client: batchservice.NewClient(d.leaderTracker), Log: d.Process.Log,
 		SearchTimeout: daemon.Millis(d.settings.SearchTimeoutMs), MaxBodyBytes: int64(d.settings.MaxBodyBytes),
 	}))
+	daemon.LimitClients(d.callerServer, daemon.ClientLimits{
+		Listener: "callers", MaxBodyMemoryBytes: d.settings.MaxBodyMemoryBytes, MaxConnections: d.settings.MaxConnections,
+		MaxMemoryBytes: d.settings.MaxMemoryBytes, MaxBodyBytes: int64(d.settings.MaxBodyBytes), Descriptors: descriptors.Limit - descriptors.Reserved,
+	}, d.Process.Log, d.Process.Registry)
 	readyServer := daemon.NewHTTPServer(a.NewReadinessHandler(d.Process.CheckReady))
 	adminServer := d.Process.AdminServer()
 	d.otherServers = []*http.Server{readyServer, adminServer}
--- a/internal/daemon/control/daemon.go
+++ b/internal/daemon/control/daemon.go
@@ -60,6 +60,10 @@
 	if err != nil {
 		return nil, err
 	}
+	descriptors, err := daemon.DescriptorLimit(0)
+	if err != nil {
+		return nil, err
+	}
 	listeners, err := daemon.Listen(cfg.RpcAddress, cfg.OperatorAddress, cfg.AdminAddress)
 	if err != nil {
 		return nil, err
@@ -72,7 +76,7 @@
 		d.rpcClient.Close()
 		return nil, err
 	}
-	d.serve(listeners[0], listeners[1], listeners[2])
+	d.serve(listeners[0], listeners[1], listeners[2], daemon.PlanDescriptors(descriptors))
 	process.Log.WithField("rpc_address", cfg.RpcAddress).Info("control replica started")
 	return d, nil
 }
@@ -146,10 +150,13 @@
 	return nil
 }
 
-func (d *Daemon) serve(rpcListener, operatorListener, admin net.Listener) {
+func (d *Daemon) serve(rpcListener, operatorListener, admin net.Listener, descriptors daemon.DescriptorBudget) {
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
 	operators := daemon.NewHTTPServer(d.Control.OperatorHandler())
+	daemon.LimitClients(operators, daemon.ClientLimits{
+		Listener: "operators", MaxBodyBytes: control.MaxOperatorBodyBytes, Descriptors: descriptors.Limit - descriptors.Reserved,
+	}, d.Process.Log, d.Process.Registry)
 	adminServer := d.Process.AdminServer()
 	d.httpServers = []*http.Server{operators, adminServer}
 	go daemon.Serve(d.Process.Log, "rpc", func() error { return d.rpcServer.Serve(rpcListener) })
--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -3,23 +3,86 @@
 import (
 	"net/http"
 	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"bergamotdrum.example/bergamotdrum/internal/httplimit"
 )
 
 const (
 	readHeaderTimeout = 5 * time.Second
 	readTimeout       = 30 * time.Second
+	writeTimeout      = time.Minute
 	idleTimeout       = 2 * time.Minute
 	maxHeaderBytes    = 32 << 10
 )
 
-// NewHTTPServer returns a server with limits on slow requests and header size.
-// The handlers limit the size of bodies.
+// NewHTTPServer returns a server with limits on slow requests, slow readers and header
+// size. The handlers limit the size of bodies.
 func NewHTTPServer(h http.Handler) *http.Server {
 	return &http.Server{
 		Handler:           h,
 		ReadHeaderTimeout: readHeaderTimeout,
 		ReadTimeout:       readTimeout,
+		WriteTimeout:      writeTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
 }
+
+const (
+	// bodyMemoryDivisor divides the memory of a process into the part that request bodies
+	// may take by default. What is read from them, and garbage, take a multiple.
+	bodyMemoryDivisor = 8
+	// defaultBodyMemoryBytes is the default without a limit of memory.
+	defaultBodyMemoryBytes = 64 << 20
+	// minBodies is how many of the largest bodies the memory holds at least: one takes
+	// twice its size while its buffer grows, beside the reserve for small ones.
+	minBodies = 4
+	// connectionMemoryDivisor divides the memory of a process into the part that
+	// connections may take, at connectionBytes each.
+	connectionMemoryDivisor = 4
+	connectionBytes         = 16 << 10
+)
+
+// ClientLimits are the settings from which the limits of a listener follow.
+type ClientLimits struct {
+	// Listener names the listener in logs and metrics.
+	Listener string
+	// MaxBodyMemoryBytes and MaxConnections are the limits; zero takes the default.
+	MaxBodyMemoryBytes, MaxConnections uint32
+	// MaxMemoryBytes is the memory of the process, zero if it isn't limited.
+	MaxMemoryBytes uint32
+	// MaxBodyBytes is the size of the largest body.
+	MaxBodyBytes int64
+	// Descriptors are those that connections may take.
+	Descriptors int
+}
+
+// LimitClients installs the limits in a server that doesn't serve yet.
+func LimitClients(s *http.Server, c ClientLimits, log *logrus.Entry, registry prometheus.Registerer) {
+	o := httplimit.Options{Listener: c.Listener, MaxBytes: c.maxBodyMemory(), MaxConnections: c.maxConnections(), Log: log, Registry: registry}
+	log.WithFields(logrus.Fields{"listener": o.Listener, "max_body_bytes": o.MaxBytes, "max_connections": o.MaxConnections}).Info("clients are limited")
+	httplimit.New(o).Install(s)
+}
+
+func (c ClientLimits) maxBodyMemory() int64 {
+	switch {
+	case c.MaxBodyMemoryBytes > 0:
+		return int64(c.MaxBodyMemoryBytes)
+	case c.MaxMemoryBytes > 0:
+		return max(int64(c.MaxMemoryBytes)/bodyMemoryDivisor, minBodies*c.MaxBodyBytes)
+	}
+	return max(defaultBodyMemoryBytes, minBodies*c.MaxBodyBytes)
+}
+
+func (c ClientLimits) maxConnections() int {
+	switch {
+	case c.MaxConnections > 0:
+		return int(c.MaxConnections)
+	case c.MaxMemoryBytes > 0:
+		return max(min(c.Descriptors, int(c.MaxMemoryBytes/connectionMemoryDivisor/connectionBytes)), 1)
+	}
+	return max(c.Descriptors, 1)
+}
