batch: the status shows accounts, and the leader's forecasts of pools

Cause: nothing showed operators what an account runs, waits for and used lately, nor what the leader expects of a pool and how many jobs it refused.

Change: bergamotctl batch status has a table of accounts on each replica, and on the leader one of the forecasts by which jobs are accepted, with the decisions of its term.

--- a/internal/batch/view.go
+++ b/internal/batch/view.go
@@ -16,7 +16,7 @@
 func (s *State) Status() *apiv1.BatchStatus {
 	return &apiv1.BatchStatus{
 		CatalogVersion: s.catalog.Version, ZonesOut: s.ZonesOut(),
-		Pools: s.poolStatus(), Queues: s.queueStatus(), Waves: s.waveStatus(),
+		Pools: s.poolStatus(), Queues: s.queueStatus(), Waves: s.waveStatus(), Accounts: s.accountStatus(),
 	}
 }
 
@@ -70,6 +70,37 @@
 	return out
 }
 
+// accountStatus returns the accounts of the catalog.
+func (s *State) accountStatus() []*apiv1.BatchAccountStatus {
+	byName := map[string]*apiv1.BatchAccountStatus{}
+	var out []*apiv1.BatchAccountStatus
+	for _, a := range s.catalog.Accounts {
+		row := &apiv1.BatchAccountStatus{
+			Account: a.Name, Weight: a.Weight, LimitCpuMillis: a.Limit.GetCpuMillis(), RunningCpuMillis: uint64(s.usage[a.Name].CPUMillis),
+		}
+		byName[a.Name] = row
+		out = append(out, row)
+	}
+	for _, j := range s.active {
+		row := byName[j.Account]
+		if row == nil {
+			continue // a call without a key, or the catalog no longer has its account
+		}
+		sum := j.Summary()
+		row.RunningTasks += sum.RunningTasks
+		row.WaitingTasks += sum.WaitingTasks
+		for i, step := range j.Steps {
+			row.WaitingCpuMillis += uint64(j.Waiting(0, uint32(i))) * uint64(ResourcesOf(step).CPUMillis)
+		}
+	}
+	for key, u := range s.recentUse {
+		if row := byName[key.account]; row != nil {
+			row.RecentCoreSeconds += uint64(u.at(u.startMS).CPUMillis / 1e6)
+		}
+	}
+	return out
+}
+
 func (s *State) waveStatus() []*apiv1.BatchWaveStatus {
 	var out []*apiv1.BatchWaveStatus
 	for _, n := range sortedKeys(s.waves) {
--- a/internal/batchservice/pages.go
+++ b/internal/batchservice/pages.go
@@ -16,9 +16,9 @@
 
 // Pages returns the handlers of the operators' pages on the admin listener, by
 // pattern. They read the local replica's state, which on a follower may lag
-// behind the leader's.
-func Pages(m *state.Machine) map[string]http.HandlerFunc {
-	p := &pages{m}
+// behind the leader's. forecasts returns those of the leader, none on a follower.
+func Pages(m *state.Machine, forecasts func() []*apiv1.BatchForecast) map[string]http.HandlerFunc {
+	p := &pages{m, forecasts}
 	return map[string]http.HandlerFunc{
 		"GET /batch/status":    p.status,
 		"GET /batch/jobs":      p.jobs,
@@ -26,11 +26,15 @@
 	}
 }
 
-type pages struct{ stateMachine *state.Machine }
+type pages struct {
+	stateMachine *state.Machine
+	forecasts    func() []*apiv1.BatchForecast
+}
 
 func (p *pages) status(w http.ResponseWriter, _ *http.Request) {
 	var out *apiv1.BatchStatus
 	p.stateMachine.Read(func(st *state.State) { out = st.Batch.Status() })
+	out.Forecasts = p.forecasts()
 	writePage(w, out)
 }
 
--- a/internal/batchservice/server.go
+++ b/internal/batchservice/server.go
@@ -205,3 +205,12 @@
 	})
 	return caller, err
 }
+
+// Forecasts returns the leader's forecasts of the pools, none on a replica that doesn't
+// lead.
+func (s *Server) Forecasts() []*apiv1.BatchForecast {
+	if d := s.dispatcher.Load(); d != nil {
+		return d.Forecasts()
+	}
+	return nil
+}
--- a/internal/command/batch_test.go
+++ b/internal/command/batch_test.go
@@ -25,6 +25,7 @@
 	queue := &apiv1.BatchQueue{Name: "dawn", Host: "h", PathPrefix: "/", Pool: "wards", MaxAttempts: 2, TimeoutMs: 1000}
 	apply(&apiv1.BatchCommand{Body: &apiv1.BatchCommand_PutCatalog{PutCatalog: &apiv1.Catalog{
 		Version: 7, Queues: []*apiv1.BatchQueue{queue}, Pools: []*apiv1.BatchPool{{Name: "wards"}},
+		Accounts: []*apiv1.BatchAccount{{Name: "home-1", Weight: 5, Limit: &apiv1.Resources{CpuMillis: 3000}}},
 	}}})
 	incarnation := &apiv1.MinionLife{Id: "m1", BornUnixMs: 1}
 	apply(&apiv1.BatchCommand{Body: &apiv1.BatchCommand_ObserveMinions{ObserveMinions: &apiv1.ObserveMinions{Minions: []*apiv1.BatchMinion{
@@ -32,15 +33,18 @@
 	}}}})
 	for _, id := range []string{"job-1", "job-2"} {
 		apply(&apiv1.BatchCommand{Body: &apiv1.BatchCommand_Submit{Submit: &apiv1.BatchJob{
-			Id: id, Queue: "dawn", AcceptedQueue: queue, Steps: []*apiv1.BatchStep{{Count: 2, Resources: &apiv1.Resources{CpuMillis: 1000}}},
+			Id: id, Queue: "dawn", Account: "home-1", AcceptedQueue: queue, Steps: []*apiv1.BatchStep{{Count: 2, Resources: &apiv1.Resources{CpuMillis: 1000}}},
 		}}})
 	}
 	apply(&apiv1.BatchCommand{Body: &apiv1.BatchCommand_UpdateRuns{UpdateRuns: &apiv1.UpdateRuns{
 		Starts: []*apiv1.StartedRun{{Task: &apiv1.TaskName{JobId: "job-1"}, Run: 1, Minion: incarnation}},
 	}}})
 	apply(&apiv1.BatchCommand{Body: &apiv1.BatchCommand_SetZone{SetZone: &apiv1.SetZoneService{AvailabilityZone: "b", Out: true}}})
+	forecasts := func() []*apiv1.BatchForecast {
+		return []*apiv1.BatchForecast{{Pool: "wards", RoomCpuMillis: 4000, WaitMs: 750, Accepted: 2, Refused: 9}}
+	}
 	mux := http.NewServeMux()
-	for pattern, page := range batchservice.Pages(stateMachine) {
+	for pattern, page := range batchservice.Pages(stateMachine, forecasts) {
 		mux.HandleFunc(pattern, page)
 	}
 	server := httptest.NewServer(mux)
@@ -57,6 +61,8 @@
 		Expect(h.out).To(ContainSubstring("catalog version 7 in force"))
 		Expect(h.out).To(ContainSubstring("availability zone b is out of service"))
 		Expect(h.out).To(MatchRegexp(`wards +no +1 +0 +4000 +1000 +1`))
+		Expect(h.out).To(MatchRegexp(`home-1 +5 +3000 +1000 +1 +3 +3000`))
+		Expect(h.out).To(MatchRegexp(`wards +4000 +0 +750 +0 +2 +9`))
 		Expect(h.run("batch", "--admin", admin, "jobs", "--limit", "1")).To(Equal(0), h.err)
 		Expect(h.out).To(ContainSubstring("job-1"))
 		Expect(h.out).To(ContainSubstring("more: --after job-1"))
--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -43,6 +43,7 @@
 	// decisions counts the decisions since loggedAt, by pool.
 	decisions map[string]*decisionCounts
 	loggedAt  time.Duration
+	totals    map[string]decisionTotals
 	// decider is nil until the rate of starts is known.
 	decider   *placement.Admission
 	countedAt time.Duration
@@ -60,7 +61,7 @@
 func newAdmission() *admission {
 	return &admission{
 		proposed: map[string]int{}, pending: map[string]*apiv1.BatchJob{}, room: placement.NewRoomAdmission(),
-		decisions: map[string]*decisionCounts{},
+		decisions: map[string]*decisionCounts{}, totals: map[string]decisionTotals{},
 	}
 }
 
--- a/internal/dispatch/forecast.go
+++ b/internal/dispatch/forecast.go
@@ -63,6 +63,29 @@
 // admissionLogInterval is the time between two logs of the decisions on new jobs.
 const admissionLogInterval = time.Second
 
+// Forecasts returns the forecast of each pool, and the decisions on new jobs of this term.
+func (d *Dispatcher) Forecasts() []*apiv1.BatchForecast {
+	d.updateForecast(d.clock.Now())
+	a := d.admission
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var out []*apiv1.BatchForecast
+	for _, o := range a.room.Outlooks() {
+		if o.Pool == "" {
+			continue // minions without a pool in the catalog
+		}
+		total := a.totals[o.Pool]
+		out = append(out, &apiv1.BatchForecast{
+			Pool: o.Pool, RoomCpuMillis: o.RoomCPU, ArrivingCpuMillis: o.ArrivingCPU, WaitMs: o.WaitMS, LateWaitMs: o.LateWaitMS,
+			Accepted: total.accepted, Refused: total.refused,
+		})
+	}
+	return out
+}
+
+// decisionTotals counts the decisions on new jobs of a pool during the term.
+type decisionTotals struct{ accepted, refused uint64 }
+
 // decisionCounts counts the decisions on new jobs of one pool.
 type decisionCounts struct {
 	accepted int
@@ -76,11 +99,15 @@
 		c = &decisionCounts{refused: map[placement.Reason]int{}}
 		a.decisions[pool] = c
 	}
+	total := a.totals[pool]
 	if r == "" {
 		c.accepted++
-		return
+		total.accepted++
+	} else {
+		c.refused[r]++
+		total.refused++
 	}
-	c.refused[r]++
+	a.totals[pool] = total
 }
 
 // log logs, once in admissionLogInterval, the forecast and the decisions of each pool that
