placement: a job is refused only for work of others that waits

Cause: a job that alone is more than its account's limit or its pool does within the slack was refused also in calm, and again whenever it came back; no machine came for it, since nothing demanded one. Found by reading. And sums of the largest estimates and latency limits overflowed: 50 such jobs made the queued work negative.

Change: without queued work of its account, or ahead in its pool, a job is accepted. Work and capacity are bounded, so that sums stay below the largest int64. TestLargeJobIsAcceptedInCalm and TestLargestJobsDoNotOverflowTheForecast fail before.

--- a/internal/placement/equivalence.go
+++ b/internal/placement/equivalence.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
 	"bergamotdrum.example/bergamotdrum/internal/batch"
 )
 
@@ -37,3 +38,13 @@
 	}
 	return cpu
 }
+
+// maxStepWork bounds the work of one step of a job, so that the sum of all jobs stays below
+// the largest int64. It is more than a fleet does in a month.
+const maxStepWork = 1 << 45
+
+// stepWork returns the work of some tasks of a step, in thousandths of a core times
+// milliseconds.
+func (e equivalence) stepWork(step *apiv1.BatchStep, tasks int64) int64 {
+	return mulDiv(e.cpuMillis(batch.ResourcesOnMinion(step)), tasks*int64(step.EstimatedMs), 1, maxStepWork)
+}
--- a/internal/placement/forecast.go
+++ b/internal/placement/forecast.go
@@ -9,6 +9,9 @@
 	"bergamotdrum.example/bergamotdrum/internal/batch"
 )
 
+// maxCapacity bounds the work that a pool can do.
+const maxCapacity = 1 << 60
+
 // Arrival is CPU, in thousandths of a core, that a pool gets after a time.
 type Arrival struct{ CPUMillis, InMS int64 }
 
@@ -134,7 +137,7 @@
 			}
 			f.addQueued(p, a, q.GetPriority(), j.Account, step, waiting, slack, limit)
 			if slack >= 0 {
-				p.accounts[j.Account] += running * f.taskWork(step)
+				p.accounts[j.Account] += f.equivalence.stepWork(step, running)
 			}
 			if slack >= 0 && f.nowUnixMS-j.DueMS(k) < arrivalWindowMS {
 				p.arrivalCPU += f.equivalence.arrivingCPU(step)
@@ -145,7 +148,7 @@
 
 // addQueued adds tasks of a step that wait, with the slack of their occurrence.
 func (f *Forecast) addQueued(p *poolForecast, a *accountForecast, priority uint32, account string, step *apiv1.BatchStep, tasks, slackMS, limitMS int64) {
-	work := tasks * f.taskWork(step)
+	work := f.equivalence.stepWork(step, tasks)
 	switch queue := p.queue(priority); {
 	case limitMS == 0:
 		return // it may wait for as long as others need the room
@@ -158,20 +161,25 @@
 		return
 	}
 	if a != nil {
-		a.queued = a.queued.Add(batch.ResourcesOf(step), tasks*int64(step.EstimatedMs))
+		a.queued = a.queued.Add(resourceWork(step, tasks), 1)
 	}
 }
 
-// taskWork returns the work of one task of a step.
-func (f *Forecast) taskWork(step *apiv1.BatchStep) int64 {
-	return mulDiv(f.equivalence.cpuMillis(batch.ResourcesOnMinion(step)), int64(step.EstimatedMs), 1, maxArrivingCPU)
+// resourceWork returns what some tasks of a step take of their account's limit, as amounts
+// of resources times milliseconds.
+func resourceWork(step *apiv1.BatchStep, tasks int64) batch.Usage {
+	r, ms := batch.ResourcesOf(step), tasks*int64(step.EstimatedMs)
+	return batch.Usage{
+		CPUMillis: mulDiv(r.CPUMillis, ms, 1, maxStepWork), MemoryMB: mulDiv(r.MemoryMB, ms, 1, maxStepWork),
+		Accelerators: mulDiv(r.Accelerators, ms, 1, maxStepWork),
+	}
 }
 
 // jobWork returns the work of all tasks of a job.
 func (f *Forecast) jobWork(j *apiv1.BatchJob) int64 {
 	work := int64(0)
 	for _, s := range j.Steps {
-		work += int64(s.Count) * f.taskWork(s)
+		work += f.equivalence.stepWork(s, int64(s.Count))
 	}
 	return work
 }
@@ -208,9 +216,9 @@
 
 // capacity returns the work that the pool can do within a time.
 func (p *poolForecast) capacity(withinMS int64) int64 {
-	work := max(p.roomCPU, 0) * withinMS
+	work := mulDiv(max(p.roomCPU, 0), withinMS, 1, maxCapacity)
 	for _, a := range p.arrivals {
-		work += a.CPUMillis * max(withinMS-a.InMS, 0)
+		work = min(work+mulDiv(a.CPUMillis, max(withinMS-a.InMS, 0), 1, maxCapacity), maxCapacity)
 	}
 	return work
 }
@@ -229,14 +237,14 @@
 
 // overLimit returns for how long the tasks of an account that wait, and those of a job,
 // keep it at its limit beyond a time, and for how long those of the job alone do, both in
-// milliseconds. over is zero or less when the job can run in time.
+// milliseconds. over is zero when the job can run in time, or when no other waits.
 func (a *accountForecast) overLimit(j *apiv1.BatchJob, withinMS int64) (over, job int64) {
 	var needed batch.Usage
 	for _, s := range j.Steps {
-		needed = needed.Add(batch.ResourcesOf(s), int64(s.Count)*int64(s.EstimatedMs))
+		needed = needed.Add(resourceWork(s, int64(s.Count)), 1)
 	}
 	include := func(queued, needed, longRunning int64, limit uint32) {
-		if limit > 0 {
+		if limit > 0 && queued > 0 {
 			rate := max(int64(limit)-longRunning, 1)
 			over, job = max(over, (queued+needed)/rate-withinMS), max(job, needed/rate)
 		}
--- a/internal/placement/roomadmission.go
+++ b/internal/placement/roomadmission.go
@@ -84,7 +84,9 @@
 // Decide accepts the job if its tasks find room in time. A job that can only be late is
 // accepted if there is room for it beside the jobs on time that are expected, for
 // instance since machines are on their way; others would be done when their result has no
-// value any more. When the pool is short of room, accounts get shares of it by weight.
+// value any more. When the pool is short of room, accounts get shares of it by weight. A
+// job is refused only for work of others that waits, however large it is: in calm its pool
+// gets machines, and its steps run in waves.
 func (a *RoomAdmission) Decide(now time.Duration, q *apiv1.BatchQueue, j *apiv1.BatchJob) Refusal {
 	if a.forecast == nil || IsAlwaysAdmitted(q, j) {
 		return Refusal{}
@@ -125,12 +127,15 @@
 // late but while its result has value, within a part of the plannable room.
 func (a *RoomAdmission) fits(p *poolForecast, q *apiv1.BatchQueue, work, limitMS, pathMS, percent int64) bool {
 	ahead := p.ahead(q.Priority)
+	if ahead == (queuedWork{}) {
+		return true
+	}
 	slack := limitMS - pathMS
 	if ahead.onTime+work <= p.plannable(slack)/100*percent {
 		return true
 	}
 	slack = lateFactor*limitMS - pathMS
-	expected := p.arrivalCPU * min(slack, arrivalWindowMS)
+	expected := mulDiv(p.arrivalCPU, min(slack, arrivalWindowMS), 1, maxCapacity)
 	return ahead.onTime+ahead.late+work+expected <= p.plannable(slack)/100*percent
 }
 
--- a/internal/placement/turns.go
+++ b/internal/placement/turns.go
@@ -3,9 +3,6 @@
 import (
 	"cmp"
 	"slices"
-
-	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
-	"bergamotdrum.example/bergamotdrum/internal/batch"
 )
 
 // setTurns sets the order of the jobs of each pool of which nothing has started and that
@@ -33,11 +30,6 @@
 	}
 }
 
-// taskWork returns the work of a task, in thousandths of a core times milliseconds.
-func (p *planner) taskWork(step *apiv1.BatchStep) int64 {
-	return mulDiv(p.equivalence.cpuMillis(batch.ResourcesOnMinion(step)), int64(step.EstimatedMs), 1, maxArrivingCPU)
-}
-
 // usedWork returns the work of each account in the pools given, lately and of the tasks
 // that run.
 func (p *planner) usedWork(pools map[string][]*jobRank) map[string]map[string]int64 {
@@ -58,7 +50,7 @@
 		for k := range j.NumOccurrences() {
 			for s, step := range j.Steps {
 				if !step.LongRunning {
-					accounts[j.Account] += int64(j.Progress(k, uint32(s)).Running) * p.taskWork(step)
+					accounts[j.Account] += p.equivalence.stepWork(step, int64(j.Progress(k, uint32(s)).Running))
 				}
 			}
 		}
@@ -76,7 +68,7 @@
 		account := r.job.Account
 		r.turn = used[account] / max(int64(p.in.State.Account(account).GetWeight()), 1)
 		for s, step := range r.job.Steps {
-			used[account] += int64(r.job.Waiting(r.occurrence, uint32(s))) * p.taskWork(step)
+			used[account] += p.equivalence.stepWork(step, int64(r.job.Waiting(r.occurrence, uint32(s))))
 		}
 	}
 }
