placement: admission counts what the pool keeps up with, and machines that it could still get

Cause: the forecast took new jobs for the last in the queue, but the newest start first.

Change: a job is accepted while the pool keeps up with the work on time that comes. The room includes machines of others that nobody demands, from when they could be there.

--- a/internal/dispatch/capacity.go
+++ b/internal/dispatch/capacity.go
@@ -48,7 +48,7 @@
 	in := f.capacityInput(unmovable)
 	plan := placement.PlanCapacity(in)
 	f.logCapacity(plan)
-	f.recordArrivals(in.Machines, plan)
+	f.recordArrivals(in, plan)
 	reserved := plan.Reserve
 	var ready []placement.Move
 	for _, m := range plan.Moves {
--- a/internal/dispatch/forecast.go
+++ b/internal/dispatch/forecast.go
@@ -17,6 +17,9 @@
 	// forecastInterval is the shortest time between two forecasts of the pools' room.
 	// Jobs that are accepted in between are counted in the last one.
 	forecastInterval = 100 * time.Millisecond
+	// laterMoveTime is the time until machines can run tasks that a pool gets if its demand
+	// grows: some rounds notice it and order them.
+	laterMoveTime = moveLeadTime + 500*time.Millisecond
 	// firstContactTime is for how long a new leader takes recorded minions for usable
 	// before it has heard from them.
 	firstContactTime = 1500 * time.Millisecond
@@ -168,12 +171,12 @@
 }
 
 // recordArrivals records the machines on their way to pools, those that the plan moves
-// included.
-func (f *fleetManager) recordArrivals(machines []placement.Machine, plan placement.CapacityPlan) {
+// included, and those that a pool could still get.
+func (f *fleetManager) recordArrivals(in placement.CapacityInput, plan placement.CapacityPlan) {
 	now := f.d.clock.Now()
-	cpu := make(map[string]int64, len(machines))
+	cpu := make(map[string]int64, len(in.Machines))
 	var arrivals []machineArrival
-	for _, m := range machines {
+	for _, m := range in.Machines {
 		cpu[m.ID] = m.CPUMillis
 		if !m.Arriving {
 			continue
@@ -187,6 +190,9 @@
 	for _, m := range plan.Moves {
 		arrivals = append(arrivals, machineArrival{m.To, cpu[m.Machine], now + moveLeadTime})
 	}
+	for pool, spare := range placement.SpareCPU(in) {
+		arrivals = append(arrivals, machineArrival{pool, spare, now + laterMoveTime})
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.arrivals, f.arrivalsAsOf = arrivals, now
--- a/internal/dispatch/roomadmission_test.go
+++ b/internal/dispatch/roomadmission_test.go
@@ -86,7 +86,7 @@
 	g.Expect(d.takesWork(later)(&apiv1.BatchMinion{Life: &apiv1.MinionLife{Id: "m1", BornUnixMs: 1}})).To(BeFalse())
 
 	now := d.clock.Now()
-	d.fleet.recordArrivals([]placement.Machine{{ID: "a", Pool: "p", CPUMillis: 10, Arriving: true}, {ID: "b", Pool: "off", CPUMillis: 20}},
+	d.fleet.recordArrivals(placement.CapacityInput{Machines: []placement.Machine{{ID: "a", Pool: "p", CPUMillis: 10, Arriving: true}, {ID: "b", Pool: "off", CPUMillis: 20}}},
 		placement.CapacityPlan{Moves: []placement.Move{{Machine: "b", To: "p"}}})
 	g.Expect(d.fleet.arrivalsAt(now)["p"]).To(HaveLen(2))
 	g.Expect(d.fleet.arrivalsAt(now + time.Minute)).To(BeEmpty())
--- a/internal/placement/bench_test.go
+++ b/internal/placement/bench_test.go
@@ -74,3 +74,17 @@
 		})
 	}
 }
+
+// BenchmarkForecast measures a forecast of the pools' room, which the leader makes at most
+// ten times a second, over the backlog of BenchmarkPlan.
+func BenchmarkForecast(b *testing.B) {
+	for _, minions := range []int{50, 350, 3200} {
+		b.Run(fmt.Sprint("minions=", minions), func(b *testing.B) {
+			h := newBenchHarness(minions)
+			in := ForecastInput{State: h.state, NowUnixMS: nowMS, TakesWork: func(*apiv1.BatchMinion) bool { return true }}
+			for b.Loop() {
+				NewForecast(in)
+			}
+		})
+	}
+}
--- a/internal/placement/capacity.go
+++ b/internal/placement/capacity.go
@@ -306,3 +306,26 @@
 		}
 	}
 }
+
+// SpareCPU returns, for each pool with queues, the CPU of machines that are neither its own
+// nor on their way to it and that no other pool demands, in thousandths of a core: what it
+// gets if its demand grows.
+func SpareCPU(in CapacityInput) map[string]int64 {
+	total, demand, own := int64(0), int64(0), map[string]int64{}
+	for i := range in.Machines {
+		if m := &in.Machines[i]; m.Available || m.Arriving {
+			total += m.presentCPU()
+			own[m.Pool] += m.presentCPU()
+		}
+	}
+	for _, d := range in.Demands {
+		demand += d.Forecast() + d.Late
+	}
+	out := map[string]int64{}
+	for pool, d := range in.Demands {
+		if spare := total - (demand - d.Forecast() - d.Late) - own[pool]; spare > 0 {
+			out[pool] = spare
+		}
+	}
+	return out
+}
--- a/internal/placement/capacity_test.go
+++ b/internal/placement/capacity_test.go
@@ -187,3 +187,20 @@
 	g.Expect(plan.Pools["a"].SupplyCPU).To(BeEquivalentTo(5 * machineCPU / 2))
 	g.Expect(movesByPool(plan)["a"]).To(BeNumerically(">=", 2))
 }
+
+// Guards against jobs that are refused at the beginning of a pool's turn although idle
+// machines of others come within their time, and against machines that are promised to two
+// pools that both need them.
+func TestSpareCPUIsWhatOthersDoNotDemand(t *testing.T) {
+	g := NewWithT(t)
+	in := CapacityInput{
+		Demands: map[string]Demand{"busy": {Running: 3000}, "turn": {Ready: 1000}},
+		Machines: []Machine{
+			{ID: "a", Pool: "busy", CPUMillis: 4000, Available: true}, {ID: "b", Pool: "turn", CPUMillis: 1000, Available: true},
+			{ID: "c", Pool: "off", CPUMillis: 2000, Available: true}, {ID: "d", Pool: "off", CPUMillis: 2000},
+		},
+	}
+	g.Expect(SpareCPU(in)).To(Equal(map[string]int64{"turn": 3000, "busy": 2000}))
+	in.Demands["turn"] = Demand{Ready: 10_000}
+	g.Expect(SpareCPU(in)).To(Equal(map[string]int64{"turn": 3000}))
+}
--- a/internal/placement/roomadmission.go
+++ b/internal/placement/roomadmission.go
@@ -123,13 +123,19 @@
 	return p.capacity(withinMS) / 100 * plannableRoomPercent
 }
 
-// fits reports whether the pool can do a job's work in time beside what was accepted, or
-// late but while its result has value, within a part of the plannable room.
+// fits reports whether the pool can do a job's work in time or, late, while its result has
+// value, within a part of the plannable room. As long as it keeps up with the jobs on time
+// that come, a new one is done in time, since the newest start first. Otherwise it must
+// find room beside what was accepted.
 func (a *RoomAdmission) fits(p *poolForecast, q *apiv1.BatchQueue, work, limitMS, pathMS, percent int64) bool {
 	ahead := p.ahead(q.Priority)
 	if ahead == (queuedWork{}) {
 		return true
 	}
+	arriving := mulDiv(p.arrivalCPU, arrivalWindowMS, 1, maxCapacity)
+	if arriving+work <= p.plannable(arrivalWindowMS)/100*percent {
+		return true
+	}
 	slack := limitMS - pathMS
 	if ahead.onTime+work <= p.plannable(slack)/100*percent {
 		return true
