--- a/internal/placement/capacity_test.go
+++ b/internal/placement/capacity_test.go
@@ -196,8 +196,10 @@
 	in := CapacityInput{
 		Demands: map[string]Demand{"busy": {Running: 3000}, "turn": {Ready: 1000}},
 		Machines: []Machine{
-			{ID: "a", Pool: "busy", CPUMillis: 4000, Available: true}, {ID: "b", Pool: "turn", CPUMillis: 1000, Available: true},
-			{ID: "c", Pool: "off", CPUMillis: 2000, Available: true}, {ID: "d", Pool: "off", CPUMillis: 2000},
+			{ID: "a", Pool: "busy", CPUMillis: 4000, Available: true},
+			{ID: "b", Pool: "turn", CPUMillis: 1000, Available: true},
+			{ID: "c", Pool: "off", CPUMillis: 2000, Available: true},
+			{ID: "d", Pool: "off", CPUMillis: 2000},
 		},
 	}
 	g.Expect(SpareCPU(in)).To(Equal(map[string]int64{"turn": 3000, "busy": 2000}))
