placement: what is refused for lack of room is demand for machines

Change: the work that a pool refused in a second counts in its demand, while refusals last.

The test needs the new function, so it can't run before it.

--- a/internal/dispatch/capacity.go
+++ b/internal/dispatch/capacity.go
@@ -96,6 +96,7 @@
 	usable := f.usableIncarnations(now)
 	f.d.opts.StateMachine.Read(func(st *state.State) {
 		in.Demands = placement.Demands(st.Batch, time.Now().UnixMilli())
+		f.d.admission.addRefused(in.Demands, now)
 		f.limitDemands(in.Demands, now)
 		f.recordDemands(in.Demands, now)
 		in.RoomDemands = f.roomDemands(st.Batch, usable, now)
--- a/internal/dispatch/forecast.go
+++ b/internal/dispatch/forecast.go
@@ -170,6 +170,18 @@
 	}
 }
 
+// addRefused adds to the demands what was refused for lack of room.
+func (a *admission) addRefused(demands map[string]placement.Demand, now time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for pool, cpu := range a.room.RefusedCPU(now) {
+		if d, ok := demands[pool]; ok {
+			d.Ready += cpu
+			demands[pool] = d
+		}
+	}
+}
+
 // recordArrivals records the machines on their way to pools, those that the plan moves
 // included, and those that a pool could still get.
 func (f *fleetManager) recordArrivals(in placement.CapacityInput, plan placement.CapacityPlan) {
--- a/internal/placement/roomadmission.go
+++ b/internal/placement/roomadmission.go
@@ -47,6 +47,27 @@
 	overLimit map[string]returningWork
 	// wanted holds the refused work of each account, which counts for the shares.
 	wanted map[poolAccount]returningWork
+	// refused holds the work that each pool was refused for lack of room.
+	refused map[string]workRate
+}
+
+// workRate is the work of the second that began at a time, and of the one before.
+type workRate struct {
+	at            time.Duration
+	current, last int64
+}
+
+// rollTo moves on to the second of a time.
+func (r *workRate) rollTo(now time.Duration) {
+	switch elapsed := now - r.at; {
+	case elapsed < time.Second:
+		return
+	case elapsed < 2*time.Second:
+		r.last = r.current
+	default:
+		r.last = 0
+	}
+	r.at, r.current = now, 0
 }
 
 // queueClass is the priority of a pool's queues.
@@ -67,6 +88,7 @@
 func NewRoomAdmission() *RoomAdmission {
 	return &RoomAdmission{
 		returning: map[queueClass]returningWork{}, overLimit: map[string]returningWork{}, wanted: map[poolAccount]returningWork{},
+		refused: map[string]workRate{},
 	}
 }
 
@@ -198,12 +220,30 @@
 			excess += r.left(now, room)
 		}
 	}
+	refused := a.refused[q.Pool]
+	refused.rollTo(now)
+	refused.current += work
+	a.refused[q.Pool] = refused
 	class, key := queueClass{q.Pool, q.Priority}, poolAccount{q.Pool, account}
 	a.returning[class] = returningWork{a.returning[class].left(now, room) + work, now}
 	a.wanted[key] = returningWork{a.wanted[key].left(now, room) + work, now}
 	return time.Duration(excess/room) * time.Millisecond
 }
 
+// RefusedCPU returns the CPU that would do, by pool, the work of a second that was refused
+// for lack of room, in thousandths of a core. It is part of the demand for machines: a pool
+// that refuses what it has no room for would otherwise never get more.
+func (a *RoomAdmission) RefusedCPU(now time.Duration) map[string]int64 {
+	out := map[string]int64{}
+	for pool, r := range a.refused {
+		r.rollTo(now)
+		if cpu := max(r.current, r.last) / 1000; cpu > 0 {
+			out[pool] = cpu
+		}
+	}
+	return out
+}
+
 // left returns the work that is left at a time of what fell with the room since.
 func (r returningWork) left(now time.Duration, roomCPU int64) int64 {
 	return max(r.work-roomCPU*(now-r.at).Milliseconds(), 0)
--- a/internal/placement/roomadmission_test.go
+++ b/internal/placement/roomadmission_test.go
@@ -252,3 +252,15 @@
 }
 
 const maxUint16 = 1<<16 - 1
+
+// Load: a turn far beyond the room of a small pool. Guards against a pool that gets no
+// machines for the jobs that it refuses, and refuses them for as long as they come.
+func TestRefusedWorkIsDemand(t *testing.T) {
+	g := NewWithT(t)
+	h := newRoomHarness(map[string]uint32{"a": 1}, nil)
+	accepted := h.flood(h.queue, "a", "j", 300)
+	// Each job takes 4 core-seconds.
+	g.Expect(h.admission.RefusedCPU(time.Minute)).To(HaveKeyWithValue("p", int64(300-accepted)*4000))
+	g.Expect(h.admission.RefusedCPU(time.Minute + 1500*time.Millisecond)).To(HaveKey("p"))
+	g.Expect(h.admission.RefusedCPU(time.Minute + 3*time.Second)).To(BeEmpty())
+}
