--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -43,7 +43,8 @@
 	// decisions counts the decisions since loggedAt, by pool.
 	decisions map[string]*decisionCounts
 	loggedAt  time.Duration
-	totals    map[string]decisionTotals
+	// totals counts the decisions of the term, by pool.
+	totals map[string]decisionTotals
 	// decider is nil until the rate of starts is known.
 	decider   *placement.Admission
 	countedAt time.Duration
--- a/internal/placement/forecast.go
+++ b/internal/placement/forecast.go
@@ -62,8 +62,8 @@
 	limit *apiv1.Resources
 	// weight is at least one.
 	weight int64
-	// longRunning is what its long-running tasks take of the limit.
-	longRunning batch.Usage
+	// longRunningUse is what its long-running tasks take of the limit.
+	longRunningUse batch.Usage
 	// queued is the amount of each resource times milliseconds of the finite tasks that
 	// wait.
 	queued batch.Usage
@@ -131,7 +131,7 @@
 			waiting, running := countTasks(j, k, uint32(s))
 			if step.LongRunning {
 				if a != nil {
-					a.longRunning = a.longRunning.Add(batch.ResourcesOf(step), waiting+running)
+					a.longRunningUse = a.longRunningUse.Add(batch.ResourcesOf(step), waiting+running)
 				}
 				continue
 			}
@@ -243,14 +243,14 @@
 	for _, s := range j.Steps {
 		needed = needed.Add(resourceWork(s, int64(s.Count)), 1)
 	}
-	include := func(queued, needed, longRunning int64, limit uint32) {
+	include := func(queued, needed, longRunningUse int64, limit uint32) {
 		if limit > 0 && queued > 0 {
-			rate := max(int64(limit)-longRunning, 1)
+			rate := max(int64(limit)-longRunningUse, 1)
 			over, job = max(over, (queued+needed)/rate-withinMS), max(job, needed/rate)
 		}
 	}
-	include(a.queued.CPUMillis, needed.CPUMillis, a.longRunning.CPUMillis, a.limit.GetCpuMillis())
-	include(a.queued.MemoryMB, needed.MemoryMB, a.longRunning.MemoryMB, a.limit.GetMemoryMb())
-	include(a.queued.Accelerators, needed.Accelerators, a.longRunning.Accelerators, a.limit.GetAccelerators())
+	include(a.queued.CPUMillis, needed.CPUMillis, a.longRunningUse.CPUMillis, a.limit.GetCpuMillis())
+	include(a.queued.MemoryMB, needed.MemoryMB, a.longRunningUse.MemoryMB, a.limit.GetMemoryMb())
+	include(a.queued.Accelerators, needed.Accelerators, a.longRunningUse.Accelerators, a.limit.GetAccelerators())
 	return over, job
 }
