--- a/test/crowd/crowd_test.go
+++ b/test/crowd/crowd_test.go
@@ -61,6 +61,8 @@
 	*WithT
 	core, front                 *process
 	callerAddress, coreListener string
+	// coreSettings and dataFolder are those of the control replica.
+	coreSettings, dataFolder string
 }
 
 // address returns the n-th loopback address of this test process, with a port.
@@ -98,12 +100,18 @@
 // newDeployment starts a control replica and a front, publishes a configuration and waits
 // until a job is accepted.
 func newDeployment(t *testing.T, descriptors int) *deployment {
-	d := &deployment{WithT: NewWithT(t), coreListener: address(0, 8345), callerAddress: address(1, 8340)}
+	return newDeploymentOf(t, descriptors, coreMemoryMiB, frontMemoryMiB)
+}
+
+// newDeploymentOf is newDeployment with machines of other sizes.
+func newDeploymentOf(t *testing.T, descriptors, coreMiB, frontMiB int) *deployment {
+	d := &deployment{WithT: NewWithT(t), coreListener: address(0, 8345), callerAddress: address(1, 8340), dataFolder: filepath.Join(t.TempDir(), "data")}
 	coreHost, frontHost := address(0, 7001), address(1, 7001)
-	d.core = d.start(t, "core", fmt.Sprintf("[batch-control]\nprocess_id = core\navailability_zone = za\ndata_folder = %s\nrpc_address = %s\ncontrol_address = %s\nadmin_address = %s\nseed_addresses = %s\nfirst_start = true\ntolerated_losses = 0\nallow_no_secret = true\nmax_memory = %dMiB\n",
-		filepath.Join(t.TempDir(), "data"), address(0, 17400), d.coreListener, coreHost, d.coreListener, coreMemoryMiB), descriptors)
+	d.coreSettings = fmt.Sprintf("[batch-control]\nprocess_id = core\navailability_zone = za\ndata_folder = %s\nrpc_address = %s\ncontrol_address = %s\nadmin_address = %s\nseed_addresses = %s\nfirst_start = true\ntolerated_losses = 0\nallow_no_secret = true\nmax_memory = %dMiB\n",
+		d.dataFolder, address(0, 17400), d.coreListener, coreHost, d.coreListener, coreMiB)
+	d.core = d.start(t, "core", d.coreSettings, descriptors)
 	d.front = d.start(t, "front", fmt.Sprintf("[batch-front]\nprocess_id = front\navailability_zone = za\ncaller_address = %s\nready_address = %s\nadmin_address = %s\nseed_addresses = %s\ncontrol_rpc_port = 17400\nallow_no_secret = true\nmax_memory = %dMiB\n",
-		d.callerAddress, address(1, 8343), frontHost, d.coreListener, frontMemoryMiB), descriptors)
+		d.callerAddress, address(1, 8343), frontHost, d.coreListener, frontMiB), descriptors)
 	d.expectOrdinaryCalls("first")
 	return d
 }
