batch: jobs beyond the limits on one job are refused

Cause: the users' pages allow a specification of 4,000 bytes, and nothing checked it: one of 262,000 was accepted with 200 and kept until its job ended. The sum of dependencies, and of steps without tasks over all repetitions, had no bound either: loops go over all of them in each round (100,000 repetitions of 8,000 empty steps were legal; by reading).

Change: the leader checks a new job against one table of limits (`CheckSubmission`, listed in docs/reference.md) before it proposes it. The refusal is TOO_LARGE, not run, and names the field, the limit and what to do. Commands that are committed are still checked by `CheckJob` alone, so that replicas of an earlier version apply the same.

--- a/internal/batchservice/calls.go
+++ b/internal/batchservice/calls.go
@@ -35,7 +35,7 @@
 	}
 	job.Id = caller.Subpath
 	job.Queue, job.Account, job.AcceptedQueue = caller.Queue.Name, caller.Account, caller.Queue
-	if refused := batch.CheckJob(job); refused != nil {
+	if refused := batch.CheckSubmission(job); refused != nil {
 		return nil, refused
 	}
 	deadline, bounded := ctx.Deadline()
--- a/internal/reference/reference.go
+++ b/internal/reference/reference.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+	"bergamotdrum.example/bergamotdrum/internal/batch"
 	"bergamotdrum.example/bergamotdrum/internal/settings"
 )
 
@@ -57,5 +58,15 @@
 		message := (&apiv1.ObjectSet{}).ProtoReflect().NewField(fd).List().NewElement().Message().Interface()
 		b.WriteString(settings.ReferenceSection(fmt.Sprintf("%s \"name\"", fd.Name()), message, "name"))
 	}
+	writeJobLimits(&b)
 	return strings.TrimRight(b.String(), "\n") + "\n"
 }
+
+// writeJobLimits writes the limits on one batch job.
+func writeJobLimits(b *strings.Builder) {
+	b.WriteString("## Limits on a batch job\n\nA job beyond a limit is refused with TOO_LARGE; the message names the field, the limit and what to do.\n\n")
+	b.WriteString("| field | limit | meaning |\n|---|---|---|\n")
+	for _, l := range batch.JobLimits() {
+		fmt.Fprintf(b, "| `%s` | %d | %s |\n", l.Field, l.Limit, l.Doc)
+	}
+}
