dispatch, replica: bound the memory of accepted jobs, in the state and in the log

Callers saw: clients that submit whole legal jobs, one after the other, get 200 until the control replica has no memory left.

Cause: each job is bounded and their sum isn't. The log was bounded by four times the state, which grew with the jobs.

The leader decides before it proposes (`internal/jobmemory`): half of `max_job_memory` is guaranteed to the client accounts by weight, callers without a key together are one account, the rest goes to whoever comes first. Proposals without a known outcome count until they are seen in the state. A refusal is QUEUE_FULL, not run, with a Retry-After from the rate at which memory comes back. Jobs that are known or may be are never refused. The log has a bound of its own (`max_log`); new jobs leave a quarter of it to starts, ends, cancellations, heartbeats and the operators' changes. An ended job gives its tables back: 540 bytes are left, 1,060 before (heap of 9,523 jobs).

Both settings take an eighth of `max_memory` by default.

--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -22,6 +22,8 @@
 	remaining int
 	// runs is the number of runs that have not ended.
 	runs int
+	// footprint is the memory, in bytes, that counts for the job (see Footprint).
+	footprint int64
 }
 
 // newJob returns a job of which no occurrence has begun.
@@ -147,6 +149,7 @@
 	job := newJob(j)
 	s.jobs[j.Id] = job
 	s.active = append(s.active, job)
+	s.account(job, Footprint(j))
 	s.endIfComplete(logTimeMS, job)
 	return nil
 }
@@ -215,8 +218,8 @@
 	j.Specification, j.Steps, j.Occurrences = "", nil, nil
 	j.AcceptedQueue = s.catalog.addressOf(j.AcceptedQueue)
 	j.remaining = 0
-	clear(j.occurrences)
-	clear(j.progress)
+	j.occurrences, j.progress = nil, nil
+	s.account(j, endedJobBytes)
 }
 
 // forgetJobs removes the jobs that ended before a log time, in Unix milliseconds,
@@ -225,6 +228,7 @@
 	for id, j := range s.jobs {
 		if Ended(j.State) && j.EndedUnixMs < beforeMS && j.runs == 0 {
 			delete(s.jobs, id)
+			s.account(j, 0)
 		}
 	}
 	s.forgetLosses()
--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -44,6 +44,8 @@
 	// zonesOut is the set of zones that are out of service.
 	zonesOut map[string]bool
 	jobs     map[string]*Job
+	// jobMemory is what the jobs take. It follows from the jobs and isn't replicated.
+	jobMemory JobMemory
 	// active holds the jobs that have not ended, in the order of submission.
 	active []*Job
 	// minions holds the latest known incarnation (lifetime of the process) of each
@@ -82,6 +84,7 @@
 		formerPools: map[string]bool{},
 		zonesOut:    map[string]bool{},
 		jobs:        map[string]*Job{},
+		jobMemory:   JobMemory{ByAccount: map[string]int64{}},
 		minions:     map[string]*apiv1.BatchMinion{},
 		loads:       map[Incarnation]*Load{},
 		usage:       map[string]Usage{},
@@ -218,4 +221,10 @@
 	if !Ended(j.State) {
 		s.active = append(s.active, job)
 	}
+	if Ended(j.State) && job.runs == 0 {
+		job.occurrences, job.progress = nil, nil
+		s.account(job, endedJobBytes)
+	} else {
+		s.account(job, Footprint(j))
+	}
 }
--- a/internal/batchservice/server.go
+++ b/internal/batchservice/server.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -137,13 +138,27 @@
 		}
 	}
 	o := s.opts.Dispatch
-	o.StateMachine, o.Node, o.Log = s.opts.StateMachine, s.mustNode(), s.opts.Log
+	o.StateMachine, o.Node, o.Log, o.LogRoom = s.opts.StateMachine, s.mustNode(), s.opts.Log, s.logRoom
 	d := dispatch.New(ctx, s.mustNode().Status().Term, o, s.metrics)
 	s.dispatcher.Store(d)
 	d.Run()
 	s.dispatcher.CompareAndSwap(d, nil)
 }
 
+// logReserveDivisor divides the largest size of the log into the part that new jobs leave
+// to other commands: starts and ends of tasks, cancellations, heartbeats and the operators'
+// changes.
+const logReserveDivisor = 4
+
+// logRoom returns how many bytes the log takes until new jobs have to wait.
+func (s *Server) logRoom() int64 {
+	status := s.mustNode().Status()
+	if status.MaxLogBytes == 0 {
+		return math.MaxInt64
+	}
+	return int64(status.MaxLogBytes - status.MaxLogBytes/logReserveDivisor - status.LogBytes)
+}
+
 // currentDispatcher returns the leader's dispatcher, or a NOT_LEADER error with
 // the leader's address if that is known.
 func (s *Server) currentDispatcher() (*dispatch.Dispatcher, error) {
--- a/internal/daemon/batchcore/daemon.go
+++ b/internal/daemon/batchcore/daemon.go
@@ -138,6 +138,7 @@
 			Minions: minions, Clock: clock.Boot{},
 			Lease: min(daemon.Millis(settings.LeaseMs), daemon.Millis(settings.MaxLeaseMs)), MaxLease: daemon.Millis(settings.MaxLeaseMs), Retention: daemon.Millis(settings.JobRetentionMs),
 			MaxAnnouncementAge: daemon.Millis(settings.MaxAnnouncementAgeMs),
+			MaxJobMemory:       int64(daemon.ShareOfMemory(settings.MaxJobMemoryBytes, settings.MaxMemoryBytes)),
 			Fleet: dispatch.FleetOptions{
 				Provider: a.NewProvider(settings.ProviderAddress), Holder: settings.ProcessId,
 				TakeoverDelay: daemon.Millis(settings.OrderTakeoverMs), MaintenanceTime: daemon.Millis(settings.ServiceTimeMs), OrdersPerSecond: int(settings.OrdersPerSecond),
@@ -149,8 +150,8 @@
 		DataFolder: settings.DataFolder, RPCAddress: settings.RpcAddress,
 		ControlAddresses: seeds, DesiredVoters: int(2*settings.ToleratedLosses + 1), Bootstrap: settings.FirstStart,
 		HeartbeatInterval: daemon.Millis(settings.HeartbeatIntervalMs), ElectionTimeout: daemon.Millis(settings.ElectionTimeoutMs),
-		SnapshotEntries: uint64(settings.SnapshotEntries),
-		StateMachine:    stateMachine, RPCServer: d.rpcServer, RPCClient: d.rpcClient,
+		SnapshotEntries: uint64(settings.SnapshotEntries), MaxLogBytes: int(daemon.ShareOfMemory(settings.MaxLogBytes, settings.MaxMemoryBytes)),
+		StateMachine: stateMachine, RPCServer: d.rpcServer, RPCClient: d.rpcClient,
 		Clock: clock.Boot{}, Log: d.Process.Log, Registry: d.Process.Registry,
 		OnLeader: func(ctx context.Context) {
 			var wg sync.WaitGroup
--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -32,9 +32,6 @@
 }
 
 const (
-	// bodyMemoryDivisor divides the memory of a process into the part that request bodies
-	// may take by default. What is read from them, and garbage, take a multiple.
-	bodyMemoryDivisor = 8
 	// defaultBodyMemoryBytes is the default without a limit of memory.
 	defaultBodyMemoryBytes = 64 << 20
 	// minBodies is how many of the largest bodies the memory holds at least: one takes
@@ -72,7 +69,7 @@
 	case c.MaxBodyMemoryBytes > 0:
 		return int64(c.MaxBodyMemoryBytes)
 	case c.MaxMemoryBytes > 0:
-		return max(int64(c.MaxMemoryBytes)/bodyMemoryDivisor, minBodies*c.MaxBodyBytes)
+		return max(int64(ShareOfMemory(0, c.MaxMemoryBytes)), minBodies*c.MaxBodyBytes)
 	}
 	return max(defaultBodyMemoryBytes, minBodies*c.MaxBodyBytes)
 }
--- a/internal/daemon/memory.go
+++ b/internal/daemon/memory.go
@@ -15,3 +15,17 @@
 		debug.SetMemoryLimit(int64(bytes) * collectedPercent / 100)
 	}
 }
+
+// shareDivisor divides the memory of a process into the part that each of its bounded
+// contents may take by default: the bodies of requests, accepted jobs, and the log. A
+// snapshot while it is written or sent takes as much as the jobs, some times over.
+const shareDivisor = 8
+
+// ShareOfMemory returns the bytes that a bounded content may take: those configured or, if
+// these are zero, a part of the memory of the process. Zero means no limit.
+func ShareOfMemory(configured, memory uint32) uint32 {
+	if configured > 0 {
+		return configured
+	}
+	return memory / shareDivisor
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -12,6 +12,7 @@
 	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
 	"bergamotdrum.example/bergamotdrum/internal/batch"
 	"bergamotdrum.example/bergamotdrum/internal/clock"
+	"bergamotdrum.example/bergamotdrum/internal/jobmemory"
 	"bergamotdrum.example/bergamotdrum/internal/result"
 	"bergamotdrum.example/bergamotdrum/internal/state"
 )
@@ -58,6 +59,12 @@
 	// gets no new work if it doesn't guard its capacity, which may have shrunk since.
 	// Zero means no limit.
 	MaxAnnouncementAge time.Duration
+	// MaxJobMemory bounds the memory of accepted jobs, in bytes (see batch.Footprint). Zero
+	// means no limit.
+	MaxJobMemory int64
+	// LogRoom returns how many bytes the replica's log takes until new jobs have to wait.
+	// Nil means no limit.
+	LogRoom func() int64
 	// Retention is how long an ended job is kept for queries.
 	Retention time.Duration
 	// Fleet configures the management of machines, which is off without a
@@ -129,6 +136,8 @@
 		startWindow: newStartWindow(),
 		admission:   newAdmission(),
 	}
+	d.admission.memory = jobmemory.New(o.MaxJobMemory)
+	d.admission.state, d.admission.logRoom = jobState{o.StateMachine}, o.LogRoom
 	d.leases = readLeaseRecord(o.StateMachine, now, o.MaxLease)
 	d.allowRecorded(d.leases.recordedMS)
 	d.confirmedAt.Store(int64(now - leadershipTTL))
--- a/internal/dispatch/forecast.go
+++ b/internal/dispatch/forecast.go
@@ -1,8 +1,6 @@
 package dispatch
 
 import (
-	"maps"
-	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -60,6 +58,7 @@
 		}
 	})
 	d.admission.setForecast(forecast, committed)
+	d.admission.settle(committed)
 	d.admission.log(now, d.log)
 }
 
@@ -133,11 +132,23 @@
 	clear(a.decisions)
 }
 
-// pendingIDs returns the ids of the jobs whose submission has no outcome yet.
+// pendingIDs returns the ids of the jobs whose submission has no outcome yet, or an
+// unknown one.
 func (a *admission) pendingIDs() []string {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return slices.Collect(maps.Keys(a.pending))
+	return a.memory.Proposed()
+}
+
+// settle ends the proposals of jobs that are in the state, which counts them.
+func (a *admission) settle(inState map[string]bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for id, known := range inState {
+		if known {
+			a.memory.Settle(id)
+		}
+	}
 }
 
 // setForecast sets the forecast and counts in it the pending jobs that it doesn't have,
--- a/internal/replica/logsize_test.go
+++ b/internal/replica/logsize_test.go
@@ -145,3 +145,26 @@
 	m.snapshotsFail.Store(false)
 	c.proposeLarge("after", 1)
 }
+
+// Guards against a log that follows the size of the state beyond what the machine has for
+// it, in memory and on the disk, and against a status by which new jobs don't wait.
+func TestLogIsBoundedWhenTheStateIsLarge(t *testing.T) {
+	const bound = 2 * testSnapshotBytes
+	c := newClusterWith(t, 1, func(o *Options) {
+		o.SnapshotEntries, o.SnapshotBytes, o.MaxLogBytes = 1_000_000, testSnapshotBytes, bound
+	})
+	m := c.leader()
+	c.propose(strings.Repeat("x", bound/2)) // the state keeps the author
+	c.proposeLarge("a", 4*bound/largeCommandBytes)
+	c.g.Expect(m.node.Status().MaxLogBytes).To(Equal(bound))
+	c.g.Eventually(func() int { return m.node.Status().LogBytes }).Should(BeNumerically("<", bound/2))
+	m.snapshotsFail.Store(true)
+	var err error
+	for i := 0; err == nil && i < 1000; i++ {
+		_, err = m.node.Propose(t.Context(), publishLarge("b"))
+	}
+	c.g.Expect(result.From(err).NotRun).To(BeTrue(), "%v", err)
+	c.g.Expect(c.logBytesOf(m)).To(BeNumerically("<=", bound+2*largeCommandBytes))
+	m.snapshotsFail.Store(false)
+	c.proposeLarge("after", 1)
+}
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -316,6 +316,7 @@
 		ReplicaID: n.core.ID(), ClusterID: n.clusterID, LeaderID: leader,
 		LeaderAddress: n.addressOf(leader), Role: n.core.Role(), Term: n.core.Term(),
 		Commit: n.core.CommitIndex(), Applied: n.applied, Group: n.core.Group(),
+		LogBytes: n.core.LogBytes(), MaxLogBytes: n.maxLogBytes(),
 	}
 	n.status.Store(st)
 	n.metrics.observe(st)
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -86,7 +86,11 @@
 	// SnapshotBytes is the size of the log entries between two snapshots, 8 MiB when
 	// zero. It is the size of the last snapshot if that is larger.
 	SnapshotBytes int
-	StateMachine  StateMachine
+	// MaxLogBytes bounds the log entries in memory and on the disk: beyond it commands are
+	// refused until a snapshot covers entries. When zero, the bound is a multiple of
+	// SnapshotBytes, or of the last snapshot if that is larger.
+	MaxLogBytes  int
+	StateMachine StateMachine
 	// RPCServer gets the Raft methods from Start. It must not serve before Start
 	// has returned.
 	RPCServer *rpc.Server
@@ -157,6 +161,9 @@
 	Term          uint64
 	Commit        uint64 // highest log index known to be committed
 	Applied       uint64 // highest log index applied to the state machine
+	// LogBytes is the size of the log entries in memory, MaxLogBytes the size from which
+	// on commands are refused.
+	LogBytes, MaxLogBytes int
 	// Group is the latest group in the log, committed or not. It must not be
 	// modified.
 	Group *apiv1.GroupConfig
--- a/internal/replica/snapshots.go
+++ b/internal/replica/snapshots.go
@@ -23,6 +23,9 @@
 	// maxLogFactor is by how much the log may exceed its size between two snapshots
 	// while a snapshot is being written or entries wait for their commit.
 	maxLogFactor = 4
+	// maxLogDivisor divides Options.MaxLogBytes into the largest size between two
+	// snapshots, so that a log that is bounded by it has room while one is written.
+	maxLogDivisor = 3
 	// snapshotRetryDelay is the pause before a snapshot that failed is repeated.
 	snapshotRetryDelay = time.Second
 )
@@ -42,7 +45,22 @@
 }
 
 // logBytes is the size of the log entries between two snapshots.
-func (n *Node) logBytes() int { return max(n.opts.SnapshotBytes, n.snapshots.size) }
+func (n *Node) logBytes() int {
+	size := max(n.opts.SnapshotBytes, n.snapshots.size)
+	if n.opts.MaxLogBytes > 0 {
+		size = min(size, n.opts.MaxLogBytes/maxLogDivisor)
+	}
+	return size
+}
+
+// maxLogBytes is the size of the log from which on it takes no further commands.
+func (n *Node) maxLogBytes() int {
+	size := maxLogFactor * n.logBytes()
+	if n.opts.MaxLogBytes > 0 {
+		size = min(size, n.opts.MaxLogBytes)
+	}
+	return size
+}
 
 // observeApplied counts an entry that was applied.
 func (n *Node) observeApplied(e *apiv1.LogEntry) {
@@ -57,13 +75,13 @@
 }
 
 // logIsFull reports whether the log has no room for further commands.
-func (n *Node) logIsFull() bool { return n.core.LogBytes() > maxLogFactor*n.logBytes() }
+func (n *Node) logIsFull() bool { return n.core.LogBytes() > n.maxLogBytes() }
 
 // snapshotIsBehind reports whether the snapshots can't keep up with the entries that are
 // applied. The entries that aren't applied don't count: only further messages of the
 // leader commit or replace these.
 func (n *Node) snapshotIsBehind() bool {
-	return n.snapshots.appliedBytes+n.snapshots.coveredBytes > maxLogFactor*n.logBytes()
+	return n.snapshots.appliedBytes+n.snapshots.coveredBytes > n.maxLogBytes()
 }
 
 func (n *Node) snapshotIsDue() bool {
