placement: admission walks the steps of a job once

Callers saw: after a few jobs of 8,000 steps every call, ordinary ones too, gets 504, and the replica still runs a minute after SIGTERM.

Cause: when a job is accepted, and again in each forecast for each job whose commit is under way, its work was added step by step, and each step computed the latency limit of the job anew, which walks and allocates for all of its steps. This is the `criticalPathMS` of the stack that was seen after a SIGTERM.

--- a/internal/placement/bench_test.go
+++ b/internal/placement/bench_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 
 	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
@@ -88,3 +90,58 @@
 		})
 	}
 }
+
+// BenchmarkLargeJobs measures, for jobs of many steps or tasks, alone and five at a time,
+// what the leader does with them: admission, forecast, demand and a planning round, in
+// which no minion has room.
+func BenchmarkLargeJobs(b *testing.B) {
+	shapes := map[string]func() []*apiv1.BatchStep{
+		"tasks=100000": func() []*apiv1.BatchStep { return []*apiv1.BatchStep{newStep(100_000, 3200)} },
+		"gang=100000": func() []*apiv1.BatchStep {
+			gang := newStep(100_000, 3200)
+			gang.Gang = true
+			return []*apiv1.BatchStep{gang}
+		},
+	}
+	for _, n := range []int{1, 100, 1000, 8000} {
+		shapes[fmt.Sprint("steps=", n)] = func() []*apiv1.BatchStep {
+			steps := make([]*apiv1.BatchStep, n)
+			for i := range steps {
+				steps[i] = newStep(1, 3200)
+			}
+			return steps
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(shapes)) {
+		for _, jobs := range []int{1, 5} {
+			h := newHarness(nil)
+			h.addMinion("m1", 3200, "r1")
+			h.submit("runs", "q", newStep(1, 3200))
+			starts := Plan(Input{State: h.state, NowUnixMS: nowMS, Health: h.health, MaxStarts: 512})
+			h.apply(&apiv1.BatchCommand{Body: &apiv1.BatchCommand_UpdateRuns{UpdateRuns: &apiv1.UpdateRuns{Starts: starts}}})
+			for i := range jobs {
+				h.submit(fmt.Sprint("j", i), "q", shapes[name]()...)
+			}
+			job := h.state.Job("j0").BatchJob
+			in := Input{State: h.state, NowUnixMS: nowMS, Health: h.health, MaxStarts: 512}
+			forecast := ForecastInput{State: h.state, NowUnixMS: nowMS, TakesWork: func(*apiv1.BatchMinion) bool { return true }}
+			for part, run := range map[string]func(){
+				"admit": func() {
+					a := NewRoomAdmission()
+					a.SetForecast(NewForecast(ForecastInput{State: batch.New(), NowUnixMS: nowMS}))
+					a.Decide(0, job.AcceptedQueue, job)
+					a.Add(job.AcceptedQueue, job)
+				},
+				"forecast": func() { NewForecast(forecast) },
+				"demand":   func() { Demands(h.state, nowMS) },
+				"plan":     func() { Plan(in) },
+			} {
+				b.Run(fmt.Sprintf("%s/jobs=%d/%s", name, jobs, part), func(b *testing.B) {
+					for b.Loop() {
+						run()
+					}
+				})
+			}
+		}
+	}
+}
--- a/internal/placement/roomadmission.go
+++ b/internal/placement/roomadmission.go
@@ -255,9 +255,9 @@
 	if f == nil || IsAlwaysAdmitted(q, j) {
 		return
 	}
-	p := f.pool(q.Pool)
+	p, limit := f.pool(q.Pool), latencyLimitMS(q, j)
 	for _, s := range j.Steps {
-		f.addQueued(p, f.accounts[j.Account], q.Priority, j.Account, s, int64(s.Count), 0, latencyLimitMS(q, j))
+		f.addQueued(p, f.accounts[j.Account], q.Priority, j.Account, s, int64(s.Count), 0, limit)
 		p.arrivalCPU += f.equivalence.arrivingCPU(s)
 	}
 }
