placement, batch: a step of many tasks costs no more than what starts

Cause: a planning round listed all waiting tasks of a step to start a few, and each start and end counted all tasks of its step again. A job may have 100,000 tasks.

Change: a round lists as many tasks as it may still start, none if the step is known to find no room; gangs and tasks with crashes are listed whole as before. The progress of a step is adjusted by the one task that changed; a gang, of which one end may finish all members, is counted whole.

That starts counted all tasks is by reading; the model test compares the progress with a count after each command. A gang of 100,000 tasks still takes 7 ms a round.

--- a/internal/batch/progress.go
+++ b/internal/batch/progress.go
@@ -1,5 +1,7 @@
 package batch
 
+import apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+
 // Progress counts the tasks of one step in one occurrence, that is, one of the
 // repetitions of a recurring job; any other job has one occurrence. A step is a
 // number of equal tasks, and a run is one execution of a task on a minion.
@@ -40,16 +42,40 @@
 	}
 	p := Progress{}
 	for _, t := range o.Steps[step].Tasks {
-		switch {
-		case t.Done:
-			p.Done++
-		case len(t.Runs) > 0:
-			p.Running++
-		}
+		p = p.plus(progressOf(t))
 	}
 	steps[step] = p
 }
 
+// progressOf returns what a task adds to the progress of its step.
+func progressOf(t *apiv1.BatchTask) Progress {
+	switch {
+	case t.Done:
+		return Progress{Done: 1}
+	case len(t.Runs) > 0:
+		return Progress{Running: 1}
+	}
+	return Progress{}
+}
+
+func (p Progress) plus(o Progress) Progress {
+	return Progress{Running: p.Running + o.Running, Done: p.Done + o.Done}
+}
+
+// adjust updates the progress of a step after a change of one task, which added before to
+// it. The other tasks aren't counted again: a step may have very many.
+func (j *Job) adjust(occurrence, step uint32, before Progress, task *apiv1.BatchTask) {
+	if j.occurrences[occurrence] == nil {
+		return
+	}
+	if j.progress[occurrence] == nil {
+		j.progress[occurrence] = make([]Progress, len(j.Steps))
+	}
+	after, p := progressOf(task), &j.progress[occurrence][step]
+	p.Running += after.Running - before.Running
+	p.Done += after.Done - before.Done
+}
+
 // Revision returns a number that increases whenever a run starts, ends or
 // becomes obsolete (no longer needed, because its job has ended or another run
 // has done the task) on any minion. It is local to the process and not
--- a/internal/batch/runs.go
+++ b/internal/batch/runs.go
@@ -309,6 +309,7 @@
 	}
 	s.untrack(j, ref, run)
 	s.recordUse(logTimeMS, j, step, run)
+	before := progressOf(task)
 	task.Runs = slices.Delete(task.Runs, i, i+1)
 	if e.Checkpoint != "" {
 		task.Checkpoint = e.Checkpoint
@@ -322,7 +323,11 @@
 	}
 	givenUp = s.countCrash(logTimeMS, st, &ActiveRun{Job: j, Ref: ref, Step: step, Task: task, Run: run}, e.End, causes[IncarnationOf(run.Minion)])
 	recordWait(logTimeMS, step, st, task, e.End)
-	j.recount(ref.Occurrence, ref.Step)
+	if step.Gang {
+		j.recount(ref.Occurrence, ref.Step) // one end may make all members done
+	} else {
+		j.adjust(ref.Occurrence, ref.Step, before, task)
+	}
 	s.compact(j)
 	return givenUp
 }
--- a/internal/batch/starts.go
+++ b/internal/batch/starts.go
@@ -56,10 +56,11 @@
 		return reason
 	}
 	run := &apiv1.BatchRun{Number: st.Run, Minion: st.Minion, StartedUnixMs: logTimeMS, Term: cmd.Term}
+	before := progressOf(task)
 	task.Runs = append(task.Runs, run)
 	task.LastRun = st.Run
 	s.track(j, ref, task, run)
-	j.recount(ref.Occurrence, ref.Step)
+	j.adjust(ref.Occurrence, ref.Step, before, task)
 	if !cmd.ReportsBegun {
 		j.markBegun()
 	}
--- a/internal/placement/largejobs_test.go
+++ b/internal/placement/largejobs_test.go
@@ -6,6 +6,7 @@
 	. "github.com/onsi/gomega"
 
 	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
+	"bergamotdrum.example/bergamotdrum/internal/batch"
 )
 
 // Load: jobs of many steps. Guards against admission that walks all steps of a job for
@@ -27,3 +28,27 @@
 	// Each walk over the steps allocates once.
 	NewWithT(t).Expect(allocations(1000)).To(Equal(allocations(10)))
 }
+
+// Load: a step of very many tasks beside a full pool, and beside room for a few. Guards
+// against rounds that list all tasks of it to start a few.
+func TestRoundListsNoMoreTasksThanItMayStart(t *testing.T) {
+	g := NewWithT(t)
+	h := newHarness(nil)
+	h.addMinion("m1", 3200, "r1")
+	h.submit("j", "q", newStep(100_000, 100))
+	p := newPlanner(Input{State: h.state, NowUnixMS: nowMS, Health: h.health, MaxStarts: 8})
+	g.Expect(p.waitingTasks(h.state.Job("j"), 0, 0, 8)).To(HaveLen(8))
+	starts := Plan(p.in)
+	g.Expect(starts).To(HaveLen(8))
+	seen := map[batch.TaskRef]bool{}
+	for _, s := range starts {
+		seen[batch.RefOf(s.Task)] = true
+	}
+	g.Expect(seen).To(HaveLen(8))
+	bytes := testing.Benchmark(func(b *testing.B) {
+		for b.Loop() {
+			Plan(p.in)
+		}
+	}).AllocedBytesPerOp()
+	g.Expect(bytes).To(BeNumerically("<", 100_000), "one byte for each task")
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -13,6 +13,7 @@
 package placement
 
 import (
+	"math"
 	"slices"
 
 	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
@@ -168,12 +169,20 @@
 	if j.Waiting(occurrence, number) == 0 || !j.StepReady(occurrence, number) {
 		return
 	}
-	waiting := p.waitingTasks(j, occurrence, number)
 	if step.Gang {
-		p.planGang(j, step, waiting, pool)
+		p.planGang(j, step, p.waitingTasks(j, occurrence, number, math.MaxInt), pool)
 		return
 	}
-	if j.AnyCrashes(occurrence, number) {
+	anyCrashes, limit := j.AnyCrashes(occurrence, number), math.MaxInt
+	if !anyCrashes && !p.jobsWithIsolated[j] {
+		// All tasks are alike, and a step may have very many.
+		if p.isUnplaceable(step, pool) {
+			return
+		}
+		limit = p.in.MaxStarts - len(p.starts)
+	}
+	waiting := p.waitingTasks(j, occurrence, number, limit)
+	if anyCrashes {
 		waiting = p.startOverdue(j, step, waiting, pool)
 	}
 	if p.jobsWithIsolated[j] {
@@ -219,13 +228,16 @@
 	}
 }
 
-// waitingTasks returns the tasks of a step that are neither done nor running. The
-// state has no record of an occurrence of which nothing has started yet: all its
-// tasks wait.
-func (p *planner) waitingTasks(j *batch.Job, occurrence, step uint32) []batch.TaskRef {
+// waitingTasks returns the first tasks, at most limit, of a step that are neither done nor
+// running. The state has no record of an occurrence of which nothing has started yet: all
+// its tasks wait.
+func (p *planner) waitingTasks(j *batch.Job, occurrence, step uint32, limit int) []batch.TaskRef {
 	var out []batch.TaskRef
 	o := j.Occurrence(occurrence)
 	for i := range j.Steps[step].Count {
+		if len(out) >= limit {
+			break
+		}
 		if o != nil {
 			t := o.Steps[step].Tasks[i]
 			if t.Done || len(t.Runs) > 0 {
--- a/internal/placement/waits.go
+++ b/internal/placement/waits.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"slices"
 
 	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
@@ -99,7 +100,7 @@
 	if j.Waiting(ref.Occurrence, ref.Step) == 0 || !j.StepReady(ref.Occurrence, ref.Step) {
 		return nil
 	}
-	return slices.DeleteFunc(p.waitingTasks(j, ref.Occurrence, ref.Step), func(ref batch.TaskRef) bool {
+	return slices.DeleteFunc(p.waitingTasks(j, ref.Occurrence, ref.Step, math.MaxInt), func(ref batch.TaskRef) bool {
 		return p.started[ref]
 	})
 }
