batchservice: large jobs take turns, small ones don't wait for them

Cause: every submission was decoded, checked and proposed at once. A job of 8,000 steps takes some 2 MB decoded from 100 KB, and milliseconds of the leader's processor in each step on its way, so that a few callers of large jobs hold up heartbeats, orders and small jobs; what the leader is about to refuse cost as much as what it takes.

Change: the job of a submission is decoded after the call is authorized. From 8 KiB (some 300 steps; the sheets have five) jobs are taken one at a time up to their commit, and eight may wait; others are refused at once, before they are decoded, as QUEUE_FULL, not run, with a Retry-After. An id that is accepted, proposed or waiting already is never refused as not run: its outcome is unknown to the second caller, or it is answered with success when the state has it, without another command in the log.

Evidence: `TestLargeJobsTakeTurnsAndLeaveSmallOnesAlone` (40 callers with jobs of 4,000 steps while a commit takes 100 ms: a small job is accepted, each refused one is unknown afterwards), `TestTurnsOfLargeJobs`, both under the race detector.

--- a/internal/batchservice/calls.go
+++ b/internal/batchservice/calls.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
 
 	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
 	"bergamotdrum.example/bergamotdrum/internal/batch"
@@ -20,19 +21,35 @@
 
 // submit proposes a job, unless it can't be started in time. The call's path names
 // the job id, the queue and the client account; those in the request's job are
-// overwritten.
-func (s *Server) submit(ctx context.Context, d *dispatch.Dispatcher, req *apiv1.SubmitBatchRequest) (*apiv1.SubmitBatchResponse, error) {
-	caller, err := s.authorize(ctx, req.Call)
+// overwritten. It is decoded when its turn has come.
+func (s *Server) submit(ctx context.Context, d *dispatch.Dispatcher, req *apiv1.EncodedSubmission) (*apiv1.SubmitBatchResponse, error) {
+	var caller batch.AuthorizedCall
+	accepted := false
+	err := s.readCall(ctx, req.Call, func(st *batch.State, authorized batch.AuthorizedCall) *result.Error {
+		caller, accepted = authorized, st.Job(authorized.Subpath) != nil
+		return nil
+	})
 	if err != nil {
 		return nil, err
 	}
-	job := req.Job
-	if job == nil {
+	if req.Job == nil {
 		return nil, errWithout("job")
 	}
 	if err := checkJobID(caller.Subpath); err != nil {
 		return nil, err
 	}
+	if accepted { // by an earlier submission, whose answer was lost
+		return &apiv1.SubmitBatchResponse{}, nil
+	}
+	leave, err := s.largeJobs.enter(ctx, caller.Subpath, len(req.Job), func() bool { return d.MayBeAccepted(caller.Subpath) })
+	if err != nil {
+		return nil, err
+	}
+	defer leave()
+	job := &apiv1.BatchJob{}
+	if err := proto.Unmarshal(req.Job, job); err != nil {
+		return nil, result.NotRun(apiv1.ResultCode_RESULT_CODE_INVALID_ARGUMENT, "job does not decode: %v", err)
+	}
 	job.Id = caller.Subpath
 	job.Queue, job.Account, job.AcceptedQueue = caller.Queue.Name, caller.Account, caller.Queue
 	if refused := batch.CheckSubmission(job); refused != nil {
--- a/internal/batchservice/server.go
+++ b/internal/batchservice/server.go
@@ -66,12 +66,13 @@
 	metrics       *dispatch.Metrics
 	callDurations *prometheus.HistogramVec
 	commits       commitTime
+	largeJobs     *largeJobs
 }
 
 // New returns a server without a node. SetNode must be called before calls are
 // served.
 func New(o Options) *Server {
-	s := &Server{opts: o, metrics: dispatch.NewMetrics(o.Registry), callDurations: newCallDurations(o.Registry)}
+	s := &Server{opts: o, metrics: dispatch.NewMetrics(o.Registry), callDurations: newCallDurations(o.Registry), largeJobs: newLargeJobs()}
 	s.barrier = newReadBarrier(func(ctx context.Context) error { return s.mustNode().Barrier(ctx) })
 	return s
 }
@@ -211,16 +212,6 @@
 	return err
 }
 
-// authorize resolves the queue and client account of a call, or returns why the
-// call is refused.
-func (s *Server) authorize(ctx context.Context, call *apiv1.QueueCall) (caller batch.AuthorizedCall, err error) {
-	err = s.readCall(ctx, call, func(_ *batch.State, authorized batch.AuthorizedCall) *result.Error {
-		caller = authorized
-		return nil
-	})
-	return caller, err
-}
-
 // Forecasts returns the leader's forecasts of the pools, none on a replica that doesn't
 // lead.
 func (s *Server) Forecasts() []*apiv1.BatchForecast {
--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -281,6 +281,21 @@
 	return refusal
 }
 
+// MayBeAccepted reports whether a job is accepted, or a submission of it was proposed in
+// this term that may still be committed. Such a job must not be called not run.
+func (d *Dispatcher) MayBeAccepted(id string) bool {
+	d.admission.mu.Lock()
+	proposed := d.admission.proposed[id] > 0
+	d.admission.mu.Unlock()
+	if proposed {
+		return true
+	}
+	// Read last: a submission that ended before has changed the state.
+	accepted := false
+	d.opts.StateMachine.Read(func(st *state.State) { accepted = st.Batch.Job(id) != nil })
+	return accepted
+}
+
 // addProposed counts a submission of a job that isn't refused.
 func (a *admission) addProposed(j *apiv1.BatchJob) {
 	a.mu.Lock()
