httplimit: silent connections give way to new ones at once

Cause: beyond the limit a connection is closed only if it is idle or has stalled for a second. With none of these the newcomer is closed, which is the ordinary call as likely as not.

Change: if none is idle or has stalled, the oldest connection that has sent nothing is closed. Clients send their request at once, so theirs is no longer among these.

Evidence: `TestCrowdOfSilentConnections` (front and control replica with 300 descriptors, eight clients open up to 4,000 silent connections while 16 ordinary calls are made, one try each). Idle connections still go first, so the next call on a kept connection may have to connect anew during such a crowd.

--- a/internal/httplimit/httplimit.go
+++ b/internal/httplimit/httplimit.go
@@ -75,6 +75,7 @@
 	reasonNoMemory      = "no_memory"
 	reasonStalled       = "stalled"
 	reasonIdle          = "idle"
+	reasonSilent        = "silent"
 	reasonNoConnections = "no_connections"
 )
 
@@ -159,11 +160,13 @@
 }
 
 // longestStalled returns the connection to close for others, marked as dropped, and counts
-// it; nil if there is none. Idle connections come first: they lose nothing. The caller
-// holds the lock.
+// it; nil if there is none. Idle connections come first: they lose nothing. Those that have
+// sent nothing yet come last, the oldest first, however short they wait: clients send at
+// once, and would all be turned away while silent connections keep coming. The caller holds
+// the lock.
 func (l *Limiter) longestStalled(eligible func(*connection) bool) *connection {
 	now := time.Now()
-	var idle, stalled *connection
+	var idle, stalled, silent *connection
 	for _, c := range l.connections {
 		if c.dropped || c.waitsSince.IsZero() || !eligible(c) {
 			continue
@@ -175,6 +178,8 @@
 			}
 		case now.Sub(c.waitsSince) >= minStall && (stalled == nil || c.waitsSince.Before(stalled.waitsSince)):
 			stalled = c
+		case c.state == http.StateNew && (silent == nil || c.waitsSince.Before(silent.waitsSince)):
+			silent = c
 		}
 	}
 	switch {
@@ -183,8 +188,11 @@
 		return idle
 	case stalled != nil:
 		l.drop(stalled, reasonStalled)
+		return stalled
+	case silent != nil:
+		l.drop(silent, reasonSilent)
 	}
-	return stalled
+	return silent
 }
 
 // drop marks a connection as dropped and counts it. The caller holds the lock and closes
--- a/test/crowd/crowd_test.go
+++ b/test/crowd/crowd_test.go
@@ -303,3 +303,53 @@
 		})
 	}
 }
+
+// Guards against listeners that refuse everyone who comes while silent connections come all
+// the time: each ordinary call, which sends its request at once, is answered.
+func TestCrowdOfSilentConnections(t *testing.T) {
+	const descriptors, flooders, maxConnections, calls = 300, 8, 4000, 16
+	for _, listener := range []string{"front", "core"} {
+		t.Run(listener, func(t *testing.T) {
+			d := newDeployment(t, descriptors)
+			p, address := d.front, d.callerAddress
+			if listener == "core" {
+				p, address = d.core, d.coreListener
+			}
+			var wg sync.WaitGroup
+			stop := make(chan struct{})
+			opened := make(chan struct{}, maxConnections)
+			for range flooders {
+				wg.Go(func() {
+					var conns []net.Conn
+					defer func() {
+						for _, conn := range conns {
+							conn.Close()
+						}
+					}()
+					for range maxConnections / flooders {
+						select {
+						case <-stop:
+							return
+						default:
+						}
+						if conn, err := net.DialTimeout("tcp", address, 5*time.Second); err == nil {
+							conns = append(conns, conn)
+							opened <- struct{}{}
+						}
+					}
+					<-stop
+				})
+			}
+			for range 2 * descriptors {
+				<-opened
+			}
+			for i := range calls {
+				d.Expect(d.call("GET", address, "/q/00000000000000ff", "")).NotTo(BeZero(), "call %d", i)
+			}
+			d.expectWithinBounds(t, p, coreMemoryMiB, descriptors*7/8)
+			close(stop)
+			wg.Wait()
+			d.expectOrdinaryCalls("afterwards")
+		})
+	}
+}
