test/crowd: replicas that catch up after a crowd

The settings of a control replica come from one function, so that several can be started; nothing else of the crowds has changed.

--- a/test/crowd/crowd_test.go
+++ b/test/crowd/crowd_test.go
@@ -106,9 +106,8 @@
 // newDeploymentOf is newDeployment with machines of other sizes.
 func newDeploymentOf(t *testing.T, descriptors, coreMiB, frontMiB int) *deployment {
 	d := &deployment{WithT: NewWithT(t), coreListener: address(0, 8345), callerAddress: address(1, 8340), dataFolder: filepath.Join(t.TempDir(), "data")}
-	coreHost, frontHost := address(0, 7001), address(1, 7001)
-	d.coreSettings = fmt.Sprintf("[batch-control]\nprocess_id = core\navailability_zone = za\ndata_folder = %s\nrpc_address = %s\ncontrol_address = %s\nadmin_address = %s\nseed_addresses = %s\nfirst_start = true\ntolerated_losses = 0\nallow_no_secret = true\nmax_memory = %dMiB\n",
-		d.dataFolder, address(0, 17400), d.coreListener, coreHost, d.coreListener, coreMiB)
+	frontHost := address(1, 7001)
+	d.coreSettings = d.replicaSettings(0, d.dataFolder, coreMiB) + "first_start = true\ntolerated_losses = 0\n"
 	d.core = d.start(t, "core", d.coreSettings, descriptors)
 	d.front = d.start(t, "front", fmt.Sprintf("[batch-front]\nprocess_id = front\navailability_zone = za\ncaller_address = %s\nready_address = %s\nadmin_address = %s\nseed_addresses = %s\ncontrol_rpc_port = 17400\nallow_no_secret = true\nmax_memory = %dMiB\n",
 		d.callerAddress, address(1, 8343), frontHost, d.coreListener, frontMiB), descriptors)
@@ -116,6 +115,13 @@
 	return d
 }
 
+// replicaSettings returns the settings of a control replica at the n-th address, which finds
+// the group by the one at the first address.
+func (d *deployment) replicaSettings(n int, dataFolder string, memoryMiB int) string {
+	return fmt.Sprintf("[batch-control]\nprocess_id = core%d\navailability_zone = za\ndata_folder = %s\nrpc_address = %s\ncontrol_address = %s\nadmin_address = %s\nseed_addresses = %s\nallow_no_secret = true\nmax_memory = %dMiB\n",
+		n, dataFolder, address(n, 17400), address(n, 8345), address(n, 7001), d.coreListener, memoryMiB)
+}
+
 const configuration = `{"version":1,"routes":[{"name":"r","host":"h.example","pathPrefix":"/q/","timeoutMs":3000,"targetLatencyMs":600,"service":"s","maxAttempts":3,"stretch":1.6,"public":true}],"services":[{"name":"s"}],"tenants":[]}`
 
 // expectOrdinaryCalls expects that the operator's configuration is taken and that a
--- a/test/crowd/jobs_test.go
+++ b/test/crowd/jobs_test.go
@@ -206,3 +206,34 @@
 	d.expectStop(d.core)
 	d.expectStop(d.front)
 }
+
+// Guards against replicas that run out of memory when another one catches up after a crowd:
+// the leader reads a snapshot and sends it, the other replica holds it beside what it
+// decodes.
+func TestReplicaCatchesUpAfterACrowdOfJobs(t *testing.T) {
+	d := newDeployment(t, maxDescriptors)
+	d.expectStop(d.core)
+	d.core = d.start(t, "core", d.replicaSettings(0, d.dataFolder, coreMemoryMiB)+"tolerated_losses = 1\n", maxDescriptors)
+	replicas := []*process{d.core}
+	for n := 2; n <= 3; n++ {
+		settings := d.replicaSettings(n, filepath.Join(t.TempDir(), "data"), coreMemoryMiB) + "tolerated_losses = 1\n"
+		replicas = append(replicas, d.start(t, "core", settings, maxDescriptors))
+	}
+	d.Eventually(func() int { return d.call("PUT", d.coreListener, "/configuration", keyedConfiguration) }).
+		WithTimeout(answerTimeout).Should(Equal(http.StatusOK))
+	jobCrowd{clients: 100, jobsOfEach: 150, job: jobWithSpecification(4000)}.submitAll(d)
+	var folders []string
+	for n := 4; n <= 5; n++ { // two join at the same time, with empty disks
+		folders = append(folders, filepath.Join(t.TempDir(), "data"))
+		settings := d.replicaSettings(n, folders[n-4], coreMemoryMiB) + "tolerated_losses = 2\n"
+		replicas = append(replicas, d.start(t, "core", settings, maxDescriptors))
+	}
+	for _, folder := range folders {
+		d.Eventually(func() ([]string, error) { return filepath.Glob(filepath.Join(folder, "*.snapshot")) }).
+			WithTimeout(answerTimeout).ShouldNot(BeEmpty(), "a snapshot from the leader")
+	}
+	d.expectKeyedCalls(0)
+	for _, p := range replicas {
+		d.expectWithinBounds(t, p, coreMemoryMiB, maxDescriptors*7/8)
+	}
+}
