--- a/internal/replica/snapshot_transfer.go
+++ b/internal/replica/snapshot_transfer.go
@@ -19,9 +19,9 @@
 )
 
 // chunkBytes is the size of the parts in which a snapshot is sent. The state may
-// be larger than one rpc frame, since each stored response alone may take 64 KiB.
-// Tests set a smaller size.
-var chunkBytes = 4 << 20
+// be larger than one rpc frame, and both sides hold some copies of a part. Tests set a
+// smaller size.
+var chunkBytes = 512 << 10
 
 func (s *sender) sendSnapshots(clusterID uint64) {
 	for {
@@ -94,6 +94,9 @@
 	defer a.mu.Unlock()
 	if chunk.Offset == 0 {
 		a.message, a.data = chunk.Message, nil
+		if chunk.TotalBytes <= maxSnapshotBytes {
+			a.data = make([]byte, 0, chunk.TotalBytes)
+		}
 	}
 	end := chunk.Offset + uint64(len(chunk.Data))
 	if !proto.Equal(a.message, chunk.Message) || chunk.Offset != uint64(len(a.data)) || end > chunk.TotalBytes || chunk.TotalBytes > maxSnapshotBytes {
--- a/internal/storage/files.go
+++ b/internal/storage/files.go
@@ -53,12 +53,12 @@
 	return syncFile(d)
 }
 
-// writeFile creates or replaces a file atomically and durably: it writes a
-// temporary file, syncs it and renames it to name. After a crash the file is
+// writeFile creates or replaces a file atomically and durably: it writes the parts of
+// its data to a temporary file, syncs it and renames it to name. After a crash the file is
 // either complete or unchanged.
-func writeFile(folder, name string, data []byte) error {
+func writeFile(folder, name string, data ...[]byte) error {
 	path := filepath.Join(folder, name)
-	if err := writeTempFile(path+tempSuffix, data); err != nil {
+	if err := writeTempFile(path+tempSuffix, data...); err != nil {
 		return markDiskFull(err)
 	}
 	if err := os.Rename(path+tempSuffix, path); err != nil {
@@ -69,7 +69,7 @@
 
 // writeTempFile creates or replaces a file and syncs it. After an error it removes
 // the file, which would take the last space of a full disk.
-func writeTempFile(path string, data []byte) (err error) {
+func writeTempFile(path string, data ...[]byte) (err error) {
 	f, err := os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
 	if err != nil {
 		return err
@@ -79,9 +79,11 @@
 			err = errors.Join(err, os.Remove(path))
 		}
 	}()
-	if _, err := writeData(f, data); err != nil {
-		f.Close()
-		return err
+	for _, part := range data {
+		if _, err := writeData(f, part); err != nil {
+			f.Close()
+			return err
+		}
 	}
 	if err := syncFile(f); err != nil {
 		f.Close()
--- a/internal/storage/record.go
+++ b/internal/storage/record.go
@@ -36,14 +36,26 @@
 )
 
 // checksum returns the CRC-32C of a record's offset in its file, length, kind and
-// payload. The offset is included so that a copy of a record inside a payload
+// payload, which may be in parts. The offset is included so that a copy of a record inside a payload
 // is not mistaken for a record at that place of the file.
-func checksum(offset int64, kind recordKind, payload []byte) uint32 {
+func checksum(offset int64, kind recordKind, payload ...[]byte) uint32 {
 	var head [13]byte
 	binary.LittleEndian.PutUint64(head[:8], uint64(offset))
-	binary.LittleEndian.PutUint32(head[8:12], uint32(len(payload)))
+	binary.LittleEndian.PutUint32(head[8:12], uint32(totalBytes(payload)))
 	head[12] = byte(kind)
-	return crc32.Update(crc32.Checksum(head[:], castagnoli), castagnoli, payload)
+	sum := crc32.Checksum(head[:], castagnoli)
+	for _, part := range payload {
+		sum = crc32.Update(sum, castagnoli, part)
+	}
+	return sum
+}
+
+func totalBytes(parts [][]byte) int {
+	size := 0
+	for _, part := range parts {
+		size += len(part)
+	}
+	return size
 }
 
 // appendRecord appends a record to buf and returns the extended buffer. Offset
@@ -56,12 +68,12 @@
 	return buf
 }
 
-// fillHeader writes the header of a record whose payload is already in place. Offset is
-// where the record will be in its file.
-func fillHeader(record []byte, offset int64, kind recordKind) {
-	payload := record[recordHeaderBytes:]
-	binary.LittleEndian.PutUint32(record, uint32(len(payload)))
-	binary.LittleEndian.PutUint32(record[4:], checksum(offset, kind, payload))
+// fillHeader writes the header of a record whose payload is already in place, but for rest,
+// which is to follow it. Offset is where the record will be in its file.
+func fillHeader(record []byte, offset int64, kind recordKind, rest ...[]byte) {
+	payload := append([][]byte{record[recordHeaderBytes:]}, rest...)
+	binary.LittleEndian.PutUint32(record, uint32(totalBytes(payload)))
+	binary.LittleEndian.PutUint32(record[4:], checksum(offset, kind, payload...))
 	record[8] = byte(kind)
 }
 
--- a/internal/storage/snapshot.go
+++ b/internal/storage/snapshot.go
@@ -7,6 +7,7 @@
 	"path/filepath"
 	"slices"
 
+	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 
 	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
@@ -21,22 +22,74 @@
 // WriteSnapshot durably writes a snapshot to a file. The log refers to it only
 // after UseSnapshot. It may be called while another method runs.
 func (f *Folder) WriteSnapshot(s *apiv1.Snapshot) error {
-	size := proto.Size(s)
-	if size > maxRecordBytes {
-		return fmt.Errorf("snapshot of %d bytes exceeds the limit of %d", size, maxRecordBytes)
-	}
-	// A snapshot is large, so it is marshaled into the record and not copied there.
-	record, err := proto.MarshalOptions{}.MarshalAppend(make([]byte, recordHeaderBytes, recordHeaderBytes+size), s)
+	record, err := snapshotRecordStart(s)
 	if err != nil {
-		return fmt.Errorf("marshal snapshot: %w", err)
+		return fmt.Errorf("write snapshot: %w", err)
 	}
-	fillHeader(record, 0, kindSnapshot)
-	if err := writeFile(f.path, snapshotName(s.Meta.Index), record); err != nil {
+	if err := writeFile(f.path, snapshotName(s.Meta.Index), record, s.Data); err != nil {
 		return fmt.Errorf("write snapshot: %w", err)
 	}
 	return nil
 }
 
+// Numbers of the fields of a Snapshot message.
+const (
+	snapshotMetaField protowire.Number = 1
+	snapshotDataField protowire.Number = 2
+)
+
+// snapshotRecordStart returns the record of a snapshot up to its data, which ends it. A
+// snapshot is large, so its data is not copied into the record.
+func snapshotRecordStart(s *apiv1.Snapshot) ([]byte, error) {
+	meta, err := proto.Marshal(s.Meta)
+	if err != nil {
+		return nil, fmt.Errorf("marshal: %w", err)
+	}
+	start := make([]byte, recordHeaderBytes)
+	start = protowire.AppendBytes(protowire.AppendTag(start, snapshotMetaField, protowire.BytesType), meta)
+	if len(s.Data) > 0 {
+		start = protowire.AppendVarint(protowire.AppendTag(start, snapshotDataField, protowire.BytesType), uint64(len(s.Data)))
+	}
+	if size := len(start) + len(s.Data); size > maxRecordBytes {
+		return nil, fmt.Errorf("%d bytes exceed the limit of %d", size, maxRecordBytes)
+	}
+	fillHeader(start, 0, kindSnapshot, s.Data)
+	return start, nil
+}
+
+// decodeSnapshot decodes a snapshot message. Its data shares memory with the message.
+func decodeSnapshot(message []byte) (*apiv1.Snapshot, error) {
+	s := &apiv1.Snapshot{}
+	for len(message) > 0 {
+		number, kind, n := protowire.ConsumeTag(message)
+		if n < 0 {
+			return nil, protowire.ParseError(n)
+		}
+		message = message[n:]
+		if kind != protowire.BytesType || number > snapshotDataField {
+			if n = protowire.ConsumeFieldValue(number, kind, message); n < 0 {
+				return nil, protowire.ParseError(n)
+			}
+			message = message[n:]
+			continue
+		}
+		value, n := protowire.ConsumeBytes(message)
+		if n < 0 {
+			return nil, protowire.ParseError(n)
+		}
+		message = message[n:]
+		if number == snapshotDataField {
+			s.Data = value
+			continue
+		}
+		s.Meta = &apiv1.SnapshotMeta{}
+		if err := proto.Unmarshal(value, s.Meta); err != nil {
+			return nil, err
+		}
+	}
+	return s, nil
+}
+
 // UseSnapshot makes the log start after a snapshot that WriteSnapshot has
 // written, then removes older segments and snapshots. With replaceLog set, as
 // for a snapshot that the leader sent, it drops all entries of the log;
@@ -73,9 +126,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("read snapshot: %w", err)
 	}
-	s := &apiv1.Snapshot{}
 	kind, payload, next, err := decodeRecord(data, 0)
-	if err != nil || kind != kindSnapshot || next != int64(len(data)) || proto.Unmarshal(payload, s) != nil {
+	if err != nil || kind != kindSnapshot || next != int64(len(data)) {
+		return nil, damaged("snapshot %s is damaged", name)
+	}
+	s, err := decodeSnapshot(payload)
+	if err != nil {
 		return nil, damaged("snapshot %s is damaged", name)
 	}
 	if s.Meta.GetIndex() != meta.Index || s.Meta.GetTerm() != meta.Term {
