batch status: the memory of accepted jobs, by account

Operators couldn't tell why a job is refused while the fleet is idle.

`Pages` takes one view of the leader in place of a function for each table; the command's test has two rows more.

--- a/internal/batchservice/pages.go
+++ b/internal/batchservice/pages.go
@@ -16,9 +16,9 @@
 
 // Pages returns the handlers of the operators' pages on the admin listener, by
 // pattern. They read the local replica's state, which on a follower may lag
-// behind the leader's. forecasts returns those of the leader, none on a follower.
-func Pages(m *state.Machine, forecasts func() []*apiv1.BatchForecast) map[string]http.HandlerFunc {
-	p := &pages{m, forecasts}
+// behind the leader's.
+func Pages(m *state.Machine, v LeaderView) map[string]http.HandlerFunc {
+	p := &pages{m, v}
 	return map[string]http.HandlerFunc{
 		"GET /batch/status":    p.status,
 		"GET /batch/jobs":      p.jobs,
@@ -26,15 +26,24 @@
 	}
 }
 
+// LeaderView is what a replica knows while it leads.
+type LeaderView interface {
+	// Forecasts returns the forecasts of the pools, none on a follower.
+	Forecasts() []*apiv1.BatchForecast
+	// JobMemory returns the memory that accepted jobs take, by account. On a follower it is
+	// what the state knows.
+	JobMemory() []*apiv1.BatchJobMemory
+}
+
 type pages struct {
 	stateMachine *state.Machine
-	forecasts    func() []*apiv1.BatchForecast
+	leader       LeaderView
 }
 
 func (p *pages) status(w http.ResponseWriter, _ *http.Request) {
 	var out *apiv1.BatchStatus
 	p.stateMachine.Read(func(st *state.State) { out = st.Batch.Status() })
-	out.Forecasts = p.forecasts()
+	out.Forecasts, out.JobMemory = p.leader.Forecasts(), p.leader.JobMemory()
 	writePage(w, out)
 }
 
--- a/internal/batchservice/server.go
+++ b/internal/batchservice/server.go
@@ -220,3 +220,11 @@
 	}
 	return nil
 }
+
+// JobMemory returns the memory that accepted jobs take, by account.
+func (s *Server) JobMemory() []*apiv1.BatchJobMemory {
+	if d := s.dispatcher.Load(); d != nil {
+		return d.JobMemory()
+	}
+	return dispatch.JobMemoryOf(s.opts.StateMachine)
+}
--- a/internal/command/batch.go
+++ b/internal/command/batch.go
@@ -12,7 +12,7 @@
 
 type batchCommands struct {
 	Admin  string             `help:"Admin address (ip:port) of a control replica; the leader's state is the newest." required:"" env:"BERGAMOT_ADMIN"`
-	Status batchStatusCommand `cmd:"" help:"Show the catalog in force, pools, queues, accounts, the leader's forecasts, zones out and waves."`
+	Status batchStatusCommand `cmd:"" help:"Show the catalog in force, pools, queues, accounts, the leader's forecasts, the memory of accepted jobs, zones out and waves."`
 	Jobs   batchJobsCommand   `cmd:"" help:"List jobs that have not ended, by pages."`
 	Show   batchShowCommand   `cmd:"" help:"Show one job with its steps and runs."`
 }
@@ -30,7 +30,7 @@
 }
 
 // Run prints the catalog version in force and the tables of pools, queues, client
-// accounts, forecasts and waves.
+// accounts, forecasts, memory and waves.
 func (batchStatusCommand) Run(ctx context.Context, a *app) error {
 	s, err := a.cli.Batch.client().Status(ctx)
 	if err != nil {
@@ -45,6 +45,7 @@
 		printTable(a.stdout, "\nqueues", s.Queues)
 		printTable(a.stdout, "\naccounts", s.Accounts)
 		printTable(a.stdout, "\nforecasts of the leader", s.Forecasts)
+		printTable(a.stdout, "\nmemory of accepted jobs", s.JobMemory)
 		printTable(a.stdout, "\nmaintenance", s.Waves)
 	})
 	return nil
--- a/internal/command/batch_test.go
+++ b/internal/command/batch_test.go
@@ -40,11 +40,8 @@
 		Starts: []*apiv1.StartedRun{{Task: &apiv1.TaskName{JobId: "job-1"}, Run: 1, Minion: incarnation}},
 	}}})
 	apply(&apiv1.BatchCommand{Body: &apiv1.BatchCommand_SetZone{SetZone: &apiv1.SetZoneService{AvailabilityZone: "b", Out: true}}})
-	forecasts := func() []*apiv1.BatchForecast {
-		return []*apiv1.BatchForecast{{Pool: "wards", RoomCpuMillis: 4000, WaitMs: 750, Accepted: 2, Refused: 9}}
-	}
 	mux := http.NewServeMux()
-	for pattern, page := range batchservice.Pages(stateMachine, forecasts) {
+	for pattern, page := range batchservice.Pages(stateMachine, leaderView{}) {
 		mux.HandleFunc(pattern, page)
 	}
 	server := httptest.NewServer(mux)
@@ -52,6 +49,17 @@
 	return strings.TrimPrefix(server.URL, "http://")
 }
 
+// leaderView is what the replica of startBatchReplica knows as the leader.
+type leaderView struct{}
+
+func (leaderView) Forecasts() []*apiv1.BatchForecast {
+	return []*apiv1.BatchForecast{{Pool: "wards", RoomCpuMillis: 4000, WaitMs: 750, Accepted: 2, Refused: 9}}
+}
+
+func (leaderView) JobMemory() []*apiv1.BatchJobMemory {
+	return []*apiv1.BatchJobMemory{{Account: "total", UsedBytes: 5000, GuaranteedBytes: 9000}, {Account: "home-1", UsedBytes: 4000, ProposedBytes: 700, GuaranteedBytes: 4500, Refused: 3}}
+}
+
 var _ = Describe("batch jobs", func() {
 	// Guards against operators who cannot find out why batch jobs wait, on a
 	// platform that has its own API for submitting them.
@@ -63,6 +71,8 @@
 		Expect(h.out).To(MatchRegexp(`wards +no +1 +0 +4000 +1000 +1`))
 		Expect(h.out).To(MatchRegexp(`home-1 +5 +3000 +1000 +1 +3 +3000`))
 		Expect(h.out).To(MatchRegexp(`wards +4000 +0 +750 +0 +2 +9`))
+		Expect(h.out).To(MatchRegexp(`total +5000B +0B +9000B +0`))
+		Expect(h.out).To(MatchRegexp(`home-1 +4000B +700B +4500B +3`))
 		Expect(h.run("batch", "--admin", admin, "jobs", "--limit", "1")).To(Equal(0), h.err)
 		Expect(h.out).To(ContainSubstring("job-1"))
 		Expect(h.out).To(ContainSubstring("more: --after job-1"))
--- a/internal/daemon/batchcore/daemon.go
+++ b/internal/daemon/batchcore/daemon.go
@@ -174,7 +174,7 @@
 	d.Process.AddDumper("replica", func() any { return node.Status() })
 	d.Process.AddDumper("state", func() any { return control.DumpState(stateMachine) })
 	d.Process.AddReadinessCheck(d.leaderTracker.CheckReady)
-	for pattern, page := range batchservice.Pages(stateMachine, service.Forecasts) {
+	for pattern, page := range batchservice.Pages(stateMachine, service) {
 		d.Process.AddPage(pattern, page)
 	}
 	return nil
--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -6,7 +6,6 @@
 	"time"
 
 	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
-	"bergamotdrum.example/bergamotdrum/internal/batch"
 	"bergamotdrum.example/bergamotdrum/internal/jobmemory"
 	"bergamotdrum.example/bergamotdrum/internal/placement"
 	"bergamotdrum.example/bergamotdrum/internal/result"
@@ -41,6 +40,10 @@
 	// memory bounds what accepted jobs take.
 	memory *jobmemory.Budget
 	state  jobState
+	// memoryLoggedAt is when memoryRefused, the number of jobs refused for it, was last
+	// logged.
+	memoryLoggedAt time.Duration
+	memoryRefused  uint64
 	// logRoom returns how many bytes the log takes until new jobs have to wait, nil for no
 	// limit.
 	logRoom func() int64
@@ -138,10 +141,6 @@
 const (
 	reasonCommitTime placement.Reason = "commit_time"
 	reasonStartRate  placement.Reason = "start_rate"
-	// reasonMemory means that accepted jobs take the memory for them, and reasonLog that
-	// the log has to be compacted first.
-	reasonMemory placement.Reason = "job_memory"
-	reasonLog    placement.Reason = "log"
 )
 
 // decide returns the zero value when the job is accepted, and then counts it. inTime is
@@ -184,50 +183,6 @@
 	return placement.Refusal{}
 }
 
-// replicaRefusal refuses a job that the replicas can't hold; the caller holds the lock.
-// What the state holds is read under it, so that a job whose commit ends meanwhile counts
-// in the state or as proposed.
-func (a *admission) replicaRefusal(now time.Duration, j *apiv1.BatchJob) placement.Refusal {
-	bytes := proposalBytes(j)
-	if a.memory.Limit() > 0 && !a.memory.AllowsWithin(a.state.usedJobMemory(), bytes) {
-		used, weights := a.state.jobMemory()
-		a.memory.SetWeights(weights)
-		if !a.memory.Allows(used, j.Account, bytes) {
-			return placement.Refusal{Reason: reasonMemory, RetryAfter: a.memory.Refuse(now, used, j.Account, bytes)}
-		}
-	}
-	if a.logRoom != nil && a.memory.ProposedBytes()+batch.MessageFootprint(j) > a.logRoom() {
-		return placement.Refusal{Reason: reasonLog, RetryAfter: minSubmitRetryAfter}
-	}
-	return placement.Refusal{}
-}
-
-// proposalBytes returns the memory that a job takes while it is proposed: that of the state
-// and that of the message.
-func proposalBytes(j *apiv1.BatchJob) int64 { return batch.Footprint(j) + batch.MessageFootprint(j) }
-
-// jobState is what admission reads of the replicated state while it holds its lock.
-type jobState struct{ machine *state.Machine }
-
-// usedJobMemory returns the memory that the jobs of the state take.
-func (s jobState) usedJobMemory() (bytes int64) {
-	s.machine.Read(func(st *state.State) { bytes = st.Batch.JobMemoryTotal() })
-	return bytes
-}
-
-// jobMemory returns the memory that the jobs of each account take, and the weights of the
-// accounts.
-func (s jobState) jobMemory() (used jobmemory.Usage, weights map[string]int64) {
-	weights = map[string]int64{}
-	s.machine.Read(func(st *state.State) {
-		used = jobmemory.Usage(st.Batch.JobMemory())
-		for _, account := range st.Batch.Catalog().Accounts {
-			weights[account.Name] = int64(account.Weight)
-		}
-	})
-	return used, weights
-}
-
 // AdmitJob returns nil when a job may be submitted. Then SubmissionEnded is called
 // with the outcome. Otherwise the error says that the job was not accepted, why, and when
 // the caller may come back. inTime is set when the submission is expected to be
--- a/internal/dispatch/forecast.go
+++ b/internal/dispatch/forecast.go
@@ -60,6 +60,7 @@
 	d.admission.setForecast(forecast, committed)
 	d.admission.settle(committed)
 	d.admission.log(now, d.log)
+	d.admission.logMemory(now, d.log)
 }
 
 // admissionLogInterval is the time between two logs of the decisions on new jobs.
--- a/internal/jobmemory/jobmemory.go
+++ b/internal/jobmemory/jobmemory.go
@@ -74,8 +74,8 @@
 	b.sum += public
 }
 
-// guarantee returns the bytes that no other account may take.
-func (b *Budget) guarantee(account string) int64 {
+// Guarantee returns the bytes that no other account may take.
+func (b *Budget) Guarantee(account string) int64 {
 	w := b.weights[account]
 	if w == 0 {
 		return 0
@@ -100,7 +100,7 @@
 	left := b.limit - used.Total - b.proposedTotal
 	for other := range b.weights {
 		if other != account {
-			left -= max(b.guarantee(other)-used.ByAccount[other]-b.proposedBytes[other], 0)
+			left -= max(b.Guarantee(other)-used.ByAccount[other]-b.proposedBytes[other], 0)
 		}
 	}
 	return left
@@ -141,6 +141,9 @@
 // ProposedBytes returns what these jobs take.
 func (b *Budget) ProposedBytes() int64 { return b.proposedTotal }
 
+// ProposedBytesOf returns what those of an account take.
+func (b *Budget) ProposedBytesOf(account string) int64 { return b.proposedBytes[account] }
+
 // Refuse counts a refusal and returns when the caller may come back: when as much as the
 // job lacks has come back, at the rate of late.
 func (b *Budget) Refuse(now time.Duration, used Usage, account string, n int64) time.Duration {
@@ -154,8 +157,24 @@
 	return min(time.Duration(float64(lacking)/rate*float64(time.Second)), maxWait)
 }
 
-// Refused returns how many jobs were refused, by account.
-func (b *Budget) Refused() map[string]uint64 { return b.refused }
+// Refused returns how many jobs of an account were refused.
+func (b *Budget) Refused(account string) uint64 { return b.refused[account] }
+
+// Accounts returns the accounts that have a guarantee, a job that is proposed, or were
+// refused one.
+func (b *Budget) Accounts() map[string]bool {
+	out := map[string]bool{}
+	for account := range b.weights {
+		out[account] = true
+	}
+	for account := range b.proposedBytes {
+		out[account] = true
+	}
+	for account := range b.refused {
+		out[account] = true
+	}
+	return out
+}
 
 // releaseRate is how fast memory comes back. It is measured while jobs are refused.
 type releaseRate struct {
--- a/internal/jobmemory/jobmemory_test.go
+++ b/internal/jobmemory/jobmemory_test.go
@@ -54,7 +54,7 @@
 	g.Expect(b.Refuse(time.Minute, used, "", 500)).To(Equal(maxWait), "nothing came back yet")
 	used.Released = 200
 	g.Expect(b.Refuse(time.Minute+rateWindow, used, "", 500)).To(BeNumerically("~", 5*time.Second, time.Millisecond), "100 bytes a second")
-	g.Expect(b.Refused()).To(Equal(map[string]uint64{"": 2}))
+	g.Expect(b.Refused("")).To(BeNumerically("==", 2))
 	g.Expect(b.Refuse(time.Hour, used, "", 500)).To(Equal(maxWait), "the rate is old")
 	g.Expect(New(0).Allows(used, "", 1<<40)).To(BeTrue(), "no limit")
 }
@@ -87,7 +87,7 @@
 			if b.AllowsWithin(used.Total, n) {
 				g.Expect(allowed).To(BeTrue())
 			}
-			if used.ByAccount[name]+n <= b.guarantee(name) {
+			if used.ByAccount[name]+n <= b.Guarantee(name) {
 				g.Expect(allowed).To(BeTrue(), "%q has less than its guarantee", name)
 			}
 			if !allowed {
