--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -35,6 +35,10 @@
 		})
 		services = append(services, map[string]any{"name": poolName(i), "admissionCheck": i != unguardedPool, "spare": false})
 	}
+	routes = append(routes, map[string]any{
+		"name": "crowd", "host": host, "pathPrefix": crowdPrefix, "kind": "unsafe", "timeoutMs": 3000,
+		"targetLatencyMs": 600, "priority": 0, "service": poolName(0), "maxAttempts": 4, "stretch": 1.6, "public": true,
+	})
 	services = append(services, map[string]any{"name": "spare", "admissionCheck": true, "spare": true})
 	for _, a := range accounts {
 		tenants = append(tenants, map[string]any{
--- a/test/soak/cluster_test.go
+++ b/test/soak/cluster_test.go
@@ -130,8 +130,8 @@
 			return nil, err
 		}
 		c.controlLinks = append(c.controlLinks, link)
-		text := fmt.Sprintf("[batch-control]\nprocess_id = core-%d\navailability_zone = %s\ndata_folder = %s\nrpc_address = %s:%d\ncontrol_address = %s:8345\nadmin_address = %s:7001\nseed_addresses = %s\nfirst_start = true\nallow_no_secret = true\nmax_lease = 3s\nlease = 2s\norder_takeover = 3300ms\nservice_time = 1s\nprovider_address = %s\n",
-			i, zones[i%len(zones)], filepath.Join(dir, fmt.Sprint("data-", i)), host, rpcPort, host, host, strings.Join(seeds, ", "), c.providerLink.address())
+		text := fmt.Sprintf("[batch-control]\nprocess_id = core-%d\navailability_zone = %s\ndata_folder = %s\nrpc_address = %s:%d\ncontrol_address = %s:8345\nadmin_address = %s:7001\nseed_addresses = %s\nfirst_start = true\nallow_no_secret = true\nmax_lease = 3s\nlease = 2s\norder_takeover = 3300ms\nservice_time = 1s\nprovider_address = %s\nmax_memory = %dMiB\n",
+			i, zones[i%len(zones)], filepath.Join(dir, fmt.Sprint("data-", i)), host, rpcPort, host, host, strings.Join(seeds, ", "), c.providerLink.address(), memoryMiB)
 		p, err := c.addProc(coreRole, i, binary, text)
 		if err != nil {
 			return nil, err
@@ -145,8 +145,8 @@
 			return nil, err
 		}
 		c.frontLinks = append(c.frontLinks, link)
-		text := fmt.Sprintf("[batch-front]\nprocess_id = front-%d\navailability_zone = %s\ncaller_address = %s:8340\nready_address = %s:8343\nadmin_address = %s:7001\nseed_addresses = %s\ncontrol_rpc_port = %d\nallow_no_secret = true\n",
-			i, zones[i%len(zones)], host, host, host, strings.Join(seeds, ", "), rpcPort)
+		text := fmt.Sprintf("[batch-front]\nprocess_id = front-%d\navailability_zone = %s\ncaller_address = %s:8340\nready_address = %s:8343\nadmin_address = %s:7001\nseed_addresses = %s\ncontrol_rpc_port = %d\nallow_no_secret = true\nmax_memory = %dMiB\n",
+			i, zones[i%len(zones)], host, host, host, strings.Join(seeds, ", "), rpcPort, memoryMiB)
 		p, err := c.addProc("front", i, binary, text)
 		if err != nil {
 			return nil, err
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -23,6 +23,12 @@
 	keepFlag    = flag.String("soak.keep", "", "folder that keeps logs and data of the runs")
 )
 
+// crowdSeed is a seed of CI with a crowd of clients that nobody controls.
+const crowdSeed = 552
+
+// hasCrowd reports whether a run has such a crowd.
+func hasCrowd(seed uint64) bool { return seed%3 == 0 }
+
 // regressions are seeds that once revealed a bug of the platform, each with its
 // cause. CI runs them.
 var regressions = []struct {
@@ -49,7 +55,7 @@
 // twice, in the wrong order, without a job, beyond a limit, beyond a capacity that has
 // shrunk, or again and again although they crash their minions; jobs that are lost
 // or shown in a wrong state; configurations that revert; waves that take down more
-// machines than their limit.
+// machines than their limit; processes that take more memory than their machine has.
 func TestSoak(t *testing.T) {
 	binary := filepath.Join(t.TempDir(), "bergamot-platform")
 	if out, err := exec.Command("go", "build", "-o", binary, "bergamotdrum.example/bergamotdrum/cmd/bergamot-platform").CombinedOutput(); err != nil {
@@ -59,6 +65,7 @@
 		for _, r := range regressions {
 			t.Run(fmt.Sprint("seed=", r.seed), func(t *testing.T) { runSeed(t, binary, r.seed, ciFaultDuration) })
 		}
+		t.Run(fmt.Sprint("crowd/seed=", crowdSeed), func(t *testing.T) { runSeed(t, binary, crowdSeed, ciFaultDuration) })
 		return
 	}
 	for i := range *seedsFlag {
@@ -117,6 +124,10 @@
 		cl := &caller{cluster: c, rand: random(uint64(10 + i)), client: newHTTPClient(), number: i}
 		work.Go(func() { cl.run(stop) })
 	}
+	if hasCrowd(seed) {
+		uncontrolled := &crowd{cluster: c, rand: random(3), client: newHTTPClient()}
+		work.Go(func() { uncontrolled.run(stop) })
+	}
 	f := &faultInjector{cluster: c, rand: random(2), affected: map[*proc]bool{}, log: t.Logf}
 	work.Go(func() { f.run(stop, f.platformFaults()) })
 	c.injectMinionFaults(random, stop, &work, t.Logf)
@@ -151,6 +162,7 @@
 		}
 	}
 	c.checkWaves(o)
+	c.checkMemory()
 	c.checker.mu.Lock()
 	defer c.checker.mu.Unlock()
 	if read < o.ackedVersion || read > o.sentVersion {
