entry: stalled bodies give way, by the limits of the other listeners

Callers saw: clients with a valid key that stop short of the end of large bodies have everyone else with a larger body refused with 429 until they time out, up to 10 s each, and again.

Cause: entries of the own protocol kept a budget of their own, which refused newcomers and dropped nobody, had a fixed size of 256 MiB, and doubled the buffer of each body. Connections were bounded by the descriptors alone.

Change: entries read bodies through `internal/httplimit`, one limiter for callers and targets, in place of the second budget. `max_memory`, `max_body_memory` and `max_connections` are settings as on the other listeners; without them the sizes are as before.

Evidence: `TestStalledBodiesGiveWayToOrdinaryRequests` (40 clients, budget of ten bodies, a body may take ten minutes): 429 for the whole minute before, served now. `TestOversizedAndSlowInputIsRefused` reads the budget in use where it read what was left of it, as strictly.

--- a/internal/daemon/entry/daemon.go
+++ b/internal/daemon/entry/daemon.go
@@ -51,6 +51,11 @@
 // Start opens the listeners, serves, and begins a session with the control
 // group in the background.
 func Start(settings *apiv1.EntrySettings) (*Daemon, error) {
+	daemon.LimitMemory(settings.MaxMemoryBytes)
+	descriptors, err := daemon.DescriptorLimit(0)
+	if err != nil {
+		return nil, err
+	}
 	secret, err := daemon.ReadSecret(settings.ClusterSecretFile)
 	if err != nil {
 		return nil, err
@@ -69,7 +74,7 @@
 		rpcServer: rpc.NewServer(secret, process.Log),
 		rpcClient: rpc.NewClient(secret),
 	}
-	d.wire()
+	d.wire(daemon.PlanDescriptors(descriptors))
 	d.serve(listeners)
 	process.Log.WithField("caller_address", settings.CallerAddress).Info("entry process started")
 	return d, nil
@@ -77,7 +82,7 @@
 
 // wire creates the session, the shard host and the entry server and connects
 // them to each other.
-func (d *Daemon) wire() {
+func (d *Daemon) wire(descriptors daemon.DescriptorBudget) {
 	control := session.NewControlClient(d.rpcClient, d.settings.ControlAddresses)
 	d.Session = session.New(session.Options{
 		Control:          control,
@@ -98,6 +103,10 @@
 		Log:       d.Process.Log,
 		Registry:  d.Process.Registry,
 	})
+	limits := daemon.ClientLimits{
+		MaxBodyMemoryBytes: d.settings.MaxBodyMemoryBytes, MaxConnections: d.settings.MaxConnections,
+		MaxMemoryBytes: d.settings.MaxMemoryBytes, MaxBodyBytes: int64(d.settings.MaxBodyBytes), Descriptors: descriptors.Limit - descriptors.Reserved,
+	}
 	d.Entry = entry.New(entry.Options{
 		Session:      d.Session,
 		Control:      control,
@@ -106,7 +115,7 @@
 		Clock:        clock.Boot{},
 		Log:          d.Process.Log,
 		Registry:     d.Process.Registry,
-		MaxBodyBytes: int64(d.settings.MaxBodyBytes),
+		MaxBodyBytes: int64(d.settings.MaxBodyBytes), MaxBufferedBytes: limits.BodyMemory(), MaxConnections: limits.Connections(),
 	})
 	d.Session.OnView(d.host.OnView)
 	d.Session.SetBusyVMsFunc(d.Entry.BusyVMs)
--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -59,12 +59,13 @@
 
 // LimitClients installs the limits in a server that doesn't serve yet.
 func LimitClients(s *http.Server, c ClientLimits, log *logrus.Entry, registry prometheus.Registerer) {
-	o := httplimit.Options{Listener: c.Listener, MaxBytes: c.maxBodyMemory(), MaxConnections: c.maxConnections(), Log: log, Registry: registry}
+	o := httplimit.Options{Listener: c.Listener, MaxBytes: c.BodyMemory(), MaxConnections: c.Connections(), Log: log, Registry: registry}
 	log.WithFields(logrus.Fields{"listener": o.Listener, "max_body_bytes": o.MaxBytes, "max_connections": o.MaxConnections}).Info("clients are limited")
 	httplimit.New(o).Install(s)
 }
 
-func (c ClientLimits) maxBodyMemory() int64 {
+// BodyMemory returns the memory that all bodies may take, in bytes.
+func (c ClientLimits) BodyMemory() int64 {
 	switch {
 	case c.MaxBodyMemoryBytes > 0:
 		return int64(c.MaxBodyMemoryBytes)
@@ -74,7 +75,8 @@
 	return max(defaultBodyMemoryBytes, minBodies*c.MaxBodyBytes)
 }
 
-func (c ClientLimits) maxConnections() int {
+// Connections returns the number of connections that may be open.
+func (c ClientLimits) Connections() int {
 	switch {
 	case c.MaxConnections > 0:
 		return int(c.MaxConnections)
--- a/internal/entry/announce.go
+++ b/internal/entry/announce.go
@@ -91,11 +91,10 @@
 
 // decode reads a request body of at most limit bytes as protobuf JSON into m.
 func (s *Server) decode(w http.ResponseWriter, r *http.Request, m proto.Message, limit int64) *result.Error {
-	body, release, err := s.readBody(w, r, limit)
+	body, err := s.readBody(w, r, limit)
 	if err != nil {
 		return err
 	}
-	defer release()
 	if err := protojson.Unmarshal(body, m); err != nil {
 		return result.NotRun(apiv1.ResultCode_RESULT_CODE_INVALID_ARGUMENT, "the body is not a %s: %v", m.ProtoReflect().Descriptor().Name(), err)
 	}
--- a/internal/entry/limits_test.go
+++ b/internal/entry/limits_test.go
@@ -70,7 +70,7 @@
 	g.Expect(h.sendRaw(g, head)).NotTo(ContainSubstring("200"), "the server closes the connection")
 	arrived, _ := h.minions[0].RequestCounts()
 	g.Expect(arrived).To(BeZero())
-	g.Expect(h.servers[0].buffers.available).To(BeEquivalentTo(defaultMaxBufferedBytes))
+	g.Expect(h.servers[0].clients.UsedBytes()).To(BeZero())
 }
 
 // sendRaw sends text on a new connection and returns what the server sends until it
@@ -171,3 +171,22 @@
 	g.Expect(r.status).To(Equal(400), r.body)
 	g.Expect(r.body).To(ContainSubstring("id"))
 }
+
+// Load: clients with a valid key stop short of the end of large bodies and stay. Guards
+// against an entry that refuses everyone else until these time out.
+func TestStalledBodiesGiveWayToOrdinaryRequests(t *testing.T) {
+	g := NewWithT(t)
+	const bodyBytes = 100_000
+	h := newHarness(t, 1, 1, func(o *Options) {
+		o.MaxBodyBytes, o.MaxBufferedBytes = bodyBytes, 10*bodyBytes
+		o.BodyTimeout = 10 * time.Minute // a body has far longer than the test
+	})
+	head := fmt.Sprintf("PUT /v1/services/alerts/ HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer %s\r\nBergamot-Queue: heat\r\nContent-Length: %d\r\n\r\n", h.credential, bodyBytes)
+	for range 40 {
+		defer h.dial(g, head+strings.Repeat("x", bodyBytes-1)).Close()
+	}
+	for _, size := range []int{10, bodyBytes} {
+		g.Eventually(func() int { return h.send(0, "PUT", "/v1/services/alerts/", strings.Repeat("y", size)).status }).
+			WithTimeout(time.Minute).Should(Equal(200), "%d bytes", size)
+	}
+}
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -57,7 +57,7 @@
 			return float64(n)
 		}),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "bergamot_entry_buffered_bytes", Help: "Request bodies held in memory."}, func() float64 {
-			return float64(s.buffers.used(s.opts.MaxBufferedBytes))
+			return float64(s.clients.UsedBytes())
 		}),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "bergamot_entry_connections_open", Help: "Connections to minions, idle ones included."}, func() float64 {
 			sum := 0
--- a/internal/entry/proxy.go
+++ b/internal/entry/proxy.go
@@ -31,12 +31,11 @@
 		s.writeError(w, "", err)
 		return
 	}
-	body, release, err := s.readBody(w, r, s.opts.MaxBodyBytes)
+	body, err := s.readBody(w, r, s.opts.MaxBodyBytes)
 	if err != nil {
 		s.writeError(w, q.service, err)
 		return
 	}
-	defer release()
 	q.body = body
 	q.endsAt = start.Add(q.timeout)
 	ctx, cancel := context.WithDeadline(r.Context(), q.endsAt)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -17,6 +17,7 @@
 
 	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
 	"bergamotdrum.example/bergamotdrum/internal/clock"
+	"bergamotdrum.example/bergamotdrum/internal/httplimit"
 	"bergamotdrum.example/bergamotdrum/internal/rpc"
 	"bergamotdrum.example/bergamotdrum/internal/session"
 )
@@ -25,6 +26,7 @@
 	defaultMaxBodyBytes     = 64 << 20
 	defaultMaxInFlight      = 4096 // for callers and, separately, for targets
 	defaultMaxBufferedBytes = 256 << 20
+	defaultMaxClients       = 1 << 20
 	defaultProgressTimeout  = time.Second
 	defaultHeaderTimeout    = 5 * time.Second
 	defaultBodyTimeout      = 10 * time.Second
@@ -75,7 +77,8 @@
 
 	MaxBodyBytes     int64 // largest request body of one caller
 	MaxInFlight      int   // requests of callers served at once, and likewise of targets
-	MaxBufferedBytes int64 // total size of the request bodies in memory
+	MaxBufferedBytes int64 // memory of the request bodies of all clients
+	MaxConnections   int   // open connections of all clients
 	// ProgressTimeout is the lower limit of the time without progress after which a
 	// connection to a minion is dropped; it is longer for slow services.
 	ProgressTimeout time.Duration
@@ -88,6 +91,7 @@
 	setDefault(&o.MaxBodyBytes, defaultMaxBodyBytes)
 	setDefault(&o.MaxInFlight, defaultMaxInFlight)
 	setDefault(&o.MaxBufferedBytes, defaultMaxBufferedBytes)
+	setDefault(&o.MaxConnections, defaultMaxClients)
 	setDefault(&o.ProgressTimeout, defaultProgressTimeout)
 	setDefault(&o.HeaderTimeout, defaultHeaderTimeout)
 	setDefault(&o.BodyTimeout, defaultBodyTimeout)
@@ -107,7 +111,7 @@
 	opts             Options
 	inFlight         *inFlightTracker // requests of callers, and all background calls
 	targetsInFlight  *inFlightTracker // requests of minions and workers
-	buffers          *byteBudget
+	clients          *httplimit.Limiter
 	grants           *grantRegistry
 	pools            *connPools
 	retries          *retryBudget
@@ -121,10 +125,12 @@
 func New(o Options) *Server {
 	o.setDefaults()
 	s := &Server{
-		opts:             o,
-		inFlight:         newInFlightTracker(o.MaxInFlight),
-		targetsInFlight:  newInFlightTracker(o.MaxInFlight),
-		buffers:          &byteBudget{available: o.MaxBufferedBytes},
+		opts:            o,
+		inFlight:        newInFlightTracker(o.MaxInFlight),
+		targetsInFlight: newInFlightTracker(o.MaxInFlight),
+		clients: httplimit.New(httplimit.Options{
+			Listener: "entry", MaxBytes: o.MaxBufferedBytes, MaxConnections: o.MaxConnections, Log: o.Log, Registry: o.Registry,
+		}),
 		grants:           newGrantRegistry(o.Clock),
 		pools:            newConnPools(),
 		retries:          newRetryBudget(o.Clock),
@@ -181,14 +187,16 @@
 }
 
 // HTTPServer returns a server for one of the handlers, with limits on slow
-// clients and oversized headers.
+// clients, oversized headers, and what all clients of the servers take together.
 func (s *Server) HTTPServer(h http.Handler) *http.Server {
-	return &http.Server{
+	server := &http.Server{
 		Handler:           h,
 		ReadHeaderTimeout: s.opts.HeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
+	s.clients.Install(server)
+	return server
 }
 
 // Run sends batches of announcements and heartbeats on until ctx ends.
--- a/internal/httplimit/httplimit.go
+++ b/internal/httplimit/httplimit.go
@@ -40,7 +40,7 @@
 	Registry prometheus.Registerer
 }
 
-// Limiter bounds the clients of one listener.
+// Limiter bounds the clients of one listener, or of some together.
 type Limiter struct {
 	opts    Options
 	dropped *prometheus.CounterVec
@@ -102,6 +102,12 @@
 	return l.used, len(l.connections)
 }
 
+// UsedBytes returns the memory that the bodies take.
+func (l *Limiter) UsedBytes() int64 {
+	used, _ := l.inUse()
+	return used
+}
+
 // Install sets the limiter in a server that doesn't serve yet.
 func (l *Limiter) Install(s *http.Server) {
 	next := s.Handler
