--- a/internal/batch/joblimits_test.go
+++ b/internal/batch/joblimits_test.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"math/big"
 	"strings"
 	"testing"
 
@@ -46,3 +47,31 @@
 		g.Expect(refused.Message).To(ContainSubstring(message))
 	}
 }
+
+// Guards against numbers whose sums or products exceed what their types hold, so that a job
+// passes and counts for little or nothing.
+func FuzzJobWithinTheLimitsHasABoundedFootprint(f *testing.F) {
+	f.Add(uint32(1<<31), uint32(1<<31), uint32(1<<31), uint16(3), uint16(0))
+	f.Add(uint32(50_000), uint32(50_000), uint32(1), uint16(1), uint16(1))
+	f.Add(uint32(0), uint32(0), uint32(100_000), uint16(0), uint16(65_535))
+	f.Fuzz(func(t *testing.T, first, other, repetitions uint32, others, dependencies uint16) {
+		g := NewWithT(t)
+		j := &apiv1.BatchJob{Repetitions: repetitions, Steps: []*apiv1.BatchStep{{Count: first}}}
+		for range others {
+			j.Steps = append(j.Steps, &apiv1.BatchStep{Count: other})
+		}
+		last := j.Steps[len(j.Steps)-1]
+		if others > 0 {
+			last.After = make([]uint32, dependencies)
+		}
+		if CheckSubmission(j) != nil {
+			return
+		}
+		tasks, occurrences := new(big.Int).SetUint64(uint64(first)), big.NewInt(int64(max(repetitions, 1)))
+		tasks.Add(tasks, new(big.Int).Mul(big.NewInt(int64(other)), big.NewInt(int64(others))))
+		g.Expect(tasks.Mul(tasks, occurrences).Cmp(big.NewInt(maxTasks))).To(BeNumerically("<=", 0))
+		g.Expect(len(last.After) * int(max(repetitions, 1))).To(BeNumerically("<=", maxDependencies))
+		const bound = jobBytes + MaxSteps*stepBytes + maxDependencies*dependencyBytes + maxTasks*(stepStateBytes+taskBytes)
+		g.Expect(Footprint(j)).To(And(BeNumerically(">=", MessageFootprint(j)), BeNumerically("<=", bound)))
+	})
+}
