httplimit: new connections wait for room, and what has arrived counts as sent

With the oldest silent connection closed at once, a call has only the time in which as many connections come as the limit allows, some 50 ms there, to be read.

Change: a connection may be silent for 100 ms before it gives way; while all others are younger, the loop that accepts waits, and those that come later wait in the kernel. Bytes that have arrived and aren't read yet, as the kernel tells, count as sent.

--- a/internal/httplimit/httplimit.go
+++ b/internal/httplimit/httplimit.go
@@ -10,10 +10,12 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -23,6 +25,9 @@
 	// reserveDivisor divides the budget into the part that only first buffers may take, so
 	// that small bodies find room however many large ones are there.
 	reserveDivisor = 4
+	// silentGrace is how long a new connection may be silent until it may be closed for
+	// others. Clients send at once.
+	silentGrace = 100 * time.Millisecond
 	// logInterval is the shortest time between two log lines of a listener.
 	logInterval = time.Second
 )
@@ -64,6 +69,9 @@
 	// zero while a handler works.
 	state      http.ConnState
 	waitsSince time.Time
+	// sent is set when it is known that the client has sent something, although nothing has
+	// been read yet.
+	sent bool
 	// readsBody is set while a body is read.
 	readsBody bool
 	// dropped is set when the connection is closed to make room.
@@ -128,18 +136,18 @@
 )
 
 // accept counts a new connection. If there are too many, the one that has stalled longest
-// is closed, or the new one if none has.
+// is closed, or the new one if none has. It is called by the loop that accepts connections,
+// which waits while all others are new: those that come later wait in the kernel.
 func (l *Limiter) accept(ctx context.Context, conn net.Conn) context.Context {
 	c := &connection{conn: conn, state: http.StateNew, waitsSince: time.Now()}
 	l.mu.Lock()
 	l.connections[conn] = c
-	var victim *connection
-	if len(l.connections) > l.opts.MaxConnections {
-		victim = l.longestStalled(func(other *connection) bool { return other != c })
-		if victim == nil {
-			victim = c
-			l.drop(c, reasonNoConnections)
-		}
+	victim, wait := l.makeRoom(c)
+	for wait > 0 {
+		l.mu.Unlock()
+		time.Sleep(wait)
+		l.mu.Lock()
+		victim, wait = l.makeRoom(c)
 	}
 	l.mu.Unlock()
 	if victim != nil {
@@ -148,6 +156,60 @@
 	return context.WithValue(ctx, connectionKey{}, c)
 }
 
+// makeRoom returns the connection to close, nil if there aren't too many, or after how long
+// a new one that is silent may be. The caller holds the lock.
+func (l *Limiter) makeRoom(c *connection) (victim *connection, wait time.Duration) {
+	if len(l.connections) <= l.opts.MaxConnections {
+		return nil, 0
+	}
+	others := func(other *connection) bool { return other != c }
+	if victim = l.longestStalled(others); victim != nil {
+		return victim, 0
+	}
+	silent := l.oldestSilent(others)
+	if silent == nil {
+		l.drop(c, reasonNoConnections)
+		return c, 0
+	}
+	if wait = silentGrace - time.Since(silent.waitsSince); wait > 0 {
+		return nil, wait
+	}
+	l.drop(silent, reasonSilent)
+	return silent, 0
+}
+
+// oldestSilent returns the oldest connection on which the client has sent nothing. The
+// caller holds the lock.
+func (l *Limiter) oldestSilent(eligible func(*connection) bool) *connection {
+	for {
+		var oldest *connection
+		for _, c := range l.connections {
+			if !c.dropped && !c.sent && c.state == http.StateNew && eligible(c) && (oldest == nil || c.waitsSince.Before(oldest.waitsSince)) {
+				oldest = c
+			}
+		}
+		if oldest == nil || !hasArrived(oldest.conn) {
+			return oldest
+		}
+		oldest.sent = true
+	}
+}
+
+// hasArrived reports whether bytes have arrived on a connection that are not read yet.
+func hasArrived(conn net.Conn) bool {
+	sc, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	_ = raw.Control(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), unix.TIOCINQ) }) // fails if it is closed
+	return err == nil && n > 0
+}
+
 // changeState follows the state of a connection.
 func (l *Limiter) changeState(conn net.Conn, state http.ConnState) {
 	l.mu.Lock()
@@ -166,13 +228,11 @@
 }
 
 // longestStalled returns the connection to close for others, marked as dropped, and counts
-// it; nil if there is none. Idle connections come first: they lose nothing. Those that have
-// sent nothing yet come last, the oldest first, however short they wait: clients send at
-// once, and would all be turned away while silent connections keep coming. The caller holds
-// the lock.
+// it; nil if there is none. Idle connections come first: they lose nothing. The caller
+// holds the lock.
 func (l *Limiter) longestStalled(eligible func(*connection) bool) *connection {
 	now := time.Now()
-	var idle, stalled, silent *connection
+	var idle, stalled *connection
 	for _, c := range l.connections {
 		if c.dropped || c.waitsSince.IsZero() || !eligible(c) {
 			continue
@@ -184,8 +244,6 @@
 			}
 		case now.Sub(c.waitsSince) >= minStall && (stalled == nil || c.waitsSince.Before(stalled.waitsSince)):
 			stalled = c
-		case c.state == http.StateNew && (silent == nil || c.waitsSince.Before(silent.waitsSince)):
-			silent = c
 		}
 	}
 	switch {
@@ -194,11 +252,8 @@
 		return idle
 	case stalled != nil:
 		l.drop(stalled, reasonStalled)
-		return stalled
-	case silent != nil:
-		l.drop(silent, reasonSilent)
 	}
-	return silent
+	return stalled
 }
 
 // drop marks a connection as dropped and counts it. The caller holds the lock and closes
