dispatch: a job that never fits is refused for good, and submissions of one job are bounded

A job that takes more than its account may have with nothing else accepted got 429 with a Retry-After each time; it is refused with TOO_LARGE now. Submissions of a job whose commit is under way count once in the memory, and each took room in the log, without a bound: the ninth has an unknown outcome (504), since the job may be accepted.

FuzzBudget checks that what never fits is never allowed, and that what fits alone is.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -206,12 +206,18 @@
 		d.admission.addProposed(j)
 		return nil
 	}
+	if d.admission.submissions(j.Id) >= maxSubmissions {
+		return result.New(apiv1.ResultCode_RESULT_CODE_OUTCOME_UNKNOWN, "job %s is being submitted %d times already; ask for it", j.Id, maxSubmissions)
+	}
 	d.updateForecast(now)
 	refusal := d.refusalOf(now, j, inTime)
 	if refusal.Reason == "" {
 		return nil
 	}
 	d.metrics.jobsRefused.WithLabelValues(string(refusal.Reason)).Inc()
+	if refusal.Reason == reasonTooLarge {
+		return result.NotRun(apiv1.ResultCode_RESULT_CODE_TOO_LARGE, "job takes %d bytes of memory with all of its tasks, more than there are for its account: divide the job", proposalBytes(j))
+	}
 	err := result.NotRun(apiv1.ResultCode_RESULT_CODE_QUEUE_FULL, "queue %s can't accept the job in time (%s); submit it again later", j.Queue, refusal.Reason)
 	wait := min(max(refusal.RetryAfter, minSubmitRetryAfter), maxSubmitRetryAfter)
 	// Callers that were refused together are not to return together.
@@ -251,6 +257,13 @@
 	return accepted
 }
 
+// submissions returns how many submissions of a job are proposed.
+func (a *admission) submissions(id string) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.proposed[id]
+}
+
 // addProposed counts a submission of a job that isn't refused.
 func (a *admission) addProposed(j *apiv1.BatchJob) {
 	a.mu.Lock()
--- a/internal/dispatch/jobmemory.go
+++ b/internal/dispatch/jobmemory.go
@@ -20,8 +20,14 @@
 	// the log has to be compacted first.
 	reasonMemory placement.Reason = "job_memory"
 	reasonLog    placement.Reason = "log"
+	// reasonTooLarge means that the memory doesn't hold the job when it is alone.
+	reasonTooLarge placement.Reason = "job_size"
 )
 
+// maxSubmissions bounds the submissions of a job that are proposed at the same time. They
+// count once in the memory for jobs, and each takes room in the log.
+const maxSubmissions = 8
+
 // replicaRefusal refuses a job that the replicas can't hold; the caller holds the lock.
 // What the state holds is read under it, so that a job whose commit ends meanwhile counts
 // in the state or as proposed.
@@ -30,6 +36,9 @@
 	if a.memory.Limit() > 0 && !a.memory.AllowsWithin(a.state.usedJobMemory(), bytes) {
 		used, weights := a.state.jobMemory()
 		a.memory.SetWeights(weights)
+		if bytes > a.memory.LargestJob(j.Account) {
+			return placement.Refusal{Reason: reasonTooLarge}
+		}
 		if !a.memory.Allows(used, j.Account, bytes) {
 			return placement.Refusal{Reason: reasonMemory, RetryAfter: a.memory.Refuse(now, used, j.Account, bytes)}
 		}
--- a/internal/dispatch/jobmemory_test.go
+++ b/internal/dispatch/jobmemory_test.go
@@ -62,6 +62,11 @@
 	g.Expect(d.AdmitJob(job(2, ""), true)).To(BeNil(), "may be accepted already")
 	g.Expect(d.AdmitJob(job(0, "a"), true)).To(BeNil(), "a client account")
 
+	huge := job(3000, "a")
+	huge.Steps[0].Count = 100_000
+	err = d.AdmitJob(huge, true)
+	g.Expect([]any{err.Code, err.NotRun}).To(Equal([]any{apiv1.ResultCode_RESULT_CODE_TOO_LARGE, true}), "never fits")
+
 	lead()
 	d.admission.proposed = map[string]int{}
 	accepted := 0
@@ -87,3 +92,17 @@
 	g.Expect(d.AdmitJob(newRefusedJob("a"), true)).To(BeNil())
 	g.Expect(d.refusalOf(d.clock.Now(), newRefusedJob("b"), false)).To(HaveField("Reason", placement.Reason("commit_time")))
 }
+
+// Load: a job is submitted many times while its commit takes long. Guards against a log that
+// is filled by them, and against a refusal as not run.
+func TestSubmissionsOfAJobAtTheSameTimeAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	d, _ := newIdleDispatcher(t)
+	for range maxSubmissions {
+		g.Expect(d.AdmitJob(newRefusedJob("a"), true)).To(BeNil())
+	}
+	err := d.AdmitJob(newRefusedJob("a"), true)
+	g.Expect([]any{err.Code, err.NotRun}).To(Equal([]any{apiv1.ResultCode_RESULT_CODE_OUTCOME_UNKNOWN, false}))
+	d.SubmissionEnded("a", nil)
+	g.Expect(d.AdmitJob(newRefusedJob("a"), true)).To(BeNil())
+}
--- a/internal/jobmemory/jobmemory.go
+++ b/internal/jobmemory/jobmemory.go
@@ -89,6 +89,18 @@
 	return b.limit == 0 || n <= b.available(used, account)
 }
 
+// LargestJob returns the bytes that a job of an account may take at most, when no other
+// job is there.
+func (b *Budget) LargestJob(account string) int64 {
+	left := b.limit
+	for other := range b.weights {
+		if other != account {
+			left -= b.Guarantee(other)
+		}
+	}
+	return left
+}
+
 // AllowsWithin is Allows from the total alone. It reports false also if the shares of the
 // accounts have to be known.
 func (b *Budget) AllowsWithin(total, n int64) bool {
--- a/internal/jobmemory/jobmemory_test.go
+++ b/internal/jobmemory/jobmemory_test.go
@@ -90,6 +90,12 @@
 			if used.ByAccount[name]+n <= b.Guarantee(name) {
 				g.Expect(allowed).To(BeTrue(), "%q has less than its guarantee", name)
 			}
+			if n > b.LargestJob(name) {
+				g.Expect(allowed).To(BeFalse())
+			}
+			if n <= b.LargestJob(name) {
+				g.Expect(b.Allows(Usage{}, name, n)).To(BeTrue(), "alone")
+			}
 			if !allowed {
 				g.Expect(b.Refuse(time.Duration(i+1)*time.Second, used, name, n)).To(And(BeNumerically(">=", 0), BeNumerically("<=", maxWait)))
 				continue
