dispatch: TestSilentMinionIsReleasedWhenItsLeaseEnds reads the lease that counts

Cause, in the test: it reads the end of the lease at the very moment at which the minion becomes unreachable. An answer that arrives at the same moment of the simulated time renews the lease, before or after that read as goroutines come.

Change: the test waits until all goroutines are at rest at that moment, then reads. The bound of 300 ms after the end of the lease stays.

--- a/internal/dispatch/silence_test.go
+++ b/internal/dispatch/silence_test.go
@@ -218,6 +218,7 @@
 		for i := range 10 {
 			time.Sleep(5*time.Second + time.Duration(i)*130*time.Millisecond)
 			h.setUnreachable(a, true)
+			synctest.Wait() // an answer that arrives at this moment renews the lease
 			leaseEnd := h.leaseEnd(a)
 			time.Sleep(time.Until(leaseEnd) + 300*time.Millisecond)
 			g.Expect(h.runningOn(b)).To(Equal(3), "silence %d", i)
