batchservice: a large job that gave up waiting is "not run" only if no other submission of it is there

Callers saw: two submissions of a large job, as after a lost answer, wait for their turn; the one whose time is up gets 503, "not run", while the other is being taken or still waits and may be accepted.

Cause: only the refusal for a full queue looked at other submissions of the job.

Change: whoever gives up has an unknown outcome (504) while another submission of the job is there, or may be proposed or accepted.

Evidence: `TestWaitingSubmissionIsNotCalledNotRunBesideAnother` failed before; the package passes three times under the race detector.

--- a/internal/batchservice/largejobs.go
+++ b/internal/batchservice/largejobs.go
@@ -47,7 +47,7 @@
 	}
 	if added, waits := l.add(id); !added {
 		if waits || mayBeKnown() {
-			return nil, result.New(apiv1.ResultCode_RESULT_CODE_OUTCOME_UNKNOWN, "job %s may be accepted by an earlier submission; ask for it", id)
+			return nil, errMayBeAccepted(id)
 		}
 		refused := result.NotRun(apiv1.ResultCode_RESULT_CODE_QUEUE_FULL, "%d jobs of %d bytes and more are waiting; submit the job again later", maxWaitingLargeJobs, largeJobBytes)
 		refused.RetryAfter = largeJobRetryAfter + rand.N(largeJobRetryAfter)
@@ -57,7 +57,10 @@
 	case l.working <- struct{}{}:
 		return func() { <-l.working; l.remove(id) }, nil
 	case <-ctx.Done():
-		l.remove(id)
+		// In this order: another submission is proposed before its turn ends.
+		if l.remove(id) || mayBeKnown() {
+			return nil, errMayBeAccepted(id)
+		}
 		return nil, result.NotRun(apiv1.ResultCode_RESULT_CODE_NO_QUORUM, "the job was not proposed, since others of %d bytes and more came first: %v", largeJobBytes, ctx.Err())
 	}
 }
@@ -75,11 +78,19 @@
 	return true, false
 }
 
-func (l *largeJobs) remove(id string) {
+// remove ends a submission, and reports whether another one of the job is being taken or
+// waits.
+func (l *largeJobs) remove(id string) (others bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.total--
-	if l.submissions[id]--; l.submissions[id] == 0 {
-		delete(l.submissions, id)
+	if l.submissions[id]--; l.submissions[id] > 0 {
+		return true
 	}
+	delete(l.submissions, id)
+	return false
+}
+
+func errMayBeAccepted(id string) *result.Error {
+	return result.New(apiv1.ResultCode_RESULT_CODE_OUTCOME_UNKNOWN, "job %s may be accepted by another submission; ask for it", id)
 }
--- a/internal/batchservice/largejobs_test.go
+++ b/internal/batchservice/largejobs_test.go
@@ -100,3 +100,17 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	leave()
 }
+
+// Guards against "not run" for a submission that gave up waiting while another of the same
+// job still has its turn, or waits for it, and may be accepted.
+func TestWaitingSubmissionIsNotCalledNotRunBesideAnother(t *testing.T) {
+	g := NewWithT(t)
+	l := newLargeJobs()
+	leave, err := l.enter(t.Context(), "a", largeJobBytes, func() bool { return false })
+	g.Expect(err).NotTo(HaveOccurred())
+	defer leave()
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err = l.enter(ctx, "a", largeJobBytes, func() bool { return false })
+	g.Expect(result.From(err).NotRun).To(BeFalse())
+}
