--- a/review/rig3/minion.go
+++ b/review/rig3/minion.go
@@ -54,7 +54,7 @@
 	id, machine, service string
 	zone, rack, address  string
 	capacity             resources
-	up, draining         bool
+	up, draining, dark   bool
 	life                 int
 	born                 int64
 	started              time.Time
@@ -122,7 +122,7 @@
 	server := &http.Server{Handler: mux}
 	m.f.mu.Lock()
 	m.life++
-	m.up, m.draining, m.server = true, false, server
+	m.up, m.draining, m.dark, m.server = true, false, false, server
 	m.started, m.born = time.Now(), time.Now().UnixMilli()
 	m.sequence, m.fence, m.until, m.nextEnd = 0, 0, 0, 1
 	m.runs, m.ended, m.highest = map[string]*run{}, nil, map[string]int{}
@@ -269,6 +269,13 @@
 // handler is called with the lock held.
 func (m *minion) serve(handle func(o order) (int, answer)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
+		m.f.mu.Lock()
+		dark := m.dark
+		m.f.mu.Unlock()
+		if dark {
+			<-r.Context().Done()
+			return
+		}
 		var o order
 		if json.NewDecoder(r.Body).Decode(&o) != nil {
 			w.WriteHeader(http.StatusBadRequest)
@@ -417,14 +424,7 @@
 			return
 		}
 		m.sequence++
-		state := "ready"
-		if m.draining {
-			state = "draining"
-		}
-		body := answer{
-			"service": m.service, "address": m.address, "zone": m.zone, "version": "v1", "slots": 8, "state": state, "coldRemainingMs": 0,
-			"capacity": m.capacity, "labels": []string{"a", m.rack}, "clockMs": m.clock(), "sequence": m.sequence, "born": m.born,
-		}
+		body := m.heartbeat()
 		to := m.heartbeatTo
 		if to == "" {
 			to = m.f.control[next%len(m.f.control)]
@@ -447,3 +447,15 @@
 		}
 	}
 }
+
+// heartbeat returns the body of a heartbeat. The caller holds the lock.
+func (m *minion) heartbeat() answer {
+	state := "ready"
+	if m.draining {
+		state = "draining"
+	}
+	return answer{
+		"service": m.service, "address": m.address, "zone": m.zone, "version": "v1", "slots": 8, "state": state, "coldRemainingMs": 0,
+		"capacity": m.capacity, "labels": []string{"a", m.rack}, "clockMs": m.clock(), "sequence": m.sequence, "born": m.born,
+	}
+}
