--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -35,6 +35,7 @@
 var scenarios = map[string]scenario{
 	"crashes": crashes,
 	"relapse": relapse,
+	"renamed": renamed,
 }
 
 const (
