--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -36,6 +36,7 @@
 	"crashes": crashes,
 	"relapse": relapse,
 	"renamed": renamed,
+	"givenup": givenUp,
 }
 
 const (
