dispatch: a new leader releases runs whose minion is no longer recorded

The job was shown as running, and the runs counted against the account's limit.

Cause: the end of the later incarnation is committed, and its minion's record removed, up to 0.4 s before the runs of the earlier one are released. A leader opened sessions for recorded incarnations and for those with runs whose minion is recorded, so one that was elected in between opened none for the earlier one, and only sessions release runs.

Change: each incarnation with runs gets a session. Without a record there is no address to call; it waits until all leases that calls for the minion can have given have ended, as for a minion that came back and is silent, and releases the runs. A session that already releases them isn't replaced.

--- a/internal/dispatch/incarnations.go
+++ b/internal/dispatch/incarnations.go
@@ -43,7 +43,9 @@
 			notice.draining = notice.draining || s.notice.draining
 			notice.ordered, notice.machine = s.notice.ordered, s.notice.machine
 			s.notice = notice
-			if s.target.Address == t.Address {
+			// The session of an incarnation whose minion is no longer recorded is
+			// already releasing its runs.
+			if t.Address == "" || s.target.Address == t.Address {
 				continue
 			}
 			s.cancel()
@@ -202,6 +204,20 @@
 	d.finishClosing(ctx, s, "the minion restarted", true)
 }
 
+// endUnrecorded ends an incarnation that has runs while no incarnation of its minion is
+// recorded: a later one has ended too. There is no address to call, so the runs are
+// released once the leases of all calls made for the minion have certainly ended.
+func (d *Dispatcher) endUnrecorded(ctx context.Context, s *session) {
+	s.mu.Lock()
+	left := s.lease.endsBy - d.clock.Now()
+	s.mu.Unlock()
+	s.log.WithField("wait_ms", left.Milliseconds()).Info("minion with runs is no longer recorded; waiting for the end of its leases")
+	sleep(ctx, left+time.Millisecond)
+	if ctx.Err() == nil {
+		d.endIncarnation(ctx, s, "its minion is no longer recorded", true)
+	}
+}
+
 // tokenFor returns the fencing token for orders to an incarnation, which may not
 // have a session yet.
 func (d *Dispatcher) tokenFor(inc batch.Incarnation) uint64 {
--- a/internal/dispatch/latecalls.go
+++ b/internal/dispatch/latecalls.go
@@ -69,8 +69,9 @@
 	return err
 }
 
-// expectLateCalls notes that calls for other incarnations under the id may reach this
-// one, of which ended is the latest. It is called before the session runs.
+// expectLateCalls notes that calls for other incarnations under the id, of which ended is
+// the latest, may reach this one. If this one has no address, another one may hold a lease
+// from calls for this one. It is called before the session runs.
 func (s *session) expectLateCalls(ended batch.Incarnation) {
 	s.endedBefore = ended
 	s.lease.endsBy = max(s.lease.endsBy, s.d.clock.Now()+longestLease(s.d.opts.MaxLease))
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -95,7 +95,7 @@
 }
 
 // sessionTarget is an incarnation, one lifetime of a minion's process, that needs a
-// session.
+// session. It has no address if no incarnation of its minion is recorded.
 type sessionTarget struct {
 	Target
 	// recorded is set when it is its minion's latest recorded incarnation, draining
@@ -108,7 +108,8 @@
 
 // targetsOf returns every incarnation, that is, lifetime of a minion's process,
 // that is recorded or has runs. An earlier incarnation gets the address of its
-// minion's present one.
+// minion's present one, if there is one: the end of the later one may be committed
+// before the runs of the earlier one are released.
 func targetsOf(st *batch.State) []sessionTarget {
 	minions := st.Minions()
 	out := make([]sessionTarget, 0, len(minions))
@@ -118,8 +119,11 @@
 		out = append(out, sessionTarget{Target{Incarnation: inc, Address: m.Address}, true, m.Draining, ended})
 	}
 	for _, inc := range st.LoadedIncarnations() {
-		m := st.Minion(inc.ID)
-		if m != nil && batch.IncarnationOf(m.Life) != inc {
+		switch m := st.Minion(inc.ID); {
+		case m == nil:
+			ended, _ := st.EndedBefore(inc)
+			out = append(out, sessionTarget{Target: Target{Incarnation: inc}, endedBefore: ended})
+		case batch.IncarnationOf(m.Life) != inc:
 			out = append(out, sessionTarget{Target: Target{Incarnation: inc, Address: m.Address}})
 		}
 	}
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -183,6 +183,10 @@
 func (s *session) run(ctx context.Context) {
 	// A run that the session doesn't know would be stopped as uncommitted.
 	s.d.syncSession(s)
+	if s.target.Address == "" {
+		s.d.endUnrecorded(ctx, s)
+		return
+	}
 	for ctx.Err() == nil {
 		if !s.d.leadershipConfirmed() {
 			sleep(ctx, retryDelay)
