batch: a queue counts its waiting jobs also after a change of its name

A queue that got the name of another one counted its jobs.

Cause: a job keeps the name that its queue had at the acceptance, and QueuedJobs, the status and the list of jobs compared that with present names.

Counts and lists use it and show the present name.

--- a/internal/batch/catalog.go
+++ b/internal/batch/catalog.go
@@ -15,7 +15,8 @@
 	*apiv1.Catalog
 	queues map[string]*apiv1.BatchQueue
 	// queuesByHost holds the queues of each host.
-	queuesByHost map[string][]*apiv1.BatchQueue
+	queuesByHost    map[string][]*apiv1.BatchQueue
+	queuesByAddress map[queueAddress]*apiv1.BatchQueue
 	// addresses holds queues of which only the address is set. Jobs that have ended share
 	// them.
 	addresses map[queueAddress]*apiv1.BatchQueue
@@ -28,7 +29,9 @@
 // queueAddress is where callers find a queue.
 type queueAddress struct{ host, prefix string }
 
-func addressKey(q *apiv1.BatchQueue) queueAddress { return queueAddress{q.Host, q.PathPrefix} }
+func addressKey(q *apiv1.BatchQueue) queueAddress {
+	return queueAddress{q.GetHost(), q.GetPathPrefix()}
+}
 
 // newCatalog indexes c; nil is the empty catalog.
 func newCatalog(c *apiv1.Catalog) *catalog {
@@ -36,17 +39,19 @@
 		c = &apiv1.Catalog{}
 	}
 	out := &catalog{
-		Catalog:       c,
-		queues:        map[string]*apiv1.BatchQueue{},
-		queuesByHost:  map[string][]*apiv1.BatchQueue{},
-		addresses:     map[queueAddress]*apiv1.BatchQueue{},
-		pools:         map[string]*apiv1.BatchPool{},
-		accounts:      map[string]*apiv1.BatchAccount{},
-		accountsByKey: map[[sha256.Size]byte]*apiv1.BatchAccount{},
+		Catalog:         c,
+		queues:          map[string]*apiv1.BatchQueue{},
+		queuesByHost:    map[string][]*apiv1.BatchQueue{},
+		queuesByAddress: map[queueAddress]*apiv1.BatchQueue{},
+		addresses:       map[queueAddress]*apiv1.BatchQueue{},
+		pools:           map[string]*apiv1.BatchPool{},
+		accounts:        map[string]*apiv1.BatchAccount{},
+		accountsByKey:   map[[sha256.Size]byte]*apiv1.BatchAccount{},
 	}
 	for _, q := range c.Queues {
 		out.queues[q.Name] = q
 		out.queuesByHost[q.Host] = append(out.queuesByHost[q.Host], q)
+		out.queuesByAddress[addressKey(q)] = q
 		out.addresses[addressKey(q)] = &apiv1.BatchQueue{Host: q.Host, PathPrefix: q.PathPrefix}
 	}
 	for _, p := range c.Pools {
@@ -154,6 +159,21 @@
 	return longest
 }
 
+// queueOf returns the queue of the catalog that a job belongs to, nil if there is none.
+// Callers know queues by their address and a catalog may give a queue another name, so
+// it is the queue at the address where the job was accepted. If there is none, it is the
+// queue of the name, which has another address now.
+func (c *catalog) queueOf(j *Job) *apiv1.BatchQueue {
+	named := c.queues[j.Queue]
+	if j.AcceptedQueue == nil || named != nil && addressKey(named) == addressKey(j.AcceptedQueue) {
+		return named
+	}
+	if q := c.queuesByAddress[addressKey(j.AcceptedQueue)]; q != nil {
+		return q
+	}
+	return named
+}
+
 // QueueOf returns the queue of a job from the catalog in force. When that has no
 // queue of the name, it returns the settings that the queue had when the job was
 // accepted; only their address is left once the job has ended and has no runs
@@ -164,3 +184,12 @@
 	}
 	return j.AcceptedQueue
 }
+
+// queueName returns the name of a job's queue in the catalog in force, or the name that
+// the queue had when the job was accepted if the catalog no longer has it.
+func (s *State) queueName(j *Job) string {
+	if q := s.catalog.queueOf(j); q != nil {
+		return q.Name
+	}
+	return j.Queue
+}
--- a/internal/batch/crashes_test.go
+++ b/internal/batch/crashes_test.go
@@ -32,7 +32,7 @@
 		f.Expect(f.state("j")).To(Equal(apiv1.BatchState_BATCH_STATE_RUNNING))
 		res := f.startAndEnd(ref("j", 0, 0), run, crashed, 60_000)
 		f.Expect(res.Runs.GivenUp).To(HaveLen(int(run) / 3))
-		f.Expect(f.s.Job("j").View().Steps[0].Crashes).To(Equal(run))
+		f.Expect(f.s.View(f.s.Job("j")).Steps[0].Crashes).To(Equal(run))
 		data, err := proto.Marshal(f.s.Snapshot())
 		f.Expect(err).NotTo(HaveOccurred())
 		snap := &apiv1.BatchSnapshot{}
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -123,12 +123,12 @@
 // not change the slice.
 func (s *State) ActiveJobs() []*Job { return s.active }
 
-// QueuedJobs returns the number of jobs of a queue of which no minion is known to
-// have begun a task.
+// QueuedJobs returns the number of jobs of a queue, by its name in the catalog in force,
+// of which no minion is known to have begun a task.
 func (s *State) QueuedJobs(queue string) uint32 {
 	n := uint32(0)
 	for _, j := range s.active {
-		if j.Queue == queue && j.State == apiv1.BatchState_BATCH_STATE_QUEUED {
+		if j.State == apiv1.BatchState_BATCH_STATE_QUEUED && s.queueName(j) == queue {
 			n++
 		}
 	}
@@ -209,7 +209,7 @@
 }
 
 // compact drops the specification, steps and occurrences of a job that has ended
-// and has no runs left. Of the accepted queue the address stays, by which VisibleTo
+// and has no runs left. Of the accepted queue the address stays, by which queueOf
 // finds the job's queue in later catalogs.
 func (s *State) compact(j *Job) {
 	if !Ended(j.State) || j.runs > 0 {
--- a/internal/batch/view.go
+++ b/internal/batch/view.go
@@ -54,7 +54,7 @@
 		out = append(out, byName[q.Name])
 	}
 	for _, j := range s.active {
-		row := byName[j.Queue]
+		row := byName[s.queueName(j)]
 		if row == nil {
 			continue // the catalog no longer has its queue
 		}
@@ -121,7 +121,8 @@
 	return out
 }
 
-// Summary returns the job's state and task counts. An ended job without active
+// Summary returns the job's state and task counts, with the name that its queue had when
+// it was accepted. An ended job without active
 // runs has no tasks left to count. The first occurrence (repetition of the job)
 // counts even before it has begun, later ones only once they have.
 func (j *Job) Summary() *apiv1.BatchJobSummary {
@@ -140,15 +141,22 @@
 	return out
 }
 
+// summary is Job.Summary with the name that the job's queue has now.
+func (s *State) summary(j *Job) *apiv1.BatchJobSummary {
+	out := j.Summary()
+	out.Queue = s.queueName(j)
+	return out
+}
+
 // JobPage returns up to limit jobs, in the order of their ids, from the first id
 // greater than after. limit is brought into the range 1 to MaxJobsPerPage. A
-// queue that is not empty selects the jobs of that queue; all includes ended
-// jobs. NextAfter is the value of after for the next page, empty on the last.
+// queue that is not empty selects the jobs of that queue, by its name in the catalog in
+// force; all includes ended jobs. NextAfter is the value of after for the next page, empty on the last.
 func (s *State) JobPage(queue, after string, all bool, limit int) *apiv1.BatchJobList {
 	limit = min(max(limit, 1), MaxJobsPerPage)
 	var matches []*Job
 	for _, j := range s.jobs {
-		if j.Id > after && (queue == "" || j.Queue == queue) && (all || !Ended(j.State)) {
+		if j.Id > after && (queue == "" || s.queueName(j) == queue) && (all || !Ended(j.State)) {
 			matches = append(matches, j)
 		}
 	}
@@ -159,15 +167,15 @@
 			out.NextAfter = out.Jobs[limit-1].JobId
 			break
 		}
-		out.Jobs = append(out.Jobs, j.Summary())
+		out.Jobs = append(out.Jobs, s.summary(j))
 	}
 	return out
 }
 
-// View returns the job with its steps and the runs (executions of tasks on
-// minions) that have not ended, by occurrence.
-func (j *Job) View() *apiv1.BatchJobView {
-	out := &apiv1.BatchJobView{Summary: j.Summary()}
+// View returns a job with its steps and the runs (executions of tasks on minions) that
+// have not ended, by occurrence.
+func (s *State) View(j *Job) *apiv1.BatchJobView {
+	out := &apiv1.BatchJobView{Summary: s.summary(j)}
 	occurrences := slices.Clone(j.Occurrences)
 	slices.SortFunc(occurrences, func(a, b *apiv1.BatchOccurrence) int { return cmp.Compare(a.Number, b.Number) })
 	for _, o := range occurrences {
--- a/internal/batch/view_test.go
+++ b/internal/batch/view_test.go
@@ -30,7 +30,7 @@
 	f.Expect(proto.Equal(st.Pools[0], &apiv1.BatchPoolStatus{Pool: "p", Minions: 2, CapacityCpuMillis: 8000, UsedCpuMillis: 1000, Runs: 1})).To(BeTrue(), "%v", st.Pools[0])
 	f.Expect(proto.Equal(st.Queues[0], &apiv1.BatchQueueStatus{Queue: "q", Pool: "p", QueuedJobs: 1, RunningJobs: 1, WaitingTasks: 4, RunningTasks: 1})).To(BeTrue(), "%v", st.Queues[0])
 	f.Expect(proto.Equal(st.Waves[0], &apiv1.BatchWaveStatus{Wave: 4, Machines: 2, Waiting: 1, Down: 1, MaxDown: 1})).To(BeTrue(), "%v", st.Waves[0])
-	view := f.s.Job("j").View()
+	view := f.s.View(f.s.Job("j"))
 	f.Expect(view.Steps).To(HaveLen(2))
 	f.Expect(view.Steps[0].Done).To(BeEquivalentTo(1))
 	f.Expect(view.Steps[1].Ready).To(BeFalse())
--- a/internal/batchservice/pages.go
+++ b/internal/batchservice/pages.go
@@ -69,7 +69,7 @@
 	var out *apiv1.BatchJobView
 	p.stateMachine.Read(func(st *state.State) {
 		if j := st.Batch.Job(r.PathValue("id")); j != nil {
-			out = j.View()
+			out = st.Batch.View(j)
 		}
 	})
 	if out == nil {
