batch: tasks start in the pool of their queue also after a change of its name

Callers would see: jobs wait although their route leads to minions with room. A configuration gave the route another name and another service, and the jobs that were accepted before kept waiting for the earlier one, for ever if it is gone. Or tasks start on minions of a service to which their route never led, since another route had got the name of theirs.

Cause: QueueOf, which gives the pool, priority and latency target of a job, looked for the queue by the name at the acceptance, and used the settings of then if there was none.

Change: QueueOf uses catalog.queueOf, by address first. The settings of the acceptance are left for a queue that is gone.

Evidence: TestTasksStartInThePoolOfTheirQueueByItsPresentName failed before in three of its nine changes: another name and pool, a name that went to another queue, and two queues that exchange their names.

The commit of a start checks the pool, so replicas of an earlier version may decide differently: upgrade all before a configuration changes the name and the service of a queue in one step.

--- a/internal/batch/catalog.go
+++ b/internal/batch/catalog.go
@@ -174,12 +174,12 @@
 	return named
 }
 
-// QueueOf returns the queue of a job from the catalog in force. When that has no
-// queue of the name, it returns the settings that the queue had when the job was
-// accepted; only their address is left once the job has ended and has no runs
-// (executions of its tasks).
+// QueueOf returns the queue of a job from the catalog in force. When that has neither a
+// queue at its address nor one of its name, it returns the settings that the queue had
+// when the job was accepted; only their address is left once the job has ended and has no
+// runs (executions of its tasks).
 func (s *State) QueueOf(j *Job) *apiv1.BatchQueue {
-	if q := s.catalog.queues[j.Queue]; q != nil {
+	if q := s.catalog.queueOf(j); q != nil {
 		return q
 	}
 	return j.AcceptedQueue
--- a/internal/batch/queuename_test.go
+++ b/internal/batch/queuename_test.go
@@ -76,3 +76,16 @@
 		f.Expect(f.s.View(f.s.Job("j")).Summary.Queue).To(Equal(want))
 	})
 }
+
+// Guards against tasks that wait for minions of a pool to which their queue no longer
+// leads, or start on those of another queue, once a configuration has changed names.
+func TestTasksStartInThePoolOfTheirQueueByItsPresentName(t *testing.T) {
+	playRenamedQueues(t, func(f *fixture, _, wantPool string, _ bool) {
+		f.t.Helper()
+		j := f.s.Job("j")
+		for _, pool := range []string{"p", "p2"} {
+			m := &apiv1.BatchMinion{Pool: pool, Capacity: &apiv1.Resources{CpuMillis: 4000, MemoryMb: 4000}}
+			f.Expect(f.s.Exclusion(j, j.Steps[0], m) == "").To(Equal(pool == wantPool), pool)
+		}
+	})
+}
