batch: a job isn't open to all because a public queue has got its queue's name

Callers would see: a job of a queue that requires a key is shown to calls without one, and may be canceled by them, once a configuration has given the queue another name and its former one to a public queue elsewhere.

Cause: a job was open if the queue of its name was, or the one at its address.

Change: it is open if its queue is, as catalog.queueOf finds it.

Evidence: TestJobIsOpenAsItsQueueByItsPresentName failed before in two of its nine changes, both with a name that a public queue elsewhere has got. The cases of TestJobIsVisibleByItsAccountAndItsRouteAsItIsNow pass as before.

--- a/internal/batch/queuename_test.go
+++ b/internal/batch/queuename_test.go
@@ -89,3 +89,12 @@
 		}
 	})
 }
+
+// Guards against a job that callers without a key see, since a public queue has got the
+// name of its own, or don't see, since its own has got another name.
+func TestJobIsOpenAsItsQueueByItsPresentName(t *testing.T) {
+	playRenamedQueues(t, func(f *fixture, _, _ string, wantOpen bool) {
+		f.t.Helper()
+		f.Expect(f.s.VisibleTo(f.s.Job("j"), "")).To(Equal(wantOpen))
+	})
+}
--- a/internal/batch/visibility.go
+++ b/internal/batch/visibility.go
@@ -14,21 +14,5 @@
 // submittedBy reports whether the account submitted the job, or nobody's account did.
 func (j *Job) submittedBy(account string) bool { return j.Account == "" || j.Account == account }
 
-// isOpenTo reports whether the queue of a job is open. It is the queue of the name, or one
-// that was added under another name at the address where the job was accepted: callers
-// know the address only.
-func (c *catalog) isOpenTo(j *Job) bool {
-	if q := c.queues[j.Queue]; q != nil && q.Open {
-		return true
-	}
-	accepted := j.AcceptedQueue
-	if accepted == nil {
-		return false
-	}
-	for _, q := range c.queuesByHost[accepted.Host] {
-		if q.PathPrefix == accepted.PathPrefix {
-			return q.Open
-		}
-	}
-	return false
-}
+// isOpenTo reports whether the queue of a job is open.
+func (c *catalog) isOpenTo(j *Job) bool { return c.queueOf(j).GetOpen() }
