dispatch: runs that a lost incarnation has listed are released with its lease

Cause: a start order for the lost incarnation may be carried out by the next one, under the longest lease that a minion accepts, so all runs waited for that. But an order is sent once, and a run that the incarnation itself has listed has used its order up.

Change: such runs end with the incarnation's own lease and are released then; the others wait as before. An answer to a start isn't enough, since the next incarnation may have given it. So that orders are sent once, a session that replaces another one no longer repeats starts. While a start is in doubt only long-running tasks that had settled are released early: ends that may tell which task crashed the minion stay in one command. releaseTimes has the invariant.

Open: a new leader doesn't know what was listed before its term and waits as before.

--- a/internal/dispatch/incarnations.go
+++ b/internal/dispatch/incarnations.go
@@ -186,33 +186,93 @@
 
 // handleRestart ends the incarnation of a minion that started again under its
 // id. A start order that was meant for the earlier incarnation may be carried out
-// by the next one, so the runs are stopped there before they are released.
+// by the next one, so the runs are stopped there before they are released. If that gets no
+// answer, they are released at the times of releaseAfterRestart.
 func (d *Dispatcher) handleRestart(ctx context.Context, s *session, startedMS int64) {
 	if !d.beginClosing(s) {
 		return
 	}
 	next := Target{Incarnation: batch.Incarnation{ID: s.target.Incarnation.ID, StartedMS: startedMS}, Address: s.target.Address}
-	// A run on the next incarnation that its own session doesn't know ends when its
-	// lease does, so nothing needs to be stopped after limit.
-	limit := time.Duration(float64(d.opts.MaxLease)/minClockRate) + orderTimeout
-	bounded, cancel := context.WithTimeout(ctx, limit)
+	now := d.clock.Now()
+	s.mu.Lock()
+	times := releaseAfterRestart(s.lease.endsBy, now, d.opts.MaxLease)
+	s.mu.Unlock()
+	bounded, cancel := context.WithTimeout(ctx, times.others-now)
 	defer cancel()
-	for _, key := range s.unreleasedRuns() {
-		d.stopUntilAnswered(bounded, next, key)
+	stopped, leaseEnded := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(stopped)
+		for _, key := range s.unreleasedRuns() {
+			d.stopUntilAnswered(bounded, next, key)
+		}
+		d.waitUntilNotRunning(bounded, s, next)
+	}()
+	go func() {
+		defer close(leaseEnded)
+		s.awaitLeaseEnd(bounded)
+	}()
+	select {
+	case <-stopped:
+	case <-leaseEnded:
+		if s.releaseSettled(ctx) {
+			cancel()
+		}
+		<-stopped
 	}
-	d.waitUntilNotRunning(bounded, s, next)
 	d.finishClosing(ctx, s, "the minion restarted", true)
 }
 
+// awaitLeaseEnd waits until the incarnation's lease has ended, or until ctx ends. A renewal
+// that was under way when the session began to close may still extend it.
+func (s *session) awaitLeaseEnd(ctx context.Context) {
+	for ctx.Err() == nil {
+		s.mu.Lock()
+		left := s.lease.endsBy - s.d.clock.Now()
+		s.mu.Unlock()
+		if left < 0 {
+			return
+		}
+		sleep(ctx, left+time.Millisecond)
+	}
+}
+
+// releaseSettled releases the long-running tasks that the session's incarnation listed and
+// that had settled. If it listed all runs whose start order may have been sent, releaseSettled
+// leaves them to finishClosing and returns true. The ends of other tasks are always left to
+// it: they may tell which of them crashed the minion, and only ends of one command are
+// compared.
+func (s *session) releaseSettled(ctx context.Context) (allListed bool) {
+	s.mu.Lock()
+	allListed = true
+	for _, o := range s.orders {
+		allListed = allListed && (o.released || o.listed || !o.mayHaveBegun)
+	}
+	if allListed {
+		s.mu.Unlock()
+		return true
+	}
+	var ends []*apiv1.EndedRun
+	for key, o := range s.orders {
+		if !o.released && o.listed && o.isLongRunning && o.settled {
+			o.released = true
+			s.logRelease(key, true)
+			ends = append(ends, &apiv1.EndedRun{Task: key.Name(), Run: key.Number, End: apiv1.RunEnd_RUN_END_LOST, Checkpoint: o.checkpoint})
+		}
+	}
+	s.mu.Unlock()
+	if len(ends) > 0 {
+		s.log.WithField("lost_runs", len(ends)).Warn("the lease of long-running tasks has ended; others may still begin")
+		s.d.commitEnds(ctx, ends)
+	}
+	return false
+}
+
 // endUnrecorded ends an incarnation that has runs while no incarnation of its minion is
 // recorded: a later one has ended too. There is no address to call, so the runs are
 // released once the leases of all calls made for the minion have certainly ended.
 func (d *Dispatcher) endUnrecorded(ctx context.Context, s *session) {
-	s.mu.Lock()
-	left := s.lease.endsBy - d.clock.Now()
-	s.mu.Unlock()
-	s.log.WithField("wait_ms", left.Milliseconds()).Info("minion with runs is no longer recorded; waiting for the end of its leases")
-	sleep(ctx, left+time.Millisecond)
+	s.log.Info("minion with runs is no longer recorded; waiting for the end of its leases")
+	s.awaitLeaseEnd(ctx)
 	if ctx.Err() == nil {
 		d.endIncarnation(ctx, s, "its minion is no longer recorded", true)
 	}
--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -61,9 +61,11 @@
 
 // longestLease returns how long a lease that the minion measures as d may last on
 // the leader's clock.
-func longestLease(d time.Duration) time.Duration {
-	return time.Duration(float64(d)/minClockRate) + leaseMargin
-}
+func longestLease(d time.Duration) time.Duration { return onSlowestClock(d) + leaseMargin }
+
+// onSlowestClock returns how long what a minion measures as d may take on the leader's
+// clock.
+func onSlowestClock(d time.Duration) time.Duration { return time.Duration(float64(d) / minClockRate) }
 
 // expired reports whether all leases given so far have certainly ended, so that
 // nothing ordered so far can still run.
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -48,8 +48,8 @@
 }
 
 // sync updates the orders from the runs committed on the minion and launches the
-// calls that are due. Inherited runs are never started, since an earlier leader
-// may have sent their start order already. sync returns false, and does nothing, if
+// calls that are due. Runs of an earlier leader or session are never started, since it
+// may have sent their start order already, and that is sent once. sync returns false, and does nothing, if
 // the load is given as unchanged and the orders reflect another one by now.
 func (s *session) sync(load committedLoad) bool {
 	s.mu.Lock()
@@ -77,8 +77,11 @@
 		o := s.orders[r.key]
 		if o == nil {
 			o = &runOrder{isLongRunning: r.isLongRunning, resources: r.resources, mayHaveBegun: first || r.inherited}
+			if first || r.inherited {
+				o.state = orderUncertain
+			}
 			if r.inherited {
-				o.state, o.startedUnixMS = orderUncertain, r.startedUnixMS
+				o.startedUnixMS = r.startedUnixMS
 			}
 			s.orders[r.key] = o
 		}
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -103,6 +103,9 @@
 	startedUnixMS int64
 	// firstListedAt is when a hold reply first listed the run as running, zero before.
 	firstListedAt time.Duration
+	// listed is set once a hold reply of the incarnation has listed the run (see
+	// releaseTimes).
+	listed bool
 	// settled is set when a hold reply listed the run settledAge after firstListedAt.
 	settled bool
 }
@@ -289,7 +292,7 @@
 	if o.state == orderUnsent || o.state == orderUncertain {
 		o.state, o.answeredAt = orderStarted, now
 	}
-	o.mayHaveBegun = true
+	o.mayHaveBegun, o.listed = true, true
 	s.reportBegun(r.Run, o)
 	o.updateSettled(now)
 	o.checkpoint = r.Checkpoint
