dispatch: a start doesn't renew the lease of what runs beside it

Callers saw (KNOWN-RED, TestStartsDoNotRenewTheLeaseOfALostMinion): tasks that last have no run for 5.8 s when many starts are committed on their minion as it is lost, where its lease is 4 s.

Cause: each start carried a new lease for the whole minion, and starts go out until the silence is noticed, up to 1.8 s after the last renewal. Starts with the end of the last renewal alone were tried before: the run of a start in doubt was then released before its next incarnation was known.

Change: a start carries the end of the last renewal, unless less than half of the lease is left (it renews it then, as before), and runs that aren't listed are kept until a lease from their start would have ended, as before. The long-running tasks that were listed and had settled are released with the lease, or all runs where none is in doubt.

Not known: what leases do on a leader without processor time. Starts renewed them there too.

--- a/internal/dispatch/downtimecases_test.go
+++ b/internal/dispatch/downtimecases_test.go
@@ -53,6 +53,12 @@
 		p.restartAndLose(300*time.Millisecond, hostGone)
 		p.changeLeader()
 	}},
+	{"restarted with a start in doubt, next incarnation lost", steadyDowntime, func(p *downtimePlay, hostGone bool) {
+		p.submit("job1", 1)
+		p.lose(p.a, hostGone)
+		p.commitStarts("job1", 1, p.a)
+		p.restartAndLose(0, hostGone)
+	}},
 	{"draining, lost 50 ms after a change of the leader", changeDowntime - electionTime, func(p *downtimePlay, hostGone bool) {
 		p.drain(p.a)
 		loseAfterChange(50*time.Millisecond)(p, hostGone)
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -61,10 +61,14 @@
 	return s.lease.extend(now, length)
 }
 
-// untilExpiry returns d, or the time until the lease of a minion that doesn't answer
-// ends, if that is shorter: its runs are to be released then. The caller holds mu.
+// untilExpiry returns d, or the time until runs of a minion that doesn't answer are to be
+// released, if that is shorter. The caller holds mu.
 func (s *session) untilExpiry(d time.Duration) time.Duration {
-	left := s.lease.endsBy - s.d.clock.Now()
+	now := s.d.clock.Now()
+	left := s.lease.endsBy - now
+	if left < 0 {
+		left = s.lease.startsEndBy - now
+	}
 	if s.mayRenew() || left < 0 {
 		return d
 	}
@@ -148,8 +152,9 @@
 // endIfExpired ends the incarnation, and returns true, when its lease has ended since the
 // minion doesn't answer, or no call can be sent to it, as shown by err.
 func (s *session) endIfExpired(ctx context.Context, err error) bool {
+	now := s.d.clock.Now()
 	s.mu.Lock()
-	expired := !s.mayRenew() && s.lease.expired(s.d.clock.Now())
+	expired, startsEnded := !s.mayRenew() && s.lease.expired(now), now > s.lease.startsEndBy
 	s.mu.Unlock()
 	if !expired {
 		return false
@@ -159,6 +164,9 @@
 		s.d.handleRestart(ctx, s, startedMS)
 		return true
 	}
+	if !startsEnded && !s.releaseSettled(ctx) {
+		return false // a next incarnation that carries out a start may be announced until then
+	}
 	s.d.endIncarnation(ctx, s, "its lease has expired", connectionRefused(err))
 	return true
 }
--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -23,6 +23,13 @@
 	clockKnown bool
 	// endsBy is the end of the longest lease, on the leader's clock.
 	endsBy time.Duration
+	// untilMS is the end of the lease as it was last renewed, on the minion's clock, in
+	// ms; zero before.
+	untilMS int64
+	// startsEndBy is when the runs of all start orders have ended, on the leader's clock,
+	// that the next incarnation of the minion may carry out. It is later than endsBy, since
+	// a start doesn't renew the lease.
+	startsEndBy time.Duration
 }
 
 // newLease returns a lease for a minion with an unknown clock, where the leases
@@ -54,9 +61,20 @@
 	if !l.clockKnown {
 		return 0
 	}
-	until := l.estimateClock(now) + d.Milliseconds()
+	l.untilMS = l.estimateClock(now) + d.Milliseconds()
 	l.endsBy = max(l.endsBy, now+longestLease(d))
-	return until
+	return l.untilMS
+}
+
+// forStart returns the end of the lease for a start order at now, on the minion's clock, in
+// ms: that of the last renewal, so that a start to a minion that was lost meanwhile keeps
+// nothing else from being released. If less than half of d is left, it renews the lease.
+func (l *lease) forStart(now, d time.Duration) int64 {
+	l.startsEndBy = max(l.startsEndBy, now+longestLease(d))
+	if l.untilMS-l.estimateClock(now) >= d.Milliseconds()/2 {
+		return l.untilMS
+	}
+	return l.extend(now, d)
 }
 
 // longestLease returns how long a lease that the minion measures as d may last on
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -210,7 +210,7 @@
 	}
 	o.sentAt, o.mayHaveBegun = now, true
 	start.Token = s.token
-	start.LeaseUntilMS = s.lease.extend(now, length)
+	start.LeaseUntilMS = s.lease.forStart(now, length)
 	return start, true
 }
 
--- a/internal/dispatch/release_test.go
+++ b/internal/dispatch/release_test.go
@@ -30,11 +30,11 @@
 	lateLease bool
 }
 
-// runsUntil returns until when the run is executed.
-func (h modelHistory) runsUntil() time.Duration {
+// runsUntil returns until when the run is executed, given whether starts renew the lease.
+func (h modelHistory) runsUntil(startsRenew bool) time.Duration {
 	switch {
 	case h.carriedOut < h.ends:
-		return min(h.ends, h.leaseEnd())
+		return min(h.ends, h.leaseEnd(startsRenew))
 	case h.carriedOut >= h.nextStarts:
 		return h.carriedOut + onSlowestClock(longestAccepted)
 	}
@@ -42,11 +42,14 @@
 }
 
 // leaseEnd returns when the lease of the first incarnation ends.
-func (h modelHistory) leaseEnd() time.Duration {
-	if h.lateLease {
+func (h modelHistory) leaseEnd(startsRenew bool) time.Duration {
+	switch {
+	case h.lateLease:
 		return onSlowestClock(longestAccepted)
+	case startsRenew:
+		return max(h.sent, 0) + onSlowestClock(modelLease)
 	}
-	return max(h.sent, 0) + onSlowestClock(modelLease)
+	return onSlowestClock(modelLease)
 }
 
 // knownLeaseEnd returns until when the leader that releases the run takes the lease of the
@@ -62,19 +65,35 @@
 	return from + longestLease(length), noticed
 }
 
-// modelRules are ways to determine when the run is released.
-var modelRules = map[string]func(h modelHistory) time.Duration{
-	"runs that were listed are released with the lease": func(h modelHistory) time.Duration { return h.releasedAt(h.listed, h.sent) },
-	"runs whose order was answered are":                 func(h modelHistory) time.Duration { return h.releasedAt(h.answered, h.sent) },
-	"starts carry the end of the last renewal": func(h modelHistory) time.Duration {
-		return h.releasedAt(h.listed, 0)
-	},
-	"runs whose order was answered are released when the minion has started again": func(h modelHistory) time.Duration {
+// modelRule is a way to determine when the run is released.
+type modelRule struct {
+	// startsRenew is set if a start renews the lease.
+	startsRenew bool
+	releasedAt  func(h modelHistory) time.Duration
+}
+
+const (
+	ruleInUse       = "listed runs are released with the lease, starts don't renew it"
+	ruleStartsRenew = "listed runs are released with the lease, starts renew it"
+)
+
+// modelRules are the rule in use and others that were weighed.
+var modelRules = map[string]modelRule{
+	ruleInUse: {false, func(h modelHistory) time.Duration {
+		if h.listed {
+			return h.releasedAt(true, 0)
+		}
+		return h.releasedAt(false, h.sent)
+	}},
+	ruleStartsRenew:                     {true, func(h modelHistory) time.Duration { return h.releasedAt(h.listed, h.sent) }},
+	"runs whose order was answered are": {true, func(h modelHistory) time.Duration { return h.releasedAt(h.answered, h.sent) }},
+	"all runs are released with the lease, starts don't renew it": {false, func(h modelHistory) time.Duration { return h.releasedAt(h.listed, 0) }},
+	"runs whose order was answered are released when the minion has started again": {true, func(h modelHistory) time.Duration {
 		if h.answered && h.noticed != never {
 			return h.noticed
 		}
 		return h.releasedAt(false, h.sent)
-	},
+	}},
 }
 
 // releasedAt returns when a leader releases the run, given whether it takes the order to
@@ -133,20 +152,20 @@
 // Guards against a release of a run that some incarnation of its minion still executes or
 // may begin. The model must find the second run of rules that were tried and have one.
 func TestReleaseModelHasNoSecondRun(t *testing.T) {
-	for name, releasedAt := range modelRules {
+	for name, rule := range modelRules {
 		t.Run(name, func(t *testing.T) {
 			histories, broken := 0, 0
 			var example modelHistory
 			eachModelHistory(func(h modelHistory) {
 				histories++
-				if h.runsUntil() > releasedAt(h) {
+				if h.runsUntil(rule.startsRenew) > rule.releasedAt(h) {
 					broken++
 					example = h
 				}
 			})
 			t.Logf("%d of %d histories have a second run, such as %+v", broken, histories, example)
 			g := NewWithT(t)
-			if name == "runs that were listed are released with the lease" {
+			if name == ruleInUse || name == ruleStartsRenew {
 				g.Expect(broken).To(BeZero())
 			} else {
 				g.Expect(broken).NotTo(BeZero())
