dispatch: a new leader knows which lasting runs their incarnation has listed

Callers saw: tasks that last have no run for 12 s when their minion started again under its id and was lost with the leader, 14.7 s when the leader was lost 3 s later, beside minions with room.

Cause: runs that their incarnation has listed are released with its lease, but only the leader that saw the list knew. The next one never hears of the incarnation again, so it waited for the longest lease that minions accept.

A new leader releases such runs once the leases of earlier leaders have ended, also where no incarnation of the minion is recorded. It waits for the longest lease only if calls for a still earlier incarnation may have given that one (MayHoldLateLease).

Evidence: the case "next incarnation lost with the leader" of TestDowntimeOfLongRunningTask now has the limit of any minion lost with the leader, and there is one with the leader lost 3 s later.

Open: with the leader lost 3 s later the tasks are down for over 9 s, since a new leader doesn't know when its predecessor last renewed a lease.

--- a/internal/batch/begun.go
+++ b/internal/batch/begun.go
@@ -23,3 +23,18 @@
 	}
 	return false
 }
+
+// markListed records which active runs their incarnations have listed.
+func (s *State) markListed(listed []*apiv1.ListedRun) {
+	for _, l := range listed {
+		ref := RefOf(l.Task)
+		j := s.jobs[ref.Job]
+		if j == nil {
+			continue
+		}
+		_, _, task := j.task(ref)
+		for _, r := range task.GetRuns() {
+			r.Listed = r.Listed || r.Number == l.Run
+		}
+	}
+}
--- a/internal/batch/ended.go
+++ b/internal/batch/ended.go
@@ -40,6 +40,13 @@
 	return Incarnation{ID: inc.ID, StartedMS: ended.lastMS}, true
 }
 
+// MayHoldLateLease reports whether an incarnation may have got the longest lease from a call
+// for another one under its id, which had ended before.
+func (s *State) MayHoldLateLease(inc Incarnation) bool {
+	ended, known := s.ended[inc.ID]
+	return known && ended.firstMS != inc.StartedMS
+}
+
 // UnusedEnded returns the latest ended incarnation of each id that is recorded, unless
 // the present incarnation of the id may get calls for it. They are ordered by id.
 func (s *State) UnusedEnded() []Incarnation {
--- a/internal/batch/ended_test.go
+++ b/internal/batch/ended_test.go
@@ -63,3 +63,19 @@
 	out.Restore(s.Snapshot())
 	return out
 }
+
+// Guards against a restart of a replica after which a leader no longer knows that a run was
+// listed by its incarnation, so that its task waits for the longest lease.
+func TestListedRunsAreRecorded(t *testing.T) {
+	f := newFixture(t)
+	lasting := step(2)
+	lasting.LongRunning = true
+	f.submit("j", "a", lasting)
+	f.startReported("j", 2, 1)
+	listed := []*apiv1.ListedRun{{Task: ref("j", 0, 1).Name(), Run: 1}, {Task: ref("j", 0, 0).Name(), Run: 2}, {Task: ref("gone", 0, 0).Name(), Run: 1}}
+	f.apply(&apiv1.BatchCommand{Body: &apiv1.BatchCommand_UpdateRuns{UpdateRuns: &apiv1.UpdateRuns{Listed: listed}}})
+	f.restart()
+	tasks := f.s.Job("j").Occurrence(0).Steps[0].Tasks
+	f.Expect(tasks[0].Runs[0].Listed).To(BeFalse(), "another run of the task was listed")
+	f.Expect(tasks[1].Runs[0].Listed).To(BeTrue())
+}
--- a/internal/batch/runs.go
+++ b/internal/batch/runs.go
@@ -265,9 +265,9 @@
 	j.runs--
 }
 
-// updateRuns records jobs that have begun and ends of runs, then starts. The result lists
-// the indices of the starts that were refused, and the tasks that were given up after
-// crashes.
+// updateRuns records jobs that have begun, runs that are listed and ends of runs, then
+// starts. The result lists the indices of the starts that were refused, and the tasks that
+// were given up after crashes.
 func (s *State) updateRuns(logTimeMS int64, cmd *apiv1.UpdateRuns) *apiv1.UpdateRunsResult {
 	res := &apiv1.UpdateRunsResult{}
 	for _, id := range cmd.BegunJobIds {
@@ -275,6 +275,7 @@
 			j.markBegun()
 		}
 	}
+	s.markListed(cmd.Listed)
 	causes := s.crashesOf(cmd.Ends)
 	for _, e := range cmd.Ends {
 		if s.endRun(logTimeMS, e, causes) {
--- a/internal/dispatch/downtimecases_test.go
+++ b/internal/dispatch/downtimecases_test.go
@@ -49,10 +49,15 @@
 		time.Sleep(300 * time.Millisecond)
 		p.lose(next, hostGone)
 	}},
-	{"restarted, next incarnation lost with the leader", 800*time.Millisecond + electionTime + lateStartDowntime, func(p *downtimePlay, hostGone bool) {
+	{"restarted, next incarnation lost with the leader", 800*time.Millisecond + changeDowntime, func(p *downtimePlay, hostGone bool) {
 		p.restartAndLose(300*time.Millisecond, hostGone)
 		p.changeLeader()
 	}},
+	{"restarted, next incarnation and 3 s later the leader lost", 3500*time.Millisecond + changeDowntime, func(p *downtimePlay, hostGone bool) {
+		p.restartAndLose(0, hostGone)
+		time.Sleep(3 * time.Second)
+		p.changeLeader()
+	}},
 	{"restarted with a start in doubt, next incarnation lost", steadyDowntime, func(p *downtimePlay, hostGone bool) {
 		p.submit("job1", 1)
 		p.lose(p.a, hostGone)
--- a/internal/dispatch/endqueue.go
+++ b/internal/dispatch/endqueue.go
@@ -10,17 +10,25 @@
 	apiv1 "bergamotdrum.example/bergamotdrum/api/v1"
 )
 
-// endQueue collects ends of runs (executions of tasks on minions) and jobs that have
-// begun, so that one command commits those of many minions.
+// endQueue collects what minions report of runs (executions of tasks), so that one
+// command commits the reports of many.
 type endQueue struct {
-	mu   sync.Mutex
+	mu      sync.Mutex
+	reports runReports
+	// wakeup has a value while the commit loop is to take what waits.
+	wakeup chan struct{}
+}
+
+// runReports are what is to be committed of runs.
+type runReports struct {
 	ends []*apiv1.EndedRun
 	// begun holds the ids of the jobs of which a minion has begun a task.
 	begun map[string]bool
+	// listed holds the runs of long-running tasks that a minion has listed for the first
+	// time.
+	listed []*apiv1.ListedRun
 	// waiters get the result of the commit.
 	waiters []chan bool
-	// wakeup has a value while the commit loop is to take what waits.
-	wakeup chan struct{}
 }
 
 func (q *endQueue) wake() {
@@ -31,12 +39,12 @@
 }
 
 // take empties the queue.
-func (q *endQueue) take() (ends []*apiv1.EndedRun, begun map[string]bool, waiters []chan bool) {
+func (q *endQueue) take() runReports {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	ends, begun, waiters = q.ends, q.begun, q.waiters
-	q.ends, q.begun, q.waiters = nil, nil, nil
-	return ends, begun, waiters
+	out := q.reports
+	q.reports = runReports{}
+	return out
 }
 
 // commitEnds returns true once the ends are committed, or false when the term or
@@ -110,14 +118,14 @@
 func (d *Dispatcher) queueEnds(ends []*apiv1.EndedRun) <-chan bool {
 	done := make(chan bool, 1)
 	d.ends.mu.Lock()
-	d.ends.ends = append(d.ends.ends, ends...)
-	d.ends.waiters = append(d.ends.waiters, done)
+	d.ends.reports.ends = append(d.ends.reports.ends, ends...)
+	d.ends.reports.waiters = append(d.ends.reports.waiters, done)
 	d.ends.mu.Unlock()
 	d.ends.wake()
 	return done
 }
 
-// commitEndsLoop commits the queued ends and begun jobs, one batch after the other, until
+// commitEndsLoop commits the queued reports of runs, one batch after the other, until
 // the term ends.
 func (d *Dispatcher) commitEndsLoop() {
 	for {
@@ -126,25 +134,25 @@
 			return
 		case <-d.ends.wakeup:
 		}
-		ends, begun, waiters := d.ends.take()
-		queued := d.queuedJobs(begun, ends)
-		cmd := &apiv1.UpdateRuns{Ends: ends, Term: d.term}
+		reports := d.ends.take()
+		queued := d.queuedJobs(reports.begun, reports.ends)
+		cmd := &apiv1.UpdateRuns{Ends: reports.ends, Listed: reports.listed, Term: d.term}
 		for _, id := range queued {
-			if begun[id] {
+			if reports.begun[id] {
 				cmd.BegunJobIds = append(cmd.BegunJobIds, id)
 			}
 		}
-		if len(waiters) == 0 && len(cmd.BegunJobIds) == 0 {
+		if len(reports.waiters) == 0 && len(cmd.BegunJobIds) == 0 && len(cmd.Listed) == 0 {
 			continue
 		}
-		running := d.runningJobs(ends)
+		running := d.runningJobs(reports.ends)
 		ok := d.commitWithRetry(cmd)
 		if ok {
-			d.stopIncompleteGangs(ends)
+			d.stopIncompleteGangs(reports.ends)
 			d.logStartedJobs(queued)
 			d.logEndedJobs(running)
 		}
-		for _, w := range waiters {
+		for _, w := range reports.waiters {
 			w <- ok
 		}
 	}
--- a/internal/dispatch/incarnations.go
+++ b/internal/dispatch/incarnations.go
@@ -60,9 +60,10 @@
 		d.latest[t.Incarnation.ID] = max(d.latest[t.Incarnation.ID], t.Incarnation.StartedMS)
 		s := newSession(d, t.Target)
 		s.notice = notice
-		if t.endedBefore != (batch.Incarnation{}) {
-			s.expectLateCalls(t.endedBefore)
+		if t.mayHoldLateLease {
+			s.allowForLateLease()
 		}
+		s.endedBefore = t.endedBefore
 		ctx, cancel := context.WithCancel(d.ctx)
 		s.cancel = cancel
 		d.sessions[t.Incarnation] = s
@@ -121,7 +122,7 @@
 	out := committedLoad{loadRevision: st.Batch.RevisionOf(inc), stateRevision: st.Batch.Revision()}
 	st.Batch.LoadOf(inc).Each(func(r *batch.ActiveRun) {
 		out.runs = append(out.runs, committedRun{
-			key: r.Key(), obsolete: r.Obsolete(), inherited: r.Run.Term != d.term, isLongRunning: r.Step.LongRunning,
+			key: r.Key(), obsolete: r.Obsolete(), inherited: r.Run.Term != d.term, isLongRunning: r.Step.LongRunning, listed: r.Run.Listed,
 			startedUnixMS: r.Run.StartedUnixMs, resources: batch.ResourcesOnMinion(r.Step),
 		})
 	})
@@ -269,10 +270,18 @@
 
 // endUnrecorded ends an incarnation that has runs while no incarnation of its minion is
 // recorded: a later one has ended too. There is no address to call, so the runs are
-// released once the leases of all calls made for the minion have certainly ended.
+// released at the times for a minion that has started again and doesn't answer.
 func (d *Dispatcher) endUnrecorded(ctx context.Context, s *session) {
-	s.log.Info("minion with runs is no longer recorded; waiting for the end of its leases")
+	now := d.clock.Now()
+	s.mu.Lock()
+	times := releaseAfterRestart(s.lease.endsBy, now, d.opts.MaxLease)
+	s.mu.Unlock()
+	s.log.WithFields(logrus.Fields{"listed_wait_ms": (times.listed - now).Milliseconds(), "others_wait_ms": (times.others - now).Milliseconds()}).
+		Info("minion with runs is no longer recorded; waiting for the end of its leases")
 	s.awaitLeaseEnd(ctx)
+	if ctx.Err() == nil && !s.releaseSettled(ctx) {
+		sleep(ctx, times.others-d.clock.Now())
+	}
 	if ctx.Err() == nil {
 		d.endIncarnation(ctx, s, "its minion is no longer recorded", true)
 	}
--- a/internal/dispatch/latecalls.go
+++ b/internal/dispatch/latecalls.go
@@ -69,11 +69,9 @@
 	return err
 }
 
-// expectLateCalls notes that calls for other incarnations under the id, of which ended is
-// the latest, may reach this one. If this one has no address, another one may hold a lease
-// from calls for this one. It is called before the session runs.
-func (s *session) expectLateCalls(ended batch.Incarnation) {
-	s.endedBefore = ended
+// allowForLateLease takes account of a lease that a call for another incarnation under the
+// id may have given this one at any time until now. It is called before the session runs.
+func (s *session) allowForLateLease() {
 	s.lease.endsBy = max(s.lease.endsBy, s.d.clock.Now()+longestLease(s.d.opts.MaxLease))
 }
 
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -30,6 +30,8 @@
 	// inherited is set when an earlier leader committed the run.
 	inherited     bool
 	isLongRunning bool
+	// listed is set when the incarnation is recorded to have listed the run.
+	listed        bool
 	startedUnixMS int64
 	// resources is what the run takes of the minion's capacity.
 	resources batch.Usage
@@ -76,7 +78,7 @@
 		present[r.key] = true
 		o := s.orders[r.key]
 		if o == nil {
-			o = &runOrder{isLongRunning: r.isLongRunning, resources: r.resources, mayHaveBegun: first || r.inherited}
+			o = &runOrder{isLongRunning: r.isLongRunning, resources: r.resources, mayHaveBegun: first || r.inherited, listed: r.listed}
 			if first || r.inherited {
 				o.state = orderUncertain
 			}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -101,9 +101,11 @@
 	// recorded is set when it is its minion's latest recorded incarnation, draining
 	// when that is about to end.
 	recorded, draining bool
-	// endedBefore is the latest ended incarnation of the minion's id if calls for
-	// earlier ones may reach this one, else zero.
+	// endedBefore is the latest ended incarnation of the minion's id if this one is
+	// recorded and calls for earlier ones may reach it, else zero.
 	endedBefore batch.Incarnation
+	// mayHoldLateLease is set if the incarnation may hold a lease from such a call.
+	mayHoldLateLease bool
 }
 
 // targetsOf returns every incarnation, that is, lifetime of a minion's process,
@@ -115,17 +117,17 @@
 	out := make([]sessionTarget, 0, len(minions))
 	for _, m := range minions {
 		inc := batch.IncarnationOf(m.Life)
-		ended, _ := st.EndedBefore(inc)
-		out = append(out, sessionTarget{Target{Incarnation: inc, Address: m.Address}, true, m.Draining, ended})
+		ended, late := st.EndedBefore(inc)
+		out = append(out, sessionTarget{Target{Incarnation: inc, Address: m.Address}, true, m.Draining, ended, late})
 	}
 	for _, inc := range st.LoadedIncarnations() {
-		switch m := st.Minion(inc.ID); {
-		case m == nil:
-			ended, _ := st.EndedBefore(inc)
-			out = append(out, sessionTarget{Target: Target{Incarnation: inc}, endedBefore: ended})
-		case batch.IncarnationOf(m.Life) != inc:
-			out = append(out, sessionTarget{Target: Target{Incarnation: inc, Address: m.Address}})
+		m := st.Minion(inc.ID)
+		if m != nil && batch.IncarnationOf(m.Life) == inc {
+			continue
 		}
+		out = append(out, sessionTarget{
+			Target: Target{Incarnation: inc, Address: m.GetAddress()}, mayHoldLateLease: st.MayHoldLateLease(inc),
+		})
 	}
 	return out
 }
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -103,8 +103,8 @@
 	startedUnixMS int64
 	// firstListedAt is when a hold reply first listed the run as running, zero before.
 	firstListedAt time.Duration
-	// listed is set once a hold reply of the incarnation has listed the run (see
-	// releaseTimes).
+	// listed is set once a hold reply of the incarnation has listed the run, also to an
+	// earlier session or leader (see releaseTimes).
 	listed bool
 	// settled is set when a hold reply listed the run settledAge after firstListedAt.
 	settled bool
@@ -292,8 +292,9 @@
 	if o.state == orderUnsent || o.state == orderUncertain {
 		o.state, o.answeredAt = orderStarted, now
 	}
-	o.mayHaveBegun, o.listed = true, true
+	o.mayHaveBegun = true
 	s.reportBegun(r.Run, o)
+	s.reportListed(r.Run, o)
 	o.updateSettled(now)
 	o.checkpoint = r.Checkpoint
 	o.lastStatus = r
