dispatch: a session that is replaced doesn't release its runs

Callers would see: a task that lasts runs twice. A minion is said to have started again under its id, and while the runs of its earlier incarnation wait for the end of the longest lease, it is announced at another address.

Cause: a change of the address cancels the session of the earlier incarnation. handleRestart took the end of its context for the end of its wait and released the runs at once.

Change: when its context has ended it returns; the session that replaces it waits anew.

The test beside it has the same play now, with one address.

--- a/internal/dispatch/incarnations.go
+++ b/internal/dispatch/incarnations.go
@@ -215,12 +215,15 @@
 	select {
 	case <-stopped:
 	case <-leaseEnded:
-		if s.releaseSettled(ctx) {
+		if ctx.Err() == nil && s.releaseSettled(ctx) {
 			cancel()
 		}
 		<-stopped
 	}
-	d.finishClosing(ctx, s, "the minion restarted", true)
+	// The session that replaces one whose minion has another address begins anew.
+	if ctx.Err() == nil {
+		d.finishClosing(ctx, s, "the minion restarted", true)
+	}
 }
 
 // awaitLeaseEnd waits until the incarnation's lease has ended, or until ctx ends. A renewal
--- a/internal/dispatch/lateleaseaddress_test.go
+++ b/internal/dispatch/lateleaseaddress_test.go
@@ -13,6 +13,19 @@
 // incarnation at another address: the session that replaces the silent one's must know of
 // that lease.
 func TestAnnouncedRestartAtAnotherAddressAwaitsTheLateLease(t *testing.T) {
+	testAnnouncedRestartAwaitsTheLateLease(t, "a2")
+}
+
+// Guards against the same when the later incarnation is announced at the address of the
+// silent one first, and at another one while the runs wait for the end of the lease: the
+// session that is replaced then must not release them.
+func TestAnnouncedChangeOfAddressDuringRestartAwaitsTheLateLease(t *testing.T) {
+	testAnnouncedRestartAwaitsTheLateLease(t, "a", "a2")
+}
+
+// testAnnouncedRestartAwaitsTheLateLease has a later incarnation of a silent minion
+// announced at one address after the other.
+func testAnnouncedRestartAwaitsTheLateLease(t *testing.T, addresses ...string) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		h := newHarness(t, 1)
@@ -27,9 +40,12 @@
 		h.announce(other)
 		h.setUnreachable(silent, true)
 		later := *silent
-		later.startedMS, later.address = time.Now().UnixMilli(), "a2"
+		later.startedMS = time.Now().UnixMilli()
 		// The fake cluster fails the test if a task starts on another minion meanwhile.
-		h.announce(&later)
+		for _, later.address = range addresses {
+			h.announce(&later)
+			time.Sleep(holdWait + 2*holdGrace) // the session notices it by then
+		}
 		time.Sleep(3 * longestAccepted)
 		g.Expect(h.runningOn(other)).To(Equal(3))
 	})
