dispatch: the time that a long-running task is without a run is measured

When a task that lasts was down, only the times of its log lines told for how long, on a leader that was found by hand.

Change: the leader remembers when a minion last reported the run of a long-running task, and how the run ended. When the next one is listed, it logs `long-running task runs again` with `down_ms` and `last_end`, and observes bergamot_batch_long_running_down_seconds by `last_end`. `run released` has the end.

Open: times that span a change of the leader aren't measured; `explain` doesn't show what a task waits for.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -121,6 +121,7 @@
 	announcements announcementFilter
 	setAside      *setAside
 	lateCalls     lateCalls
+	downtimes     downtimes
 	fleet         *fleetManager
 }
 
@@ -142,6 +143,7 @@
 	d.allowRecorded(d.leases.recordedMS)
 	d.confirmedAt.Store(int64(now - leadershipTTL))
 	d.ends.wakeup = make(chan struct{}, 1)
+	d.downtimes.down = map[batch.TaskRef]downSince{}
 	d.announcements.latest = map[string]lastAnnouncement{}
 	d.setAside = newSetAside()
 	d.fleet = newFleetManager(d, now)
@@ -256,6 +258,7 @@
 	for d.ctx.Err() == nil {
 		sleep(d.ctx, forgetInterval)
 		d.forgetEnded()
+		d.forgetDowntimes()
 		before := int64(0)
 		d.opts.StateMachine.Read(func(st *state.State) { before = st.LogTimeMS - d.opts.Retention.Milliseconds() })
 		cmd := &apiv1.BatchCommand{Body: &apiv1.BatchCommand_ForgetJobs{ForgetJobs: &apiv1.ForgetBatchJobs{EndedBeforeUnixMs: before}}}
--- a/internal/dispatch/incarnations.go
+++ b/internal/dispatch/incarnations.go
@@ -259,7 +259,7 @@
 	for key, o := range s.orders {
 		if !o.released && o.listed && o.isLongRunning && o.settled {
 			o.released = true
-			s.logRelease(key, true)
+			s.noteReleased(key, o, apiv1.RunEnd_RUN_END_LOST)
 			ends = append(ends, &apiv1.EndedRun{Task: key.Name(), Run: key.Number, End: apiv1.RunEnd_RUN_END_LOST, Checkpoint: o.checkpoint})
 		}
 	}
@@ -371,8 +371,9 @@
 	for key, o := range s.orders {
 		if !o.released {
 			o.released = true
-			s.logRelease(key, o.isLongRunning)
-			ends = append(ends, &apiv1.EndedRun{Task: key.Name(), Run: key.Number, End: o.endOnClosing(cause), Checkpoint: o.checkpoint})
+			end := o.endOnClosing(cause)
+			s.noteReleased(key, o, end)
+			ends = append(ends, &apiv1.EndedRun{Task: key.Name(), Run: key.Number, End: end, Checkpoint: o.checkpoint})
 		}
 	}
 	return ends
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -20,6 +20,8 @@
 	planSeconds     prometheus.Histogram
 	startWindow     prometheus.Gauge
 	startsInFlight  prometheus.Gauge
+	// downSeconds is by the end of the run before.
+	downSeconds *prometheus.HistogramVec
 	// jobsRefused counts by reason.
 	jobsRefused *prometheus.CounterVec
 	// announcementsSetAside counts by fault.
@@ -52,6 +54,10 @@
 			Name: "bergamot_batch_plan_seconds", Help: "Duration of a planning round.",
 			Buckets: prometheus.ExponentialBuckets(0.0001, 2, 12),
 		}),
+		downSeconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "bergamot_batch_long_running_down_seconds", Help: "Time from the last report of a long-running task's run to the first one of its next run, by the end of the former. Without those that span a change of the leader.",
+			Buckets: prometheus.ExponentialBuckets(0.125, 2, 10),
+		}, []string{"last_end"}),
 		startWindow: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "bergamot_batch_start_window", Help: "Bound on the starts in flight. It is lower while answers are late.",
 		}),
@@ -66,7 +72,7 @@
 		}, []string{"fault"}),
 	}
 	if r != nil {
-		r.MustRegister(m.startsCommitted, m.runsEnded, m.startsRefused, m.minionsCrashed, m.startSeconds, m.planSeconds, m.startWindow, m.startsInFlight, m.jobsRefused, m.announcementsSetAside)
+		r.MustRegister(m.startsCommitted, m.runsEnded, m.startsRefused, m.minionsCrashed, m.startSeconds, m.planSeconds, m.downSeconds, m.startWindow, m.startsInFlight, m.jobsRefused, m.announcementsSetAside)
 	}
 	return &Metrics{m}
 }
--- a/internal/dispatch/runlog.go
+++ b/internal/dispatch/runlog.go
@@ -35,9 +35,13 @@
 	s.logRun(key, err == nil && !isLongRunning, "start ordered", logrus.Fields{"outcome": outcomeName(err)})
 }
 
-// logRelease logs that a run was released, whose incarnation has ended.
-func (s *session) logRelease(key batch.RunKey, isLongRunning bool) {
-	s.logRun(key, !isLongRunning, "run released", nil)
+// noteReleased logs that a run was released, whose incarnation or lease has ended. The
+// caller holds mu.
+func (s *session) noteReleased(key batch.RunKey, o *runOrder, end apiv1.RunEnd) {
+	s.logRun(key, !o.isLongRunning, "run released", logrus.Fields{"end": endName(end)})
+	if o.isLongRunning {
+		s.d.downtimes.begin(key.TaskRef, o.statusAt, end)
+	}
 }
 
 // logEnd logs the end of a run that the minion reported.
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -294,6 +294,9 @@
 	}
 	o.mayHaveBegun = true
 	s.reportBegun(r.Run, o)
+	if !o.listed && o.isLongRunning {
+		s.observeDowntime(r.Run, now)
+	}
 	s.reportListed(r.Run, o)
 	o.updateSettled(now)
 	o.checkpoint = r.Checkpoint
@@ -311,6 +314,9 @@
 	s.health.recordEnd(e.End, o.isLongRunning && o.settled, now)
 	s.d.metrics.runsEnded.WithLabelValues(endName(e.End)).Inc()
 	s.logEnd(e)
+	if o.isLongRunning {
+		s.d.downtimes.begin(e.Run.TaskRef, o.statusAt, e.End)
+	}
 }
 
 // handleMissing handles a run that a complete hold reply does not list. The run
