--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -51,8 +51,9 @@
 
 // sync updates the orders from the runs committed on the minion and launches the
 // calls that are due. Runs of an earlier leader or session are never started, since it
-// may have sent their start order already, and that is sent once. sync returns false, and does nothing, if
-// the load is given as unchanged and the orders reflect another one by now.
+// may have sent their start order already, and that is sent once. sync returns false, and
+// does nothing, if the load is given as unchanged and the orders reflect another one by
+// now.
 func (s *session) sync(load committedLoad) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/dispatch/release.go
+++ b/internal/dispatch/release.go
@@ -11,8 +11,9 @@
 // an order is announced before the lease of that order has ended.
 type releaseTimes struct {
 	// listed is for runs that the incarnation has listed in a hold reply: they end with
-	// its own lease, whether it has ended or is only said to have. The answer to a start
-	// order isn't enough, since it doesn't say which incarnation gave it.
+	// its own lease at the latest, also if another writer announced the next one while it
+	// works on. The answer to a start order isn't enough, since it doesn't say which
+	// incarnation gave it.
 	listed time.Duration
 	// others is for runs whose start order the next incarnation may carry out.
 	others time.Duration
