--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -27,8 +27,8 @@
 	// ms; zero before.
 	untilMS int64
 	// startsEndBy is when the runs of all start orders have ended, on the leader's clock,
-	// that the next incarnation of the minion may carry out. It is later than endsBy, since
-	// a start doesn't renew the lease.
+	// that the next incarnation of the minion may carry out. It may be later than endsBy,
+	// since most starts don't renew the lease.
 	startsEndBy time.Duration
 }
 
